Lay out the crate: vocabulary, wire headers, routing, retry bounds

Cause: an empty repository. The skeleton fixes the types that the concerns share, so that they can grow side by side. Conclusion: concerns are folders; decisions are pure and take the time as an input.

--- /dev/null
+++ b/src/adapters/http_server.rs
@@ -0,0 +1,79 @@
+//! One way to serve HTTP for every listener of every program, by gotham.
+
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::ready;
+use gotham::state::FromState;
+use gotham::state::State;
+use gotham::state::client_addr;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// The body of requests and answers: a stream, so that large ones are never held whole.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A body without content.
+pub fn empty_body() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body held in memory.
+pub fn full_body(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Opens a listener; port 0 takes any free port.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves until the task is dropped. The handler gets the request and the caller's address.
+pub async fn serve<F, R>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Body>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let handler = Arc::new(AssertUnwindSafe(handler));
+    let new_handler = move || {
+        let handler = handler.clone();
+        Ok(move |mut state: State| {
+            let (request, from) = take_request(&mut state);
+            let answer = handler.0(request, from);
+            async move { Ok((state, answer.await)) }.boxed()
+        })
+    };
+    gotham::bind_server(listener, new_handler, without_delay).await
+}
+
+/// Small answers must not wait for an acknowledgement of the packet before.
+fn without_delay(socket: TcpStream) -> futures::future::Ready<Result<TcpStream, ()>> {
+    ready(socket.set_nodelay(true).map(|()| socket).map_err(drop))
+}
+
+fn take_request(state: &mut State) -> (Request<Body>, SocketAddr) {
+    let from = client_addr(state).unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
+    let mut request = Request::new(Body::take_from(state));
+    *request.method_mut() = Method::take_from(state);
+    *request.uri_mut() = Uri::take_from(state);
+    *request.headers_mut() = HeaderMap::take_from(state);
+    (request, from)
+}
--- /dev/null
+++ b/src/control/peer_service.rs
@@ -0,0 +1,75 @@
+//! The calls between nodes, over tarpc on the control address.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::AttemptId;
+use crate::core::Name;
+use crate::core::RequestId;
+use crate::core::Target;
+
+/// What a guard knows of an attempt, when its sender asks over a new connection because the old
+/// one went silent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AttemptStatus {
+    /// It never arrived, and will be refused if it still does: the sender may send it again.
+    NeverSeen,
+    /// It waits or runs; ask again.
+    InProgress,
+    /// It ended; the whole answer is repeated.
+    Done(KeptAnswer),
+    /// It ended, but its answer was too large to keep or was dropped since.
+    DoneWithoutAnswer,
+}
+
+/// A whole answer as kept for a while at the guard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    pub status: u16,
+    /// Headers in order, the encoded answer header among them.
+    pub headers: Vec<(String, Vec<u8>)>,
+    pub body: Vec<u8>,
+}
+
+/// A published configuration as it is handed from node to node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigDocument {
+    pub version: u64,
+    pub preset: Name,
+    /// The preset document in YAML, as it was published.
+    pub document: String,
+}
+
+/// The answer to an owner's request that this node refrain from taking over its slots.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Promise {
+    /// No take-over of the asker's slots is under way here, and none will be completed within
+    /// `hold_ms` of the receipt of the request.
+    Granted { hold_ms: u64 },
+    /// A take-over is under way or done; the asker must not rely on its ownership.
+    Refused,
+}
+
+/// Requests that ran when a backend server crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    pub service: Name,
+    pub entries: Vec<(RequestId, u64)>,
+}
+
+/// What one node can ask of another.
+#[tarpc::service]
+pub trait PeerControl {
+    /// Exchanges everything known of all members: the caller's members in, this node's out.
+    async fn exchange_members(members: Vec<Target>) -> Vec<Target>;
+    /// The configuration in force here, if its version is higher than `above`.
+    async fn config_above(above: u64) -> Option<ConfigDocument>;
+    /// What became of an attempt; an attempt that was never seen is revoked by asking.
+    async fn attempt_status(attempt: AttemptId) -> AttemptStatus;
+    /// Asks for the promise not to take over the slots of `owner` (`incarnation`) in `service`.
+    async fn promise(service: String, owner: String, incarnation: u64) -> Promise;
+    /// Hands over the encoded ledger of slots together with the intention to give them away.
+    async fn hand_over(service: String, ledger: Vec<u8>) -> bool;
+    /// Spreads requests that ran when a backend server crashed.
+    async fn report_suspects(suspects: Suspects);
+}
--- /dev/null
+++ b/src/core/clock.rs
@@ -0,0 +1,78 @@
+//! Monotonic time in milliseconds, the only time that decisions see.
+
+use std::fmt;
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A moment on this process's monotonic clock, in milliseconds since the process started.
+///
+/// It never leaves the process: what is sent to others is always a remaining duration, because
+/// the clocks of two VMs have nothing in common (see docs/DESIGN.md, "Time").
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TimeMs(pub u64);
+
+impl TimeMs {
+    /// Milliseconds from `earlier` to `self`, or 0 when `earlier` is later.
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for TimeMs {
+    type Output = Self;
+
+    fn add(self, wait_ms: u64) -> Self {
+        Self(self.0.saturating_add(wait_ms))
+    }
+}
+
+impl Sub<u64> for TimeMs {
+    type Output = Self;
+
+    fn sub(self, wait_ms: u64) -> Self {
+        Self(self.0.saturating_sub(wait_ms))
+    }
+}
+
+impl fmt::Display for TimeMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// The source of [`TimeMs`], read at the edges and handed into decisions as a value.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock whose first moment is now.
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// The present moment in milliseconds.
+    pub fn now(&self) -> TimeMs {
+        TimeMs(self.origin.elapsed().as_millis() as u64)
+    }
+
+    /// The present moment in microseconds, for latency histograms only.
+    pub fn now_us(&self) -> u64 {
+        self.origin.elapsed().as_micros() as u64
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/core/collections.rs
@@ -0,0 +1,13 @@
+//! Hash maps with a fast hasher. Keys come from inside or are bounded, so the hasher need not
+//! resist chosen keys; every map in the product has a bound and an eviction rule of its own.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use rustc_hash::FxBuildHasher;
+
+/// The map that the whole crate uses.
+pub type FastMap<K, V> = HashMap<K, V, FxBuildHasher>;
+
+/// The set that the whole crate uses.
+pub type FastSet<T> = HashSet<T, FxBuildHasher>;
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,28 @@
+//! The vocabulary shared by every concern: time, names, identifiers, priorities and outcomes.
+
+mod clock;
+mod collections;
+mod identifiers;
+mod names;
+mod outcome;
+mod priority;
+mod published;
+mod view;
+
+pub use clock::Clock;
+pub use clock::TimeMs;
+pub use collections::FastMap;
+pub use collections::FastSet;
+pub use identifiers::AttemptId;
+pub use identifiers::RequestId;
+pub use identifiers::fingerprint_of;
+pub use names::Name;
+pub use outcome::Refusal;
+pub use outcome::RefusalReason;
+pub use outcome::RetryReason;
+pub use outcome::RunState;
+pub use priority::Priority;
+pub use published::Published;
+pub use view::Target;
+pub use view::TargetState;
+pub use view::View;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! Overload control for service call graphs: one small process beside each backend server.
+//!
+//! The folders are concerns. Decisions (`admission`, `routing`, `retry`, `poison`, `claims`,
+//! `membership`, `preset`) are pure: they take inputs and a time and return actions. `adapters`
+//! meets the outside; `node` puts both together. See [docs/DESIGN.md](../docs/DESIGN.md).
+
+pub mod adapters;
+pub mod conf;
+pub mod control;
+pub mod core;
+pub mod errors;
+pub mod preset;
+pub mod retry;
+pub mod routing;
+pub mod wire;
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,10 @@
+//! Which target gets a call: first-hand figures of each target and the choice among them.
+
+mod picker;
+mod target_stats;
+
+pub use picker::Choice;
+pub use picker::Pick;
+pub use picker::PickerConf;
+pub use picker::pick;
+pub use target_stats::TargetStats;
--- /dev/null
+++ b/src/routing/picker.rs
@@ -0,0 +1,146 @@
+//! The choice of a target: least loaded of two, own failure domain first.
+
+use std::sync::Arc;
+
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::Target;
+use crate::core::TimeMs;
+use crate::routing::TargetStats;
+
+/// How targets are chosen.
+#[derive(Clone, Debug)]
+pub struct PickerConf {
+    /// Load per slot, in thousandths, from which calls spill into other failure domains.
+    pub spill_permille: u64,
+    /// How long a new target counts as more loaded than it is, falling linearly to nothing.
+    pub slow_start_ms: u64,
+    /// The largest share of a service's targets that may be ejected at a time, in percent.
+    pub eject_percent: usize,
+}
+
+impl Default for PickerConf {
+    fn default() -> Self {
+        Self {
+            spill_permille: 700,
+            slow_start_ms: 5_000,
+            eject_percent: 50,
+        }
+    }
+}
+
+/// What is decided about a target: take it, or there is none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pick {
+    Take(Arc<Target>),
+    /// Targets exist, but none takes work now.
+    NoneTakesWork,
+    /// The service has never been heard of.
+    Unknown,
+}
+
+/// What the choice is made from.
+pub struct Choice<'a> {
+    pub targets: &'a [Arc<Target>],
+    pub stats: &'a FastMap<Name, TargetStats>,
+    pub own_domain: &'a str,
+    pub cut_off_domains: &'a [Name],
+    /// Nodes already tried by this call.
+    pub tried: &'a [Name],
+}
+
+/// Chooses a target. `random` supplies the two draws, so that tests can fix them.
+pub fn pick(
+    choice: &Choice<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    mut random: impl FnMut(usize) -> usize,
+) -> Pick {
+    if choice.targets.is_empty() {
+        return Pick::Unknown;
+    }
+    let open = open_targets(choice, conf, now);
+    if open.is_empty() {
+        return Pick::NoneTakesWork;
+    }
+    let (near, far): (Vec<_>, Vec<_>) = open
+        .into_iter()
+        .partition(|target| &*target.domain == choice.own_domain);
+    let best_near = least_of_two(&near, choice, conf, now, &mut random);
+    let mut best_far = || least_of_two(&far, choice, conf, now, &mut random);
+    match best_near {
+        None => best_far().map_or(Pick::NoneTakesWork, |(target, _)| Pick::Take(target)),
+        Some((target, load)) if load < conf.spill_permille => Pick::Take(target),
+        Some((target, load)) => match best_far() {
+            Some((other, other_load)) if other_load < load => Pick::Take(other),
+            _ => Pick::Take(target),
+        },
+    }
+}
+
+/// Targets that take work, less those ejected, unless too many are: then ejection says more about
+/// this node than about them, and it is ignored.
+fn open_targets(choice: &Choice<'_>, conf: &PickerConf, now: TimeMs) -> Vec<Arc<Target>> {
+    let candidates: Vec<Arc<Target>> = choice
+        .targets
+        .iter()
+        .filter(|target| target.state.takes_work())
+        .filter(|target| !choice.tried.contains(&target.node))
+        .filter(|target| !choice.cut_off_domains.contains(&target.domain))
+        .cloned()
+        .collect();
+    let is_ejected = |target: &Arc<Target>| {
+        let stats = choice.stats.get(&target.node);
+        stats.is_some_and(|stats| stats.is_ejected(now))
+    };
+    let ejected = candidates
+        .iter()
+        .filter(|target| is_ejected(target))
+        .count();
+    if ejected * 100 > candidates.len() * conf.eject_percent {
+        return candidates;
+    }
+    candidates
+        .into_iter()
+        .filter(|target| !is_ejected(target))
+        .collect()
+}
+
+fn least_of_two(
+    targets: &[Arc<Target>],
+    choice: &Choice<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    random: &mut impl FnMut(usize) -> usize,
+) -> Option<(Arc<Target>, u64)> {
+    if targets.is_empty() {
+        return None;
+    }
+    let first = random(targets.len());
+    let mut second = random(targets.len());
+    if second == first {
+        second = (first + 1) % targets.len();
+    }
+    let load = |index: usize| effective_load(&targets[index], choice, conf, now);
+    let best = if load(second) < load(first) {
+        second
+    } else {
+        first
+    };
+    Some((targets[best].clone(), load(best)))
+}
+
+/// The load of a target, plus a handicap while it is new: a cold backend server that gets its full
+/// share at once answers late, and its callers retry.
+fn effective_load(target: &Target, choice: &Choice<'_>, conf: &PickerConf, now: TimeMs) -> u64 {
+    let Some(stats) = choice.stats.get(&target.node) else {
+        return 0;
+    };
+    let load = stats.load_permille(target.slots, now);
+    let age_ms = now.since(stats.first_seen);
+    if age_ms >= conf.slow_start_ms || stats.first_seen == TimeMs(0) {
+        return load;
+    }
+    let handicap = (conf.slow_start_ms - age_ms) * 1_000 / conf.slow_start_ms;
+    load + load * handicap / 1_000 + handicap / 4
+}
--- /dev/null
+++ b/src/routing/target_stats.rs
@@ -0,0 +1,78 @@
+//! What this node knows first hand about one target.
+
+use crate::core::TimeMs;
+use crate::wire::LoadReport;
+
+/// Failures in a row after which a target is ejected for a while.
+const EJECT_AFTER_FAILURES: u32 = 3;
+/// How long the first ejection lasts; it doubles with each further one.
+const EJECT_FIRST_MS: u64 = 500;
+/// The longest ejection.
+const EJECT_LONGEST_MS: u64 = 8_000;
+/// How old a piggybacked report may be and still count.
+const REPORT_FRESH_MS: u64 = 1_000;
+
+/// Calls in flight from here, the latest report heard from the target, and its failures in a row.
+#[derive(Clone, Debug, Default)]
+pub struct TargetStats {
+    pub in_flight: u32,
+    pub first_seen: TimeMs,
+    report: LoadReport,
+    reported_at: TimeMs,
+    failures_in_row: u32,
+    ejections: u32,
+    ejected_until: TimeMs,
+}
+
+impl TargetStats {
+    /// Statistics of a target first seen at `now`.
+    pub fn new(now: TimeMs) -> Self {
+        Self {
+            first_seen: now,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in what an answer piggybacked. It is first-hand news of the guard, not of the
+    /// backend server, so it may be believed while it is fresh.
+    pub fn note_report(&mut self, report: LoadReport, now: TimeMs) {
+        self.report = report;
+        self.reported_at = now;
+    }
+
+    /// An answer came: the target lives.
+    pub fn note_success(&mut self) {
+        self.failures_in_row = 0;
+        self.ejections = 0;
+    }
+
+    /// The target could not be reached, or was lost before it answered.
+    pub fn note_failure(&mut self, now: TimeMs) {
+        self.failures_in_row += 1;
+        if self.failures_in_row < EJECT_AFTER_FAILURES {
+            return;
+        }
+        let wait_ms = EJECT_FIRST_MS << self.ejections.min(8);
+        self.ejected_until = now + wait_ms.min(EJECT_LONGEST_MS);
+        self.ejections += 1;
+        self.failures_in_row = 0;
+    }
+
+    /// Whether the target is left out of the choice for now.
+    pub fn is_ejected(&self, now: TimeMs) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Load per slot in thousandths, the larger of what is known first hand and what was reported.
+    pub fn load_permille(&self, limit_hint: u32, now: TimeMs) -> u64 {
+        let fresh = now.since(self.reported_at) <= REPORT_FRESH_MS && self.report.limit > 0;
+        let limit = if fresh { self.report.limit } else { limit_hint };
+        let reported = if fresh {
+            self.report.in_flight + self.report.queued
+        } else {
+            0
+        };
+        let running = u64::from(self.in_flight.max(reported));
+        running * 1_000 / u64::from(limit.max(1))
+    }
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,36 @@
+//! Header values: one version byte and a postcard message, in base64.
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::errors::WireError;
+
+/// The version of the protocol between nodes; a peer of another version is refused by name.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+/// Encodes a message for a header.
+pub fn encode<T: Serialize>(message: &T) -> String {
+    let mut bytes = vec![PROTOCOL_VERSION];
+    bytes = postcard::to_extend(message, bytes).expect("plain structs always encode");
+    URL_SAFE_NO_PAD.encode(bytes)
+}
+
+/// Decodes a message out of a header value.
+///
+/// # Errors
+/// Says which header is malformed, or that the peer speaks another version.
+pub fn decode<T: DeserializeOwned>(header: &'static str, value: &[u8]) -> Result<T, WireError> {
+    let bytes = URL_SAFE_NO_PAD
+        .decode(value)
+        .map_err(|_| WireError::Encoding { header })?;
+    let (&theirs, message) = bytes.split_first().ok_or(WireError::Missing { header })?;
+    if theirs != PROTOCOL_VERSION {
+        return Err(WireError::Version {
+            theirs,
+            ours: PROTOCOL_VERSION,
+        });
+    }
+    postcard::from_bytes(message).map_err(|source| WireError::Decode { header, source })
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,12 @@
+//! What travels between callers, nodes and backend servers: header names and their values.
+//! The protocol between nodes is described in [docs/PROTOCOL.md](../../docs/PROTOCOL.md).
+
+mod answer_header;
+mod call_header;
+mod codec;
+pub mod headers;
+
+pub use answer_header::AnswerHeader;
+pub use answer_header::LoadReport;
+pub use call_header::CallHeader;
+pub use codec::PROTOCOL_VERSION;
