Admit, queue or refuse calls at the guard and learn levels of services

Cause: nothing decided what runs under overload. Admission at the guard keeps a learnt limit, a queue by class, depth and rank, and a level that answers carry back; Levels and Dependencies hold what was learnt where calls are sent from.

Checked: 512 random event sequences, each ticket one outcome, in flight within the limit, no less important call started before a more important one. Pace and algorithms are not measured yet.

--- /dev/null
+++ b/src/admission/admission.rs
@@ -0,0 +1,201 @@
+//! The guard's decision about each call to the local backend server.
+
+use fastrand::Rng;
+
+use crate::admission::Action;
+use crate::admission::AdmissionConf;
+use crate::admission::Completion;
+use crate::admission::Offer;
+use crate::admission::QueuedCall;
+use crate::admission::Verdict;
+use crate::admission::call_queue::CallQueue;
+use crate::admission::call_queue::Waiting;
+use crate::admission::drain_rate::DrainRate;
+use crate::admission::level_control::LevelControl;
+use crate::admission::limit::Limit;
+use crate::admission::service_time::ServiceTime;
+use crate::core::FastMap;
+use crate::core::Priority;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::TimeMs;
+use crate::wire::LoadReport;
+
+/// Shortest and longest time after which a refused caller is told to come back.
+const LEAST_RETRY_AFTER_MS: u64 = 50;
+const MOST_RETRY_AFTER_MS: u64 = 5_000;
+
+/// What runs at the local backend server and what waits for it.
+///
+/// Every ticket gets exactly one decision: it runs ([`Offer::Run`] or [`Action::Start`]) or it is
+/// refused. What runs never exceeds the limit at the time of its start.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    conf: AdmissionConf,
+    limit: Limit,
+    queue: CallQueue,
+    /// Calls that run, by ticket. Bounded by the limit.
+    running: FastMap<u64, Priority>,
+    /// Calls that a more important one displaced, until the next poll.
+    displaced: Vec<Action>,
+    service_time: ServiceTime,
+    drain_rate: DrainRate,
+    level: LevelControl,
+    random: Rng,
+}
+
+impl Admission {
+    /// Admission for a backend server of which nothing is known. `seed` feeds the jitter of
+    /// Retry-After only.
+    pub fn new(conf: AdmissionConf, seed: u64) -> Self {
+        Self {
+            limit: Limit::new(&conf),
+            queue: CallQueue::default(),
+            running: FastMap::default(),
+            displaced: Vec::new(),
+            service_time: ServiceTime::default(),
+            drain_rate: DrainRate::default(),
+            level: LevelControl::new(&conf),
+            random: Rng::with_seed(seed),
+            conf,
+        }
+    }
+
+    /// Decides about a call that has just arrived. When it has to wait, call [`Self::poll`] at
+    /// once: a less important call may have lost its place to it.
+    pub fn offer(&mut self, now: TimeMs, call: QueuedCall) -> Offer {
+        self.level.note_offer(call.priority);
+        if !self.can_be_met(&call, now) {
+            return Offer::Refuse(self.refusal(RefusalReason::DeadlineExceeded, now));
+        }
+        if self.has_room() && self.queue.would_be_first(&call) {
+            self.start(call.ticket, call.priority, 0);
+            return Offer::Run;
+        }
+        self.limit.note_full();
+        if self.queue.len() >= self.queue_bound() {
+            if !self.queue.outranks_last(&call) {
+                self.level.note_refusal();
+                return Offer::Refuse(self.refusal(RefusalReason::Overloaded, now));
+            }
+            self.displace_last(now);
+        }
+        self.queue.push(call, now);
+        Offer::Wait
+    }
+
+    /// Notes that a call which ran came to its end. Call [`Self::poll`] after it. An unknown
+    /// ticket is ignored.
+    pub fn complete(&mut self, now: TimeMs, ticket: u64, completion: Completion) {
+        let Some(priority) = self.running.remove(&ticket) else {
+            return;
+        };
+        self.drain_rate.note(now);
+        self.limit.note(&completion, now);
+        if completion.verdict == Verdict::Ok {
+            self.service_time
+                .note(priority.class(), completion.service_us, now);
+        }
+    }
+
+    /// Forgets a call that waits, because its caller went away. Returns whether it waited; if so
+    /// it was not run and will not be. A call that runs has to be completed instead.
+    pub fn cancel(&mut self, ticket: u64) -> bool {
+        self.queue.remove(ticket).is_some()
+    }
+
+    /// Starts what there is room for and refuses what waited too long. To be called after each
+    /// offer that waits, each completion, and every few milliseconds.
+    pub fn poll(&mut self, now: TimeMs) -> Vec<Action> {
+        let mut actions = std::mem::take(&mut self.displaced);
+        while let Some(waiting) = self.queue.pop_given_up(now) {
+            actions.push(self.give_up(&waiting, now));
+        }
+        while self.has_room() {
+            let Some(waiting) = self.queue.pop_first() else {
+                break;
+            };
+            actions.push(self.start_or_give_up(&waiting, now));
+        }
+        self.level.roll(now, self.queue.len());
+        actions
+    }
+
+    /// The lowest priority that is admitted at present, to be piggybacked on answers.
+    pub fn level(&self) -> Priority {
+        self.level.level()
+    }
+
+    /// First-hand figures, to be piggybacked on answers.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.running.len() as u32,
+            limit: self.limit.get(),
+            queued: self.queue.len() as u32,
+        }
+    }
+
+    /// Caps the limit by the slots that the backend server announces. It may only lower the limit.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit.set_cap(slots.min(self.conf.most_limit));
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limit.get() as usize
+    }
+
+    fn queue_bound(&self) -> usize {
+        let by_limit = self.limit.get() * self.conf.queue_percent / 100;
+        self.conf.queue_least.max(by_limit as usize)
+    }
+
+    fn can_be_met(&self, call: &QueuedCall, now: TimeMs) -> bool {
+        let needed_ms = self.service_time.at_least_ms(call.priority.class(), now);
+        now + needed_ms < call.deadline
+    }
+
+    fn start(&mut self, ticket: u64, priority: Priority, waited_ms: u64) {
+        self.running.insert(ticket, priority);
+        self.level.note_start(waited_ms);
+        debug_assert!(self.running.len() <= self.limit.get() as usize);
+    }
+
+    fn start_or_give_up(&mut self, waiting: &Waiting, now: TimeMs) -> Action {
+        if !self.can_be_met(&waiting.call, now) {
+            return self.give_up(waiting, now);
+        }
+        let call = &waiting.call;
+        self.start(call.ticket, call.priority, now.since(waiting.since));
+        Action::Start(call.ticket)
+    }
+
+    fn give_up(&mut self, waiting: &Waiting, now: TimeMs) -> Action {
+        self.level.note_refusal();
+        let reason = if self.can_be_met(&waiting.call, now) {
+            RefusalReason::WaitExceeded
+        } else {
+            RefusalReason::DeadlineExceeded
+        };
+        Action::Refuse(waiting.call.ticket, self.refusal(reason, now))
+    }
+
+    fn displace_last(&mut self, now: TimeMs) {
+        let Some(waiting) = self.queue.pop_last() else {
+            return;
+        };
+        self.level.note_refusal();
+        let refusal = self.refusal(RefusalReason::Overloaded, now);
+        let action = Action::Refuse(waiting.call.ticket, refusal);
+        self.displaced.push(action);
+    }
+
+    /// A refusal that says when what waits now will have been worked off, spread by half either
+    /// way so that those refused together do not come back together.
+    fn refusal(&mut self, reason: RefusalReason, now: TimeMs) -> Refusal {
+        let ahead = self.queue.len() as u64 + 1;
+        let drained_ms = self.drain_rate.time_for_ms(ahead, now);
+        let wait_ms = drained_ms.clamp(LEAST_RETRY_AFTER_MS, MOST_RETRY_AFTER_MS);
+        let jittered_ms = self.random.u64(wait_ms / 2..=wait_ms + wait_ms / 2);
+        Refusal::not_run(reason, jittered_ms)
+    }
+}
--- /dev/null
+++ b/src/admission/admission_conf.rs
@@ -0,0 +1,34 @@
+//! What can be set about admission at a guard.
+
+/// Bounds and pace of admission. The defaults are those that were measured.
+#[derive(Clone, Debug)]
+pub struct AdmissionConf {
+    /// The limit before anything is known of a backend server that has just started.
+    pub first_limit: u32,
+    /// The limit never falls below this, so that there is always something to learn from.
+    pub least_limit: u32,
+    /// The limit never rises above this, whatever is announced.
+    pub most_limit: u32,
+    /// Calls that may wait, as a percentage of the limit.
+    pub queue_percent: u32,
+    /// Calls that may wait whatever the limit is.
+    pub queue_least: usize,
+    /// How often the limit and the level are worked out anew.
+    pub window_ms: u64,
+    /// The shortest wait in the queue that, lasting a whole window, counts as overload.
+    pub wait_target_ms: u64,
+}
+
+impl Default for AdmissionConf {
+    fn default() -> Self {
+        Self {
+            first_limit: 8,
+            least_limit: 2,
+            most_limit: 2_000,
+            queue_percent: 100,
+            queue_least: 16,
+            window_ms: 100,
+            wait_target_ms: 5,
+        }
+    }
+}
--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,26 @@
+//! What runs, waits or is refused under overload, at the guard and for the whole chain.
+//!
+//! Pure decisions: each takes a state, an input and a time, and returns actions. The ways that
+//! were weighed and the figures are in [docs/ADMISSION.md](../../docs/ADMISSION.md).
+
+mod admission;
+mod admission_conf;
+mod call_queue;
+mod dependencies;
+mod drain_rate;
+mod level_control;
+mod levels;
+mod limit;
+mod queued_call;
+mod service_time;
+
+pub use admission::Admission;
+pub use admission_conf::AdmissionConf;
+pub use dependencies::Dependencies;
+pub use levels::Levels;
+pub use levels::route_of;
+pub use queued_call::Action;
+pub use queued_call::Completion;
+pub use queued_call::Offer;
+pub use queued_call::QueuedCall;
+pub use queued_call::Verdict;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! meets the outside; `node` puts both together. See [docs/DESIGN.md](../docs/DESIGN.md).
 
 pub mod adapters;
+pub mod admission;
 pub mod conf;
 pub mod control;
 pub mod core;
