Add the stand-in platform and its client

Cause: claims, configuration and the node need a transactional table and an object store with scripted faults, and a client that never takes a lost answer for a failed write.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod core;
 pub mod errors;
+pub mod platform;
 pub mod preset;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/src/platform/client_resolve.rs
@@ -0,0 +1,102 @@
+//! What became of a write whose answer was lost.
+
+use log::debug;
+
+use crate::errors::PlatformError;
+use crate::platform::client::PlatformClient;
+use crate::platform::protocol::Committed;
+use crate::platform::protocol::Row;
+use crate::platform::protocol::Transaction;
+
+/// How often a write of unknown outcome is sent in all.
+const MAX_SENDS: u32 = 3;
+
+/// What is known of a conditional write after its row has been read back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resolution {
+    /// The row carries the change id.
+    Applied(Row),
+    /// The row has moved on without the change id, so the write can no longer take effect. That it
+    /// never did is certain only where rows keep the ids of their last few changes.
+    NotApplied(Option<Row>),
+    /// The row is as it was, so the write may still be on its way, or the platform does not answer.
+    Unknown,
+}
+
+/// Reads back the row `key`, which a write of unknown outcome put on condition that it was at
+/// `checked_version`, with a value that contains `change_id`.
+pub async fn resolve(
+    client: &PlatformClient,
+    key: &str,
+    checked_version: Option<u64>,
+    change_id: &str,
+) -> Resolution {
+    let Ok(row) = client.get(key).await else {
+        return Resolution::Unknown;
+    };
+    classify(row, checked_version, change_id)
+}
+
+/// Applies a transaction that puts `key`, on condition of its version, with a value that contains
+/// `change_id`. An unknown outcome is cleared up by reading back.
+///
+/// When the row is still as it was, the transaction is sent again: the condition on the version
+/// keeps it from taking effect twice, and a late first copy then shows as a conflict with a row
+/// that carries the change id.
+///
+/// # Errors
+/// `Conflict` when another change came first, and whatever leaves nothing done. An outcome that
+/// stays unknown is `Ok(Resolution::Unknown)`.
+pub async fn transact_resolved(
+    client: &PlatformClient,
+    transaction: &Transaction,
+    key: &str,
+    change_id: &str,
+) -> Result<Resolution, PlatformError> {
+    let checked_version = transaction.checked_version(key).flatten();
+    let mut was_unknown = false;
+    for _ in 0..MAX_SENDS {
+        let error = match client.transact(transaction).await {
+            Ok(committed) => return Ok(applied(transaction, &committed, key)),
+            Err(error) => error,
+        };
+        match error {
+            PlatformError::OutcomeUnknown => was_unknown = true,
+            PlatformError::Conflict { version, value, .. } if was_unknown => {
+                let row = version.zip(value);
+                let row = row.map(|(version, value)| Row { version, value });
+                return Ok(classify(row, checked_version, change_id));
+            }
+            error if was_unknown => {
+                debug!("platform client: outcome stays unknown change={change_id} error={error}");
+                return Ok(Resolution::Unknown);
+            }
+            error => return Err(error),
+        }
+        let resolution = resolve(client, key, checked_version, change_id).await;
+        debug!("platform client: read back change={change_id} resolution={resolution:?}");
+        if resolution != Resolution::Unknown {
+            return Ok(resolution);
+        }
+    }
+    Ok(Resolution::Unknown)
+}
+
+/// The row as the transaction itself left it.
+fn applied(transaction: &Transaction, committed: &Committed, key: &str) -> Resolution {
+    let version = committed.versions.iter().find(|each| &*each.key == key);
+    let put = transaction.puts.iter().find(|put| &*put.key == key);
+    Resolution::Applied(Row {
+        version: version.map_or(0, |each| each.version),
+        value: put.map_or_else(String::new, |put| put.value.clone()),
+    })
+}
+
+fn classify(row: Option<Row>, checked_version: Option<u64>, change_id: &str) -> Resolution {
+    let version = row.as_ref().map(|row| row.version);
+    match row {
+        Some(row) if row.value.contains(change_id) => Resolution::Applied(row),
+        _ if version == checked_version => Resolution::Unknown,
+        row => Resolution::NotApplied(row),
+    }
+}
