--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use log::LevelFilter;
+
 use crate::core::Name;
 
 /// What a node has to know before it starts. It learns its addresses and its failure domain from
@@ -23,6 +25,10 @@
     pub operator_address: SocketAddr,
     /// Control addresses of some nodes to begin with.
     pub seeds: Vec<SocketAddr>,
+    /// What other nodes are told instead of `peer_address`, where the two differ.
+    pub peer_advertised_address: SocketAddr,
+    /// What other nodes are told instead of `control_address`, where the two differ.
+    pub control_advertised_address: SocketAddr,
     /// The platform's table service and object store.
     pub platform_address: SocketAddr,
     pub traffic_threads: usize,
@@ -31,4 +37,20 @@
     /// The largest request or answer body that is held whole; larger ones are streamed.
     pub max_held_body_bytes: usize,
     pub max_header_bytes: usize,
+    /// How much is logged; the environment variable `RUST_LOG` overrides it.
+    pub log_level: LevelFilter,
+    /// How long a new connection to a peer or backend server may take.
+    pub connect_timeout_ms: u64,
+    /// How long an unused connection is kept open.
+    pub idle_connection_ms: u64,
+    /// How long a connection with a call on it may make no progress before it is given up.
+    pub silence_ms: u64,
+    /// How long a planned stop waits for calls in flight.
+    pub drain_timeout_ms: u64,
+    /// How long one request to the platform may take.
+    pub platform_timeout_ms: u64,
+    /// How often a polling node reads the row of the configuration in force.
+    pub config_poll_ms: u64,
+    /// How many idempotency keys a guard remembers at most.
+    pub max_ledger_keys: usize,
 }
