Carry the slot owner's hint and stamp between nodes

Entries learn owners from answers alone, and a keyed attempt proves by the owner's stamp that it was sent lately: an attempt held up in a paused entry would otherwise arrive after the ledger forgot its key.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,4 +9,5 @@
 pub use peer_service::PeerControl;
 pub use peer_service::PeerControlClient;
 pub use peer_service::Promise;
+pub use peer_service::PromiseAsk;
 pub use peer_service::Suspects;
--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -40,6 +40,19 @@
     pub document: String,
 }
 
+/// An owner's request that one member of its service refrain from taking over its slots.
+///
+/// Both sides are named by process instance: a restarted member has forgotten what its
+/// predecessor promised or began, so it must not answer for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromiseAsk {
+    pub service: Name,
+    /// The process instance of the owner that asks.
+    pub owner: u64,
+    /// The process instance that is asked.
+    pub member: u64,
+}
+
 /// The answer to an owner's request that this node refrain from taking over its slots.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Promise {
@@ -66,10 +79,10 @@
     async fn config_above(above: u64) -> Option<ConfigDocument>;
     /// What became of an attempt; an attempt that was never seen is revoked by asking.
     async fn attempt_status(attempt: AttemptId) -> AttemptStatus;
-    /// Asks for the promise not to take over the slots of `owner` (`incarnation`) in `service`.
-    async fn promise(service: String, owner: String, incarnation: u64) -> Promise;
-    /// Hands over the encoded ledger of slots together with the intention to give them away.
-    async fn hand_over(service: String, ledger: Vec<u8>) -> bool;
+    /// Asks for the promise not to take over slots of the owner's service for a while.
+    async fn promise(ask: PromiseAsk) -> Promise;
+    /// Hands over an encoded `claims::LedgerTransfer`; `true` confirms that it was taken in.
+    async fn hand_over(transfer: Vec<u8>) -> bool;
     /// Spreads requests that ran when a backend server crashed.
     async fn report_suspects(suspects: Suspects);
 }
--- a/src/core/outcome.rs
+++ b/src/core/outcome.rs
@@ -74,6 +74,8 @@
         Poisoned => "poisoned",
         /// The key's home target does not own the slot (any more).
         NotOwner => "not_owner",
+        /// The attempt was under way for so long that its key may have been forgotten.
+        StaleAttempt => "stale_attempt",
         /// The slot's owner cannot prove that its lease holds.
         LeaseLapsed => "lease_lapsed",
         /// The slot was taken over lately and the key may have run before that.
@@ -114,6 +116,8 @@
         SilentConnection => "silent_connection",
         /// The slot of the key has another owner.
         OwnerMoved => "owner_moved",
+        /// The owner asked for its present stamp.
+        StampRenewed => "stamp_renewed",
     }
 }
 
--- a/src/wire/answer_header.rs
+++ b/src/wire/answer_header.rs
@@ -9,6 +9,7 @@
 use crate::core::Refusal;
 use crate::core::RunState;
 use crate::errors::WireError;
+use crate::wire::OwnerHint;
 use crate::wire::codec;
 use crate::wire::headers;
 
@@ -37,6 +38,8 @@
     pub config_version: u64,
     /// The length of the body that follows, where known; a shorter one is an error.
     pub body_len: Option<u64>,
+    /// For calls with a key: the owner of its slot as this guard knows it.
+    pub owner: Option<OwnerHint>,
 }
 
 impl AnswerHeader {
--- a/src/wire/call_header.rs
+++ b/src/wire/call_header.rs
@@ -28,9 +28,11 @@
     pub allotment: u16,
     /// Whether a second run would do harm.
     pub non_idempotent: bool,
-    /// The key under which it runs at most once, and the epoch of the slot the sender believes in.
+    /// The key under which it runs at most once.
     pub key: Option<Name>,
-    pub slot_epoch: u64,
+    /// The owner's stamp that the sender heard last, 0 if none: it proves that the attempt was
+    /// sent lately (docs/AT_MOST_ONCE.md, "Attempts that arrive late").
+    pub owner_stamp: u64,
     /// The version of the configuration by which the call was classified.
     pub config_version: u64,
     /// The length of the body that follows, checked on arrival.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,8 +5,10 @@
 mod call_header;
 mod codec;
 pub mod headers;
+mod owner_hint;
 
 pub use answer_header::AnswerHeader;
 pub use answer_header::LoadReport;
 pub use call_header::CallHeader;
 pub use codec::PROTOCOL_VERSION;
+pub use owner_hint::OwnerHint;
