--- a/src/core/clock.rs
+++ b/src/core/clock.rs
@@ -12,9 +12,8 @@
 ///
 /// It never leaves the process: what is sent to others is always a remaining duration, because
 /// the clocks of two VMs have nothing in common (see docs/DESIGN.md, "Time").
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TimeMs(pub u64);
 
 impl TimeMs {
--- a/src/core/identifiers.rs
+++ b/src/core/identifiers.rs
@@ -11,7 +11,8 @@
 ///
 /// It is derived from the caller's idempotency key where there is one, so that a resend is seen
 /// as the same request at every entry; otherwise it is random.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestId(pub u128);
 
 impl RequestId {
@@ -36,7 +37,8 @@
 }
 
 /// Names one attempt to run one call at one target; never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId(pub u128);
 
 impl AttemptId {
--- a/src/core/outcome.rs
+++ b/src/core/outcome.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Whether the request was run, as far as the speaker can be certain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
     /// The request was provably not started and will not be.
@@ -122,7 +123,8 @@
 }
 
 /// A typed refusal as it travels between nodes and to callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     pub reason: RefusalReason,
     pub run_state: RunState,
--- a/src/core/priority.rs
+++ b/src/core/priority.rs
@@ -8,7 +8,8 @@
 /// The class of the preset in force comes first (0 is the most important class); within a class
 /// the rank of the root request decides, so every hop sheds the same requests and work already
 /// done for a survivor is not thrown away further down.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Priority(pub u32);
 
 impl Priority {
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -10,7 +10,8 @@
 use crate::core::Name;
 
 /// Where a target stands in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetState {
     /// The node runs; its backend server has not announced itself, or is down.
@@ -35,7 +36,8 @@
 }
 
 /// One backend server together with the node beside it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Target {
     pub node: Name,
     /// The service of its backend server; empty until the backend server announced itself.
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -61,7 +61,8 @@
 }
 
 /// One thing that is wrong in a settings, preset or deployment file.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Problem {
     /// Path of the field, such as `rules[2].class`; empty for the document as a whole.
     pub field: String,
@@ -83,7 +84,8 @@
 }
 
 /// A file that cannot be used, with everything that is wrong in it.
-#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error, Serialize)]
 #[error("{}", list_problems(file, problems))]
 pub struct SettingsError {
     pub file: String,
--- a/src/wire/answer_header.rs
+++ b/src/wire/answer_header.rs
@@ -14,7 +14,8 @@
 use crate::wire::headers;
 
 /// The guard's own first-hand figures.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     pub in_flight: u32,
     pub limit: u32,
@@ -22,7 +23,8 @@
 }
 
 /// The part of an answer that is meant for the forwarding node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AnswerHeader {
     /// Repeats the attempt, so that an answer is never taken for that of another call.
     pub attempt: AttemptId,
--- a/src/wire/call_header.rs
+++ b/src/wire/call_header.rs
@@ -13,7 +13,8 @@
 use crate::wire::headers;
 
 /// What a guard has to know of a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CallHeader {
     pub request: RequestId,
     pub attempt: AttemptId,
