--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -1,14 +1,24 @@
 //! Settings of the programs: YAML turned into checked values, with every problem told at once.
 
 mod address_check;
+mod defaults;
+mod deployment;
+mod deployment_document;
 mod document;
 mod node_document;
 mod node_settings;
+mod node_writer;
 mod preset_document;
 mod preset_rules;
 mod section;
 mod unit_hint;
 
+pub use deployment::Deployment;
+pub use deployment::Placement;
+pub use deployment::ServiceSize;
+pub use deployment_document::DeploymentFiles;
+pub use deployment_document::load_deployment;
+pub use deployment_document::parse_deployment;
 pub use document::parse_document;
 pub use document::read_file;
 pub use node_document::load_node_settings;
--- a/src/conf/node_document.rs
+++ b/src/conf/node_document.rs
@@ -10,21 +10,11 @@
 use crate::conf::address_check::check_advertised;
 use crate::conf::address_check::check_clashes;
 use crate::conf::address_check::check_loopback;
+use crate::conf::defaults;
 use crate::conf::parse_document;
 use crate::conf::read_file;
 use crate::errors::SettingsError;
 
-const DEFAULT_TRAFFIC_THREADS: u64 = 2;
-const DEFAULT_MAX_HELD_BODY_BYTES: u64 = 256 * 1024;
-const DEFAULT_MAX_HEADER_BYTES: u64 = 32 * 1024;
-const DEFAULT_CONNECT_TIMEOUT_MS: u64 = 250;
-const DEFAULT_IDLE_CONNECTION_MS: u64 = 5_000;
-const DEFAULT_SILENCE_MS: u64 = 500;
-const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 30_000;
-const DEFAULT_PLATFORM_TIMEOUT_MS: u64 = 1_000;
-const DEFAULT_CONFIG_POLL_MS: u64 = 500;
-const DEFAULT_MAX_LEDGER_KEYS: u64 = 100_000;
-
 /// Reads and checks the settings of a node.
 ///
 /// # Errors
@@ -78,46 +68,46 @@
     );
     let settings = NodeSettings {
         seeds: section.addresses("seeds"),
-        traffic_threads: section.number_or("traffic_threads", 1..=64, DEFAULT_TRAFFIC_THREADS)
+        traffic_threads: section.number_or("traffic_threads", 1..=64, defaults::TRAFFIC_THREADS)
             as usize,
         control_enabled: section.boolean("control_enabled").unwrap_or(true),
         max_held_body_bytes: section.number_or(
             "max_held_body_bytes",
             1_024..=64 * 1_024 * 1_024,
-            DEFAULT_MAX_HELD_BODY_BYTES,
+            defaults::MAX_HELD_BODY_BYTES,
         ) as usize,
         max_header_bytes: section.number_or(
             "max_header_bytes",
             4_096..=1_024 * 1_024,
-            DEFAULT_MAX_HEADER_BYTES,
+            defaults::MAX_HEADER_BYTES,
         ) as usize,
         log_level: read_log_level(section),
         connect_timeout_ms: section.number_or(
             "connect_timeout_ms",
             10..=10_000,
-            DEFAULT_CONNECT_TIMEOUT_MS,
+            defaults::CONNECT_TIMEOUT_MS,
         ),
         idle_connection_ms: section.number_or(
             "idle_connection_ms",
             100..=600_000,
-            DEFAULT_IDLE_CONNECTION_MS,
+            defaults::IDLE_CONNECTION_MS,
         ),
-        silence_ms: section.number_or("silence_ms", 50..=60_000, DEFAULT_SILENCE_MS),
+        silence_ms: section.number_or("silence_ms", 50..=60_000, defaults::SILENCE_MS),
         drain_timeout_ms: section.number_or(
             "drain_timeout_ms",
             100..=3_600_000,
-            DEFAULT_DRAIN_TIMEOUT_MS,
+            defaults::DRAIN_TIMEOUT_MS,
         ),
         platform_timeout_ms: section.number_or(
             "platform_timeout_ms",
             50..=30_000,
-            DEFAULT_PLATFORM_TIMEOUT_MS,
+            defaults::PLATFORM_TIMEOUT_MS,
         ),
-        config_poll_ms: section.number_or("config_poll_ms", 50..=5_000, DEFAULT_CONFIG_POLL_MS),
+        config_poll_ms: section.number_or("config_poll_ms", 50..=5_000, defaults::CONFIG_POLL_MS),
         max_ledger_keys: section.number_or(
             "max_ledger_keys",
             100..=10_000_000,
-            DEFAULT_MAX_LEDGER_KEYS,
+            defaults::MAX_LEDGER_KEYS,
         ) as usize,
         node: node?,
         region: region?,
--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -4,6 +4,7 @@
 
 use log::LevelFilter;
 
+use crate::conf::defaults;
 use crate::core::Name;
 
 /// What a node has to know before it starts. It learns its addresses and its failure domain from
@@ -54,3 +55,43 @@
     /// How many idempotency keys a guard remembers at most.
     pub max_ledger_keys: usize,
 }
+
+impl NodeSettings {
+    /// Settings with every default. `addresses` are those of callers, local backend server, peers,
+    /// control and operators, in this order.
+    pub fn with_defaults(
+        node: Name,
+        region: Name,
+        domain: Name,
+        addresses: [SocketAddr; 5],
+        platform_address: SocketAddr,
+    ) -> Self {
+        let [caller, local, peer, control, operator] = addresses;
+        Self {
+            node,
+            region,
+            domain,
+            caller_address: caller,
+            local_address: local,
+            peer_address: peer,
+            control_address: control,
+            operator_address: operator,
+            seeds: Vec::new(),
+            peer_advertised_address: peer,
+            control_advertised_address: control,
+            platform_address,
+            traffic_threads: defaults::TRAFFIC_THREADS as usize,
+            control_enabled: true,
+            max_held_body_bytes: defaults::MAX_HELD_BODY_BYTES as usize,
+            max_header_bytes: defaults::MAX_HEADER_BYTES as usize,
+            log_level: LevelFilter::Info,
+            connect_timeout_ms: defaults::CONNECT_TIMEOUT_MS,
+            idle_connection_ms: defaults::IDLE_CONNECTION_MS,
+            silence_ms: defaults::SILENCE_MS,
+            drain_timeout_ms: defaults::DRAIN_TIMEOUT_MS,
+            platform_timeout_ms: defaults::PLATFORM_TIMEOUT_MS,
+            config_poll_ms: defaults::CONFIG_POLL_MS,
+            max_ledger_keys: defaults::MAX_LEDGER_KEYS as usize,
+        }
+    }
+}
--- a/src/conf/section.rs
+++ b/src/conf/section.rs
@@ -219,6 +219,21 @@
         names
     }
 
+    /// A list of texts, empty when it is not given.
+    pub fn texts(&mut self, field: &'static str) -> Vec<String> {
+        let mut texts = Vec::new();
+        for (index, value) in self.list(field).into_iter().enumerate() {
+            match value.as_str() {
+                Some(text) => texts.push(text.to_owned()),
+                None => {
+                    let path = format!("{}[{index}]", self.path_of(field));
+                    self.push(path, &value, "a text belongs here");
+                }
+            }
+        }
+        texts
+    }
+
     /// An address with port, if given.
     pub fn address(&mut self, field: &'static str) -> Option<SocketAddr> {
         let text = self.text(field)?;
