Add the stand-in backend server

Tests and demos need a backend server that queues, sheds, drains, misleads and crashes on request and that counts its runs. Ruled out: counting runs in the node, since the counts have to be independent of what they check.

--- a/src/errors.rs
+++ b/src/errors.rs
@@ -1,6 +1,8 @@
 //! Every failure of the product, by type. No bare strings travel as errors.
 
 use std::fmt;
+use std::io;
+use std::path::PathBuf;
 
 use serde::Serialize;
 use thiserror::Error;
@@ -99,3 +101,21 @@
         .collect();
     lines.join("\n")
 }
+
+/// A stand-in backend server that cannot start.
+#[derive(Debug, Error)]
+pub enum BackendError {
+    #[error("cannot read the settings {}: {source}", path.display())]
+    ReadSettings { path: PathBuf, source: io::Error },
+    #[error("the settings {} are not right: {source}", path.display())]
+    ParseSettings {
+        path: PathBuf,
+        source: serde_yaml_ng::Error,
+    },
+    #[error("cannot open the run log {}: {source}", path.display())]
+    OpenRunLog { path: PathBuf, source: io::Error },
+    #[error("cannot listen: {0}")]
+    Listen(io::Error),
+    #[error("cannot receive signals: {0}")]
+    Signals(io::Error),
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod adapters;
 pub mod admission;
+pub mod backend;
 pub mod conf;
 pub mod control;
 pub mod core;
