Script the platform's faults and resolve lost answers

Cause: a write can take effect while its answer is lost, also when the store is slower than its client's patience, and a read-back of an unchanged row says nothing about a write still on its way. The stand-in now carries on after its client has gone; the client sends again under the same condition, and takes a conflict with its own change id for what it is. Conclusion: a conditional write with a change id is safe to repeat.

--- a/src/platform/client_resolve.rs
+++ b/src/platform/client_resolve.rs
@@ -56,22 +56,16 @@
     let checked_version = transaction.checked_version(key).flatten();
     let mut was_unknown = false;
     for _ in 0..MAX_SENDS {
-        let error = match client.transact(transaction).await {
+        match client.transact(transaction).await {
             Ok(committed) => return Ok(applied(transaction, &committed, key)),
-            Err(error) => error,
-        };
-        match error {
-            PlatformError::OutcomeUnknown => was_unknown = true,
-            PlatformError::Conflict { version, value, .. } if was_unknown => {
-                let row = version.zip(value);
-                let row = row.map(|(version, value)| Row { version, value });
-                return Ok(classify(row, checked_version, change_id));
-            }
-            error if was_unknown => {
-                debug!("platform client: outcome stays unknown change={change_id} error={error}");
-                return Ok(Resolution::Unknown);
-            }
-            error => return Err(error),
+            Err(PlatformError::OutcomeUnknown) => was_unknown = true,
+            Err(error) => match conflicting_row(&error, key) {
+                Some(row) if was_unknown || row.value.contains(change_id) => {
+                    return Ok(classify(Some(row), checked_version, change_id));
+                }
+                _ if !was_unknown => return Err(error),
+                _ => debug!("platform client: sent again change={change_id} error={error}"),
+            },
         }
         let resolution = resolve(client, key, checked_version, change_id).await;
         debug!("platform client: read back change={change_id} resolution={resolution:?}");
@@ -82,6 +76,21 @@
     Ok(Resolution::Unknown)
 }
 
+/// The row `key` as a conflict shows it, which a late first copy of the write may have put.
+fn conflicting_row(error: &PlatformError, key: &str) -> Option<Row> {
+    match error {
+        PlatformError::Conflict {
+            key: conflicting,
+            version: Some(version),
+            value: Some(value),
+        } if &**conflicting == key => Some(Row {
+            version: *version,
+            value: value.clone(),
+        }),
+        _ => None,
+    }
+}
+
 /// The row as the transaction itself left it.
 fn applied(transaction: &Transaction, committed: &Committed, key: &str) -> Resolution {
     let version = committed.versions.iter().find(|each| &*each.key == key);
--- a/src/platform/fault.rs
+++ b/src/platform/fault.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::TimeMs;
+use crate::errors::FaultScriptError;
 
 /// Which requests a fault touches.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,10 +27,14 @@
     Silent,
 }
 
-/// One or more things that are wrong at the same time.
+/// One step of a script: one or more things that are wrong at the same time.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fault {
+    /// When it begins, counted from the start of the platform or from the moment it was posted.
+    pub at_ms: u64,
+    /// How long it lasts; until all faults are ended when left out.
+    pub for_ms: Option<u64>,
     /// Connections are accepted and every request is answered with 503.
     pub down: bool,
     /// Connections are accepted and nothing is ever answered.
@@ -48,6 +54,29 @@
 }
 
 impl Fault {
+    /// Checks the values.
+    ///
+    /// # Errors
+    /// When the share of errors is outside 0 to 1.
+    pub fn verify(&self) -> Result<(), FaultScriptError> {
+        let share = self.error_share;
+        if (0.0..=1.0).contains(&share) {
+            return Ok(());
+        }
+        Err(FaultScriptError::Share { share })
+    }
+
+    /// Whether it holds at `now`.
+    pub fn is_active(&self, now: TimeMs) -> bool {
+        self.at_ms <= now.0 && !self.is_over(now)
+    }
+
+    /// Whether it held and never will again.
+    pub fn is_over(&self, now: TimeMs) -> bool {
+        let ends_at = self.for_ms.map(|for_ms| self.at_ms.saturating_add(for_ms));
+        ends_at.is_some_and(|ends_at| ends_at <= now.0)
+    }
+
     /// Whether it touches a request of this kind from this failure domain.
     pub fn touches(&self, domain: &str, is_write: bool) -> bool {
         let domain_fits = self.domains.is_empty() || contains(&self.domains, domain);
--- a/src/platform/fault_script.rs
+++ b/src/platform/fault_script.rs
@@ -11,24 +11,11 @@
 /// How many faults may be planned or active at a time.
 const MAX_STEPS: usize = 256;
 
-/// A fault with its beginning and its length.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct FaultStep {
-    /// When it begins, counted from the start of the platform or from the moment it was posted.
-    #[serde(default)]
-    pub at_ms: u64,
-    /// How long it lasts; until all faults are cleared when left out.
-    #[serde(default)]
-    pub for_ms: Option<u64>,
-    #[serde(flatten)]
-    pub fault: Fault,
-}
-
 /// All faults planned or active.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FaultScript {
-    pub steps: Vec<FaultStep>,
+    pub steps: Vec<Fault>,
 }
 
 /// What all active faults together do to one request.
@@ -59,7 +46,7 @@
     ///
     /// # Errors
     /// When the step is invalid or there are too many already.
-    pub fn add(&mut self, now: TimeMs, mut step: FaultStep) -> Result<(), FaultScriptError> {
+    pub fn add(&mut self, now: TimeMs, mut step: Fault) -> Result<(), FaultScriptError> {
         step.verify()?;
         self.steps.retain(|each| !each.is_over(now));
         if self.steps.len() >= MAX_STEPS {
@@ -74,30 +61,11 @@
     pub fn effects(&self, now: TimeMs, domain: &str, is_write: bool) -> Effects {
         let active = self.steps.iter().filter(|step| step.is_active(now));
         active.fold(Effects::default(), |effects, step| {
-            effects.with(&step.fault, domain, is_write)
+            effects.with(step, domain, is_write)
         })
     }
 }
 
-impl FaultStep {
-    fn verify(&self) -> Result<(), FaultScriptError> {
-        let share = self.fault.error_share;
-        if (0.0..=1.0).contains(&share) {
-            return Ok(());
-        }
-        Err(FaultScriptError::Share { share })
-    }
-
-    fn is_active(&self, now: TimeMs) -> bool {
-        self.at_ms <= now.0 && !self.is_over(now)
-    }
-
-    fn is_over(&self, now: TimeMs) -> bool {
-        let ends_at = self.for_ms.map(|for_ms| self.at_ms.saturating_add(for_ms));
-        ends_at.is_some_and(|ends_at| ends_at <= now.0)
-    }
-}
-
 impl Effects {
     fn with(self, fault: &Fault, domain: &str, is_write: bool) -> Self {
         let cut_off = fault.cuts_off(domain);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! uses them, and a stand-in with scripted faults for tests and demos
 //! ([docs/PLATFORM.md](../../docs/PLATFORM.md)).
 
+mod answers;
 mod client;
 mod client_resolve;
 mod fault;
@@ -12,6 +13,7 @@
 mod server;
 mod server_settings;
 mod stats;
+mod store;
 mod table;
 
 pub use client::PlatformClient;
@@ -23,7 +25,6 @@
 pub use fault::Operations;
 pub use fault_script::Effects;
 pub use fault_script::FaultScript;
-pub use fault_script::FaultStep;
 pub use protocol::Check;
 pub use protocol::Committed;
 pub use protocol::Conflict;
