Add membership by gossip and the control thread

Cause: nodes have no list of backend servers and must find each other with the platform down and inside a failure domain that is cut off. Before: no membership.

--- /dev/null
+++ b/src/control/command.rs
@@ -0,0 +1,40 @@
+//! What other threads and tasks ask of the membership on the control thread.
+
+use std::net::SocketAddr;
+
+use tokio::sync::oneshot;
+
+use crate::core::Name;
+use crate::core::Target;
+use crate::core::TargetState;
+
+/// One request, handled in the order of arrival.
+#[derive(Debug)]
+pub enum Command {
+    /// The local backend server announced itself or changed.
+    Announce {
+        service: Name,
+        slots: u32,
+        state: TargetState,
+    },
+    /// Changes the state only.
+    SetState(TargetState),
+    SetConfigVersion(u64),
+    SetSlotMapVersion {
+        service: Name,
+        version: u64,
+    },
+    AddSeeds(Vec<SocketAddr>),
+    /// A peer exchanges all members.
+    Exchange {
+        members: Vec<Target>,
+        answer: oneshot::Sender<Vec<Target>>,
+    },
+    /// The answer to an exchange that this node asked for.
+    Merge {
+        from: SocketAddr,
+        members: Vec<Target>,
+    },
+    /// Sends what is pending and ends the thread.
+    Shutdown,
+}
--- /dev/null
+++ b/src/control/control_handlers.rs
@@ -0,0 +1,67 @@
+//! What the other concerns do when a peer asks or tells something.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::future::ready;
+
+use super::AttemptStatus;
+use super::ConfigDocument;
+use super::Promise;
+use super::PromiseAsk;
+use super::Suspects;
+use crate::core::AttemptId;
+use crate::core::Name;
+
+/// A newer slot map that a peer knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotMapNews {
+    /// The control address of the peer.
+    pub from: SocketAddr,
+    pub service: Name,
+    pub version: u64,
+}
+
+/// One closure for each question or piece of news, called on the control thread: they must not
+/// block. What takes time is spawned on [`super::ControlHandle::runtime`].
+///
+/// The default of each is the safe answer of a node that lacks the concern.
+#[derive(Clone)]
+pub struct ControlHandlers {
+    /// The configuration in force here, if its version is higher.
+    pub config_above: Arc<dyn Fn(u64) -> Option<ConfigDocument> + Send + Sync>,
+    /// What became of an attempt. An attempt that was never seen must be revoked before
+    /// `NeverSeen` is answered.
+    pub attempt_status: Arc<dyn Fn(AttemptId) -> BoxFuture<'static, AttemptStatus> + Send + Sync>,
+    /// Whether to promise not to take over slots.
+    pub promise: Arc<dyn Fn(PromiseAsk) -> Promise + Send + Sync>,
+    /// Takes in a handed-over ledger; `true` once it is taken in.
+    pub hand_over: Arc<dyn Fn(Vec<u8>) -> BoxFuture<'static, bool> + Send + Sync>,
+    /// Takes in requests that ran when a backend server crashed.
+    pub report_suspects: Arc<dyn Fn(Suspects) + Send + Sync>,
+    /// A peer (its control address) has this higher configuration version in force: fetch it
+    /// there. Repeated until [`super::ControlHandle::set_config_version`] catches up.
+    pub config_news: Arc<dyn Fn(SocketAddr, u64) + Send + Sync>,
+    /// A peer knows a newer slot map: fetch it there or from the table. Repeated until
+    /// [`super::ControlHandle::set_slot_map_version`] catches up.
+    pub slot_map_news: Arc<dyn Fn(SlotMapNews) + Send + Sync>,
+    /// The versions of slot maps differ from those of this peer for long: compare them all.
+    pub compare_slot_maps: Arc<dyn Fn(SocketAddr) + Send + Sync>,
+}
+
+impl Default for ControlHandlers {
+    fn default() -> Self {
+        Self {
+            config_above: Arc::new(|_| None),
+            attempt_status: Arc::new(|_| ready(AttemptStatus::InProgress).boxed()),
+            promise: Arc::new(|_| Promise::Refused),
+            hand_over: Arc::new(|_| ready(false).boxed()),
+            report_suspects: Arc::new(|_| {}),
+            config_news: Arc::new(|_, _| {}),
+            slot_map_news: Arc::new(|_| {}),
+            compare_slot_maps: Arc::new(|_| {}),
+        }
+    }
+}
--- /dev/null
+++ b/src/control/control_loop.rs
@@ -0,0 +1,194 @@
+//! The loop that owns the membership: datagrams, commands and the passing of time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use super::Command;
+use super::ControlHandlers;
+use super::ControlMetrics;
+use super::Direction;
+use super::PeerClients;
+use super::SlotMapNews;
+use crate::core::Clock;
+use crate::core::Published;
+use crate::core::View;
+use crate::membership::Action;
+use crate::membership::Datagram;
+use crate::membership::Membership;
+use crate::membership::decode_datagram;
+use crate::membership::encode_datagram;
+
+/// How often the membership looks at the time. It also batches news for this long.
+const TICK: Duration = Duration::from_millis(100);
+/// Datagrams taken in before commands and ticks get their turn.
+const MAX_BATCH: usize = 64;
+/// The largest datagram that UDP carries.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+
+/// Everything that the loop owns.
+pub struct ControlLoop {
+    pub membership: Membership,
+    pub socket: UdpSocket,
+    pub commands: UnboundedReceiver<Command>,
+    /// For tasks of this thread that bring back results.
+    pub own_commands: UnboundedSender<Command>,
+    pub handlers: ControlHandlers,
+    pub clients: Arc<PeerClients>,
+    pub view: Arc<Published<View>>,
+    pub metrics: ControlMetrics,
+    pub clock: Clock,
+}
+
+impl ControlLoop {
+    /// Runs until a [`Command::Shutdown`].
+    pub async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        self.publish();
+        loop {
+            // Datagrams before ticks: after a pause, answers that wait in the socket must be
+            // seen before anybody is suspected for the lack of them.
+            tokio::select! {
+                biased;
+                ready = self.socket.readable() => match ready {
+                    Ok(()) => self.receive_batch(&mut buffer),
+                    Err(error) => log::warn!("gossip: cannot receive error={error}"),
+                },
+                command = self.commands.recv() => match command {
+                    Some(Command::Shutdown) | None => break,
+                    Some(command) => self.obey(command),
+                },
+                _ = ticks.tick() => {}
+            }
+            let actions = self.membership.tick(self.clock.now());
+            self.act(actions);
+        }
+        let actions = self.membership.tick(self.clock.now());
+        self.act(actions);
+    }
+
+    fn receive_batch(&mut self, buffer: &mut [u8]) {
+        for _ in 0..MAX_BATCH {
+            match self.socket.try_recv_from(buffer) {
+                Ok((bytes, from)) => self.receive(&buffer[..bytes], from),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The kernel reports here that an earlier datagram met a closed port.
+                Err(error) => log::trace!("gossip: receive failed error={error}"),
+            }
+        }
+    }
+
+    fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
+        match decode_datagram(bytes) {
+            Ok(datagram) => {
+                let kind = datagram.body.kind();
+                self.metrics
+                    .count_datagram(Direction::Received, kind, bytes.len());
+                let actions = self.membership.handle(self.clock.now(), from, datagram);
+                self.act(actions);
+            }
+            Err(error) => {
+                self.metrics.dropped_datagrams.inc();
+                log::debug!("gossip: datagram dropped from={from} error={error}");
+            }
+        }
+    }
+
+    fn obey(&mut self, command: Command) {
+        let now = self.clock.now();
+        match command {
+            Command::Announce {
+                service,
+                slots,
+                state,
+            } => self.membership.set_own(&service, state, slots, now),
+            Command::SetState(state) => {
+                let own = self.membership.own();
+                let (service, slots) = (own.service.clone(), own.slots);
+                self.membership.set_own(&service, state, slots, now);
+            }
+            Command::SetConfigVersion(version) => self.membership.set_config_version(version),
+            Command::SetSlotMapVersion { service, version } => {
+                self.membership.set_slot_map_version(&service, version);
+            }
+            Command::AddSeeds(seeds) => self.membership.add_seeds(&seeds),
+            Command::Exchange { members, answer } => {
+                let held = self.membership.all_members();
+                let from = self.membership.own().control_address;
+                let actions = self.membership.merge(now, from, &members);
+                self.act(actions);
+                // The asker may have gone; then nobody needs the answer.
+                drop(answer.send(held));
+            }
+            Command::Merge { from, members } => {
+                let actions = self.membership.merge(now, from, &members);
+                self.act(actions);
+            }
+            Command::Shutdown => {}
+        }
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, datagram } => self.send(to, &datagram),
+                Action::Publish => self.publish(),
+                Action::Exchange { with } => self.exchange(with),
+                Action::ConfigNews { from, version } => (self.handlers.config_news)(from, version),
+                Action::SlotMapNews {
+                    from,
+                    service,
+                    version,
+                } => (self.handlers.slot_map_news)(SlotMapNews {
+                    from,
+                    service,
+                    version,
+                }),
+                Action::CompareSlotMaps { with } => (self.handlers.compare_slot_maps)(with),
+            }
+        }
+    }
+
+    /// A datagram that cannot be sent now counts as lost, which the protocol expects.
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        let bytes = encode_datagram(datagram);
+        let kind = datagram.body.kind();
+        match self.socket.try_send_to(&bytes, to) {
+            Ok(_) => self
+                .metrics
+                .count_datagram(Direction::Sent, kind, bytes.len()),
+            Err(error) => log::trace!("gossip: send failed to={to} error={error}"),
+        }
+    }
+
+    fn publish(&mut self) {
+        let view = self.membership.view();
+        self.metrics.show_view(&view);
+        self.view.store(Arc::new(view));
+    }
+
+    fn exchange(&self, with: SocketAddr) {
+        let members = self.membership.all_members();
+        let clients = self.clients.clone();
+        let commands = self.own_commands.clone();
+        tokio::spawn(async move {
+            match clients.exchange_members(with, members).await {
+                Ok(members) => {
+                    let from = with;
+                    // The loop may have ended; then nobody needs the members.
+                    drop(commands.send(Command::Merge { from, members }));
+                }
+                Err(error) => log::debug!("gossip: exchange failed with={with} error={error}"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/control/peer_transport.rs
@@ -0,0 +1,38 @@
+//! How control calls are framed, the same at both ends.
+
+use serde::Deserialize;
+use serde::Serialize;
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::Framed;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpStream;
+
+use super::ControlMetrics;
+use super::CountedStream;
+
+/// The largest message: a kept answer or a ledger, with room to spare. A longer one ends the
+/// connection, so that a broken peer cannot make this node reserve memory without bound.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// A framed and counted connection.
+pub type PeerTransport<Item, SinkItem> =
+    Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+
+/// Frames a connection. Small messages must not wait for the acknowledgement of the one before.
+pub fn peer_transport<Item, SinkItem>(
+    stream: TcpStream,
+    metrics: &ControlMetrics,
+) -> PeerTransport<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("control: cannot set nodelay error={error}");
+    }
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_FRAME_BYTES);
+    let framed = Framed::new(CountedStream::new(stream, metrics), codec);
+    tarpc::serde_transport::new(framed, Bincode::default())
+}
--- /dev/null
+++ b/src/control/start.rs
@@ -0,0 +1,92 @@
+//! Starts the control thread.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+
+use fastrand::Rng;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc::unbounded_channel;
+
+use super::ControlHandle;
+use super::ControlHandlers;
+use super::ControlLoop;
+use super::ControlMetrics;
+use super::ControlSettings;
+use super::PeerClients;
+use super::PeerServer;
+use super::bind_control;
+use crate::core::Published;
+use crate::core::View;
+use crate::errors::ControlError;
+use crate::membership::Membership;
+
+/// Binds the control address and starts the control thread. Everything of it runs there: gossip,
+/// control calls in both directions, and what the concerns spawn.
+///
+/// # Errors
+/// When the address cannot be bound or the thread cannot be started.
+pub fn start(
+    settings: ControlSettings,
+    handlers: ControlHandlers,
+    metrics: ControlMetrics,
+) -> Result<ControlHandle, ControlError> {
+    let sockets = bind_control(settings.control_address).map_err(|source| ControlError::Bind {
+        address: settings.control_address,
+        source,
+    })?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let _entered = runtime.enter();
+    let socket = UdpSocket::from_std(sockets.datagrams)?;
+    let listener = TcpListener::from_std(sockets.calls)?;
+    let clock = settings.clock;
+    let clients = Arc::new(PeerClients::new(
+        runtime.handle().clone(),
+        clock,
+        metrics.clone(),
+    ));
+    let view = Arc::new(Published::new(Arc::new(View::default())));
+    let (own_commands, commands) = unbounded_channel();
+    let membership = Membership::new(
+        settings.first_target(sockets.address),
+        settings.seeds.clone(),
+        settings.membership,
+        Rng::new(),
+        clock.now(),
+    );
+    let server = PeerServer {
+        handlers: handlers.clone(),
+        commands: own_commands.clone(),
+        metrics: metrics.clone(),
+    };
+    let control_loop = ControlLoop {
+        membership,
+        socket,
+        commands,
+        own_commands: own_commands.clone(),
+        handlers,
+        clients: clients.clone(),
+        view: view.clone(),
+        metrics,
+        clock,
+    };
+    let handle = runtime.handle().clone();
+    drop(_entered);
+    let thread = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.spawn(server.accept(listener));
+            runtime.block_on(control_loop.run());
+        })?;
+    log::info!("control: started address={}", sockets.address);
+    Ok(ControlHandle {
+        address: sockets.address,
+        view,
+        clients,
+        runtime: handle,
+        commands: own_commands,
+        thread: Mutex::new(Some(thread)),
+    })
+}
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -118,4 +118,39 @@
     Listen(io::Error),
     #[error("cannot receive signals: {0}")]
     Signals(io::Error),
+
+/// A gossip datagram that cannot be used; it is counted and dropped.
+#[derive(Debug, Error)]
+pub enum GossipError {
+    #[error("the datagram is empty")]
+    Empty,
+    #[error("the datagram is of version {theirs}, this node speaks {ours}")]
+    Version { theirs: u8, ours: u8 },
+    #[error("the datagram cannot be decoded: {0}")]
+    Decode(#[from] postcard::Error),
+}
+
+/// A control call that brought no answer.
+#[derive(Debug, Error)]
+pub enum PeerCallError {
+    #[error("no answer in time")]
+    Timeout,
+    #[error("the peer cannot be reached: {0}")]
+    Unreachable(#[from] std::io::Error),
+    #[error("the control call failed: {0}")]
+    Call(#[from] tarpc::client::RpcError),
+    #[error("the control thread has ended")]
+    Stopped,
+}
+
+/// The control thread cannot start.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    #[error("control address {address} cannot be bound: {source}")]
+    Bind {
+        address: std::net::SocketAddr,
+        source: std::io::Error,
+    },
+    #[error("the control thread cannot be started: {0}")]
+    Start(#[from] std::io::Error),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod core;
 pub mod errors;
 pub mod platform;
+pub mod membership;
 pub mod preset;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/src/membership/action.rs
@@ -0,0 +1,27 @@
+//! What the pure membership asks of the outside.
+
+use std::net::SocketAddr;
+
+use super::Datagram;
+use crate::core::Name;
+
+/// One thing to do, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a datagram; if it is lost, nothing else has to be done.
+    Send { to: SocketAddr, datagram: Datagram },
+    /// The view changed: publish [`super::Membership::view`].
+    Publish,
+    /// Exchange all members with this node over a control call and merge the answer.
+    Exchange { with: SocketAddr },
+    /// The node at this address has a newer configuration in force.
+    ConfigNews { from: SocketAddr, version: u64 },
+    /// The node at this address knows a newer slot map of a service.
+    SlotMapNews {
+        from: SocketAddr,
+        service: Name,
+        version: u64,
+    },
+    /// Compare the versions of all slot maps with this node: the digests differ persistently.
+    CompareSlotMaps { with: SocketAddr },
+}
--- /dev/null
+++ b/src/membership/member.rs
@@ -0,0 +1,67 @@
+//! What is known of one member.
+
+use std::sync::Arc;
+
+use crate::core::Target;
+use crate::core::TargetState;
+use crate::core::TimeMs;
+
+/// What others say about a member, on top of what it says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nobody doubts it.
+    Trusted,
+    /// It did not answer; the suspicion began at this time of the local clock.
+    Suspected { since: TimeMs },
+    /// It is taken to be gone.
+    Dead,
+}
+
+/// One member as this node holds it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What the node said of itself last.
+    pub own: Target,
+    pub standing: Standing,
+    /// When this record last changed here.
+    pub changed: TimeMs,
+    /// The record as it is published: `own` with the state that follows from the standing.
+    pub published: Arc<Target>,
+}
+
+impl Member {
+    /// A trusted member from what it says of itself.
+    pub fn new(own: Target, now: TimeMs) -> Self {
+        Self {
+            published: Arc::new(own.clone()),
+            own,
+            standing: Standing::Trusted,
+            changed: now,
+        }
+    }
+
+    /// Gone for good, as far as is known: dead, or departed by its own word.
+    pub fn is_tombstone(&self) -> bool {
+        self.standing == Standing::Dead || self.own.state == TargetState::Left
+    }
+
+    /// Changes the standing and what is published with it.
+    pub fn set_standing(&mut self, standing: Standing, now: TimeMs) {
+        self.standing = standing;
+        self.changed = now;
+        let mut published = self.own.clone();
+        published.state = self.effective_state();
+        self.published = Arc::new(published);
+    }
+
+    /// The state that others should act on. A suspect that said it drains is still draining:
+    /// suspicion must not make it look as if it took work.
+    fn effective_state(&self) -> TargetState {
+        match (self.standing, self.own.state) {
+            (_, TargetState::Left) => TargetState::Left,
+            (Standing::Dead, _) => TargetState::Dead,
+            (Standing::Suspected { .. }, TargetState::Up) => TargetState::Suspect,
+            (_, own) => own,
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/spread.rs
@@ -0,0 +1,173 @@
+//! What one member sends: headers, piggybacked updates and rumors.
+
+use std::net::SocketAddr;
+
+use super::Action;
+use super::Body;
+use super::Datagram;
+use super::Header;
+use super::Member;
+use super::Membership;
+use super::Update;
+use super::encoded_bytes;
+use crate::core::TimeMs;
+
+/// Each update is sent this many times the number of decimal digits of the member count; that
+/// reaches all but a few in ten thousand, and comparisons of tables reach those.
+const SENDS_PER_DIGIT: u32 = 3;
+/// IP and UDP headers, which count as control traffic too.
+pub(super) const PACKET_OVERHEAD_BYTES: u64 = 28;
+
+impl Membership {
+    /// How often an update is sent before it is dropped.
+    pub(super) fn max_sends(&self) -> u32 {
+        let members = self.table.alive().max(1) as u32;
+        SENDS_PER_DIGIT * (members.ilog10() + 1)
+    }
+
+    /// Whether the address belongs to a member of the own failure domain.
+    pub(super) fn is_near_node(&self, address: SocketAddr) -> bool {
+        let mut near = self
+            .table
+            .iter()
+            .filter(|member| member.own.domain == self.own.domain);
+        near.any(|member| member.own.control_address == address)
+    }
+
+    /// Builds a datagram: `told` first, then as many waiting updates as size and budget allow.
+    pub(super) fn datagram(
+        &mut self,
+        body: Body,
+        told: Vec<Update>,
+        is_near: bool,
+        now: TimeMs,
+    ) -> Datagram {
+        let header = self.header(is_near, now);
+        let fixed_bytes = encoded_bytes(&header) + encoded_bytes(&body) + 1;
+        let told_bytes: usize = told.iter().map(encoded_bytes).sum();
+        let room = self
+            .settings
+            .max_datagram_bytes
+            .saturating_sub(fixed_bytes + told_bytes)
+            .min(self.budget.available_bytes(now) as usize);
+        let max_sends = self.max_sends();
+        let taken = self.queue.take(room, max_sends);
+        self.budget
+            .spend(taken.iter().map(encoded_bytes).sum::<usize>() as u64);
+        let mut updates = told;
+        updates.extend(taken);
+        Datagram {
+            header,
+            body,
+            updates,
+        }
+    }
+
+    /// Sends a message with piggybacked updates.
+    pub(super) fn send_to(
+        &mut self,
+        to: SocketAddr,
+        body: Body,
+        now: TimeMs,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_near = self.is_near_node(to);
+        let datagram = self.datagram(body, Vec::new(), is_near, now);
+        actions.push(Action::Send { to, datagram });
+    }
+
+    /// Sends just these updates.
+    pub(super) fn send_updates(
+        &mut self,
+        to: SocketAddr,
+        updates: Vec<Update>,
+        now: TimeMs,
+        actions: &mut Vec<Action>,
+    ) {
+        let datagram = Datagram {
+            header: self.header(false, now),
+            body: Body::Rumor,
+            updates,
+        };
+        actions.push(Action::Send { to, datagram });
+    }
+
+    /// Pushes urgent news to a few members, who push it on when it is new to them: everybody has
+    /// it after a handful of steps. What the budget holds back goes in a later tick.
+    pub(super) fn push_rumors(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
+        if !self.queue.has_urgent() && !self.header_is_urgent {
+            return;
+        }
+        let receivers = self.choose_receivers();
+        if receivers.is_empty() {
+            return;
+        }
+        let header = self.header(false, now);
+        let copies = receivers.len() as u64;
+        let fixed_bytes = encoded_bytes(&header) as u64 + 2 + PACKET_OVERHEAD_BYTES;
+        let share_bytes = self.budget.available_bytes(now) / copies;
+        if share_bytes < fixed_bytes {
+            return;
+        }
+        let room = (share_bytes - fixed_bytes).min(self.settings.max_datagram_bytes as u64);
+        let max_sends = self.max_sends();
+        let updates = self
+            .queue
+            .take_urgent(room as usize, max_sends, copies as u32);
+        if updates.is_empty() && !self.header_is_urgent {
+            return;
+        }
+        self.header_is_urgent = false;
+        let update_bytes: usize = updates.iter().map(encoded_bytes).sum();
+        self.budget
+            .spend((fixed_bytes + update_bytes as u64) * copies);
+        for to in receivers {
+            let datagram = Datagram {
+                header: header.clone(),
+                body: Body::Rumor,
+                updates: updates.clone(),
+            };
+            actions.push(Action::Send { to, datagram });
+        }
+    }
+
+    /// Half of the receivers are of the own failure domain and half of others, where there are.
+    fn choose_receivers(&mut self) -> Vec<SocketAddr> {
+        let fan_out = self.settings.rumor_fan_out;
+        let own_domain = self.own.domain.clone();
+        let near = self.usable_addresses(|member| member.own.domain == own_domain);
+        let far = self.usable_addresses(|member| member.own.domain != own_domain);
+        let far_count = far.len().min(fan_out.div_ceil(2));
+        let near_count = near.len().min(fan_out - far_count);
+        let far_count = far.len().min(fan_out - near_count);
+        let mut receivers = self.rng.choose_multiple(near, near_count);
+        receivers.extend(self.rng.choose_multiple(far, far_count));
+        receivers
+    }
+
+    fn usable_addresses(&self, wanted: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .table
+            .iter()
+            .filter(|member| self.is_usable(member) && wanted(member))
+            .map(|member| member.own.control_address)
+            .collect();
+        addresses.sort_unstable();
+        addresses
+    }
+
+    pub(super) fn header(&self, is_near: bool, now: TimeMs) -> Header {
+        let heard = match is_near {
+            true => self.watch.ages(now),
+            false => Vec::new(),
+        };
+        Header {
+            from: self.own.node.clone(),
+            incarnation: self.own.incarnation,
+            members_digest: self.table.digest(),
+            config_version: self.config_version,
+            slot_maps_digest: self.slot_maps.digest(),
+            heard,
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/view_builder.rs
@@ -0,0 +1,66 @@
+//! Builds the published view, one changed service at a time.
+
+use std::sync::Arc;
+
+use super::MemberTable;
+use crate::core::FastSet;
+use crate::core::Name;
+use crate::core::Target;
+use crate::core::TargetState;
+use crate::core::View;
+
+/// The last published view and what changed since.
+#[derive(Clone, Debug, Default)]
+pub struct ViewBuilder {
+    view: View,
+    changed_nodes: FastSet<Name>,
+    changed_services: FastSet<Name>,
+}
+
+impl ViewBuilder {
+    /// Notes that a member changed; `services` are the ones it was and is in.
+    pub fn note<'a>(&mut self, node: &Name, services: impl Iterator<Item = &'a Name>) {
+        self.changed_nodes.insert(node.clone());
+        self.changed_services
+            .extend(services.filter(|service| !service.is_empty()).cloned());
+    }
+
+    /// Whether the published view is out of date.
+    pub fn is_stale(&self, cut_off_domains: &[Name]) -> bool {
+        !self.changed_nodes.is_empty() || self.view.cut_off_domains != cut_off_domains
+    }
+
+    /// The view of the table as it is. Only what changed is built anew; the rest is shared with
+    /// the view before.
+    pub fn build(&mut self, table: &MemberTable, cut_off_domains: Vec<Name>) -> View {
+        for node in self.changed_nodes.drain() {
+            match table.get(&node) {
+                Some(member) => self.view.nodes.insert(node, member.published.clone()),
+                None => self.view.nodes.remove(&node),
+            };
+        }
+        for service in self.changed_services.drain() {
+            let targets = targets_of(table, &service);
+            match targets.is_empty() {
+                true => self.view.services.remove(&service),
+                false => self.view.services.insert(service, targets.into()),
+            };
+        }
+        self.view.cut_off_domains = cut_off_domains;
+        self.view.changes += 1;
+        self.view.clone()
+    }
+}
+
+/// The targets of a service that are not gone, by node name.
+fn targets_of(table: &MemberTable, service: &Name) -> Vec<Arc<Target>> {
+    let mut targets: Vec<Arc<Target>> = table
+        .iter()
+        .map(|member| &member.published)
+        .filter(|target| target.service == *service)
+        .filter(|target| !matches!(target.state, TargetState::Dead | TargetState::Left))
+        .cloned()
+        .collect();
+    targets.sort_unstable_by(|a, b| a.node.cmp(&b.node));
+    targets
+}
