--- a/src/errors.rs
+++ b/src/errors.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use serde::Serialize;
@@ -118,6 +119,7 @@
     Listen(io::Error),
     #[error("cannot receive signals: {0}")]
     Signals(io::Error),
+}
 
 /// A gossip datagram that cannot be used; it is counted and dropped.
 #[derive(Debug, Error)]
@@ -136,7 +138,7 @@
     #[error("no answer in time")]
     Timeout,
     #[error("the peer cannot be reached: {0}")]
-    Unreachable(#[from] std::io::Error),
+    Unreachable(#[from] io::Error),
     #[error("the control call failed: {0}")]
     Call(#[from] tarpc::client::RpcError),
     #[error("the control thread has ended")]
@@ -148,9 +150,9 @@
 pub enum ControlError {
     #[error("control address {address} cannot be bound: {source}")]
     Bind {
-        address: std::net::SocketAddr,
-        source: std::io::Error,
+        address: SocketAddr,
+        source: io::Error,
     },
     #[error("the control thread cannot be started: {0}")]
-    Start(#[from] std::io::Error),
+    Start(#[from] io::Error),
 }
