Keep a ledger of keyed calls at the guard

A call with a caller's key runs only where its key is unseen and the ledger is known to be complete: slot held, lease valid, grace period over, attempt fresh. Keys are never forgotten early; a full ledger refuses new ones as not run.

--- /dev/null
+++ b/src/claims/holding.rs
@@ -0,0 +1,47 @@
+//! What a node holds at present: the part of its claims that the ledger checks calls against.
+
+use crate::claims::SLOTS;
+use crate::core::Name;
+use crate::core::TimeMs;
+
+/// A slot that this process owns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldSlot {
+    pub epoch: u64,
+    /// Keys that were not seen are refused until then, because a predecessor may have run them.
+    pub grace_until: TimeMs,
+    /// The ledger of the slot is being handed over: no further key may start here.
+    pub giving: bool,
+}
+
+/// Another node that owns a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OtherOwner {
+    pub node: Name,
+    pub epoch: u64,
+}
+
+/// The lease and the slots of this process, and whom else it knows to own slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// Unseen keys may start only before this moment.
+    pub lease_until: TimeMs,
+    pub held: [Option<HeldSlot>; SLOTS],
+    pub others: [Option<OtherOwner>; SLOTS],
+}
+
+impl Holding {
+    /// Nothing held and nothing known.
+    pub fn nothing() -> Self {
+        Self {
+            lease_until: TimeMs(0),
+            held: [None; SLOTS],
+            others: std::array::from_fn(|_| None),
+        }
+    }
+
+    /// How many slots are held.
+    pub fn count(&self) -> usize {
+        self.held.iter().flatten().count()
+    }
+}
--- /dev/null
+++ b/src/claims/ledger.rs
@@ -0,0 +1,496 @@
+//! The keys that this guard ran, kept in memory: the check before every keyed call.
+//!
+//! Guards against a call that runs twice because its caller sent it again: the caller would see
+//! two charges for one order. It holds because a key starts only where it is not in the ledger,
+//! and only while the ledger is known to hold every key of its slot that can still be sent
+//! (lease, grace period and stamp; docs/AT_MOST_ONCE.md has the argument).
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::claims::Giver;
+use crate::claims::Holding;
+use crate::claims::KeyOutcome;
+use crate::claims::KeyState;
+use crate::claims::LedgerEntry;
+use crate::claims::LedgerTransfer;
+use crate::claims::MovedKey;
+use crate::claims::MovedState;
+use crate::claims::MovedTo;
+use crate::claims::ResendLimits;
+use crate::claims::SLOTS;
+use crate::claims::slot_of;
+use crate::control::KeptAnswer;
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RunState;
+use crate::core::TimeMs;
+use crate::wire::OwnerHint;
+
+/// When to come back while a call runs at the slot's former owner.
+const RUNNING_ELSEWHERE_RETRY_MS: u64 = 1_000;
+/// When to come back to an owner that does not hold the slot or the lease at the moment.
+const OWNER_RETRY_MS: u64 = 1_000;
+/// When to come back to a full ledger.
+const FULL_RETRY_MS: u64 = 5_000;
+
+/// Bounds on the ledger's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LedgerBounds {
+    pub max_keys: usize,
+    pub max_answer_bytes: usize,
+}
+
+impl Default for LedgerBounds {
+    fn default() -> Self {
+        Self {
+            max_keys: 60_000,
+            max_answer_bytes: 16 << 20,
+        }
+    }
+}
+
+/// A keyed call as it arrives at the guard.
+#[derive(Clone, Debug)]
+pub struct KeyedCall<'a> {
+    pub key: &'a Name,
+    /// The hash of the content: the same key with another content is refused.
+    pub fingerprint: u64,
+    /// The stamp of the call header.
+    pub stamp: u64,
+}
+
+/// What to do with a keyed call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Run it, and report to [`Ledger::finish`] or [`Ledger::not_started`].
+    Run,
+    /// It waits or runs already: answer this one with the same answer.
+    Join,
+    /// It ran: repeat the answer.
+    Answer(Arc<KeptAnswer>),
+    /// Refuse it. The run state speaks of the key, not just of this attempt.
+    Refuse(Refusal),
+}
+
+/// News of a key for the node that was given its slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LateNews {
+    pub to: MovedTo,
+    pub key: MovedKey,
+}
+
+/// The ledger of one guard. It serves one service.
+#[derive(Debug)]
+pub struct Ledger {
+    service: Name,
+    instance: u64,
+    bounds: LedgerBounds,
+    limits: ResendLimits,
+    holding: Holding,
+    keys: FastMap<Name, LedgerEntry>,
+    /// Ended keys, the earliest to forget first.
+    ended: VecDeque<(TimeMs, Name)>,
+    /// Keys with a kept answer, the oldest first, and when each is dropped.
+    answers: VecDeque<(TimeMs, Name)>,
+    answer_bytes: usize,
+    late_news: Vec<LateNews>,
+}
+
+impl Ledger {
+    /// An empty ledger that holds no slot. `instance` names this process.
+    pub fn new(service: Name, instance: u64, bounds: LedgerBounds, limits: ResendLimits) -> Self {
+        Self {
+            service,
+            instance,
+            bounds,
+            limits,
+            holding: Holding::nothing(),
+            keys: FastMap::default(),
+            ended: VecDeque::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
+            late_news: Vec::new(),
+        }
+    }
+
+    /// Decides on a keyed call that arrived at `now`.
+    pub fn begin(&mut self, now: TimeMs, call: &KeyedCall<'_>) -> Begin {
+        if let Some(entry) = self.keys.get(call.key) {
+            return seen_before(entry, call.fingerprint);
+        }
+        if let Some(refusal) = self.cannot_know(now, call) {
+            return Begin::Refuse(refusal);
+        }
+        self.sweep(now);
+        if self.keys.len() >= self.bounds.max_keys {
+            return refuse_not_run(RefusalReason::LedgerFull, FULL_RETRY_MS);
+        }
+        let entry = LedgerEntry {
+            fingerprint: call.fingerprint,
+            state: KeyState::Running { moved_to: None },
+            expires: now,
+        };
+        self.keys.insert(call.key.clone(), entry);
+        Begin::Run
+    }
+
+    /// Why nobody here can say that an unseen key never ran, if that is so.
+    fn cannot_know(&self, now: TimeMs, call: &KeyedCall<'_>) -> Option<Refusal> {
+        let slot = slot_of(&self.service, call.key);
+        let held = self.holding.held[slot].filter(|held| !held.giving);
+        let Some(held) = held else {
+            return Some(Refusal::unknown(RefusalReason::NotOwner, OWNER_RETRY_MS));
+        };
+        if now >= self.holding.lease_until {
+            return Some(Refusal::unknown(RefusalReason::LeaseLapsed, OWNER_RETRY_MS));
+        }
+        if now < held.grace_until {
+            let left_ms = held.grace_until.since(now);
+            let spread_ms = spread_of(call.key, left_ms / 4);
+            let refusal = Refusal::unknown(RefusalReason::GracePeriod, left_ms + spread_ms);
+            return Some(refusal);
+        }
+        if !self.is_fresh(now, call.stamp) {
+            return Some(Refusal::unknown(RefusalReason::StaleAttempt, 0));
+        }
+        None
+    }
+
+    /// The call of `key` ended at `now`.
+    pub fn finish(&mut self, now: TimeMs, key: &Name, outcome: KeyOutcome) {
+        let Some(entry) = self.keys.get_mut(key) else {
+            return;
+        };
+        let KeyState::Running { moved_to } = &entry.state else {
+            return;
+        };
+        let moved_to = moved_to.clone();
+        entry.expires = now + self.limits.retention_ms();
+        entry.state = match outcome {
+            KeyOutcome::Ran(answer) => KeyState::Ran { answer },
+            KeyOutcome::MayHaveRun => KeyState::MayHaveRun,
+        };
+        self.ended.push_back((entry.expires, key.clone()));
+        if let Some(to) = moved_to {
+            let key = self.moved_key(now, key);
+            self.late_news.extend(key.map(|key| LateNews { to, key }));
+        }
+        self.keep_answer(now, key);
+    }
+
+    /// The call of `key` was accepted but provably not started: the key may run again.
+    pub fn not_started(&mut self, key: &Name) {
+        let Some(entry) = self.keys.get(key) else {
+            return;
+        };
+        let KeyState::Running { moved_to } = &entry.state else {
+            return;
+        };
+        if let Some(to) = moved_to.clone() {
+            let key = MovedKey {
+                key: key.clone(),
+                fingerprint: entry.fingerprint,
+                state: MovedState::NotStarted,
+                keep_ms: 0,
+                answer: None,
+            };
+            self.late_news.push(LateNews { to, key });
+        }
+        self.keys.remove(key);
+    }
+
+    /// Takes in what is held now. Every check from here on is made against it.
+    pub fn set_holding(&mut self, holding: Holding) {
+        self.holding = holding;
+    }
+
+    /// What is held.
+    pub fn holding(&self) -> &Holding {
+        &self.holding
+    }
+
+    /// Takes in another resend window, after a switch of presets.
+    pub fn set_limits(&mut self, limits: ResendLimits) {
+        self.limits = limits;
+    }
+
+    /// The limits in use.
+    pub fn limits(&self) -> ResendLimits {
+        self.limits
+    }
+
+    /// The stamp of this moment: an attempt that carries it was sent after it was given out.
+    pub fn stamp(&self, now: TimeMs) -> u64 {
+        let period = now.0 / self.limits.stamp_period_ms();
+        ((self.instance | 1) << 32) | (period & 0xffff_ffff)
+    }
+
+    /// Guards against an attempt that a paused entry or a healed connection delivers after its
+    /// key was forgotten, which would run it a second time. It holds because the sender had to
+    /// hear the stamp within the last two periods.
+    fn is_fresh(&self, now: TimeMs, stamp: u64) -> bool {
+        let present = self.stamp(now);
+        let before = self.stamp(now - self.limits.stamp_period_ms());
+        stamp == present || stamp == before
+    }
+
+    /// Whom to name as the owner of the key's slot.
+    pub fn owner_hint(&self, now: TimeMs, own_node: &Name, key: &str) -> Option<OwnerHint> {
+        let slot = slot_of(&self.service, key);
+        if let Some(held) = self.holding.held[slot].filter(|held| !held.giving) {
+            return Some(OwnerHint {
+                node: own_node.clone(),
+                epoch: held.epoch,
+                stamp: self.stamp(now),
+            });
+        }
+        self.holding.others[slot].as_ref().map(|other| OwnerHint {
+            node: other.node.clone(),
+            epoch: other.epoch,
+            stamp: 0,
+        })
+    }
+
+    /// How many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// How many bytes of answers are kept.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Forgets keys and answers whose time is over. A key whose time is not over is never
+    /// forgotten, however full the ledger is.
+    pub fn sweep(&mut self, now: TimeMs) {
+        while let Some((expires, key)) = self.ended.front() {
+            if *expires > now {
+                break;
+            }
+            let over = self
+                .keys
+                .get(key)
+                .is_some_and(|entry| entry.expires == *expires && has_ended(&entry.state));
+            if over {
+                self.answer_bytes -= answer_size(&self.keys[key].state);
+                self.keys.remove(key);
+            }
+            self.ended.pop_front();
+        }
+        while let Some((drop_at, _)) = self.answers.front() {
+            if *drop_at > now && self.answer_bytes <= self.bounds.max_answer_bytes {
+                break;
+            }
+            self.drop_oldest_answer();
+        }
+    }
+
+    fn keep_answer(&mut self, now: TimeMs, key: &Name) {
+        let bytes = self
+            .keys
+            .get(key)
+            .map_or(0, |entry| answer_size(&entry.state));
+        if bytes == 0 {
+            return;
+        }
+        self.answer_bytes += bytes;
+        let drop_at = now + self.limits.answer_ms();
+        self.answers.push_back((drop_at, key.clone()));
+        while self.answer_bytes > self.bounds.max_answer_bytes {
+            self.drop_oldest_answer();
+        }
+    }
+
+    fn drop_oldest_answer(&mut self) {
+        let Some((_, key)) = self.answers.pop_front() else {
+            return;
+        };
+        if let Some(entry) = self.keys.get_mut(&key) {
+            self.answer_bytes -= answer_size(&entry.state);
+            if let KeyState::Ran { answer } = &mut entry.state {
+                *answer = None;
+            }
+        }
+    }
+
+    /// Copies the keys of slots for their next owner. From the call of [`Self::set_holding`] that
+    /// marked them as given no further key can start in them, so the copy misses none.
+    pub fn keys_of(&self, now: TimeMs, slots: &[usize]) -> Vec<MovedKey> {
+        let in_slots = |key: &&Name| slots.contains(&slot_of(&self.service, key));
+        self.keys
+            .keys()
+            .filter(in_slots)
+            .filter_map(|key| self.moved_key(now, key))
+            .collect()
+    }
+
+    fn moved_key(&self, now: TimeMs, key: &Name) -> Option<MovedKey> {
+        let entry = self.keys.get(key)?;
+        let (state, answer) = match &entry.state {
+            KeyState::Running { .. } | KeyState::RunningElsewhere { .. } => {
+                (MovedState::Running, None)
+            }
+            KeyState::Ran { answer } => (MovedState::Ran, answer.as_deref().cloned()),
+            KeyState::MayHaveRun => (MovedState::MayHaveRun, None),
+        };
+        let left_ms = match state {
+            MovedState::Running => self.limits.retention_ms(),
+            _ => entry.expires.since(now),
+        };
+        Some(MovedKey {
+            key: key.clone(),
+            fingerprint: entry.fingerprint,
+            state,
+            keep_ms: left_ms,
+            answer,
+        })
+    }
+
+    /// The slots are on their way to `to`: it will be told how the keys end that run here.
+    pub fn mark_moved(&mut self, slots: &[usize], to: &MovedTo) {
+        for (key, entry) in &mut self.keys {
+            if let KeyState::Running { moved_to } = &mut entry.state
+                && slots.contains(&slot_of(&self.service, key))
+            {
+                *moved_to = Some(to.clone());
+            }
+        }
+    }
+
+    /// Takes out the news for nodes that were given slots; news that cannot be delivered may be
+    /// dropped, the key then stays unknown there until it is forgotten.
+    pub fn take_late_news(&mut self) -> Vec<LateNews> {
+        std::mem::take(&mut self.late_news)
+    }
+
+    /// Takes in keys from another owner. They are facts about keys, so they may be taken in
+    /// whether or not the slots follow. False when there is no room for all of them.
+    pub fn receive(&mut self, now: TimeMs, transfer: LedgerTransfer) -> bool {
+        self.sweep(now);
+        if self.keys.len() + transfer.keys.len() > self.bounds.max_keys {
+            return false;
+        }
+        let by = Giver {
+            instance: transfer.from,
+            transfer: transfer.id,
+        };
+        for key in transfer.keys {
+            self.receive_one(now, key, by);
+        }
+        true
+    }
+
+    fn receive_one(&mut self, now: TimeMs, moved: MovedKey, by: Giver) {
+        let known = self.keys.get(&moved.key).map(|entry| &entry.state);
+        let giver = match known {
+            None => None,
+            Some(KeyState::RunningElsewhere { by }) => Some(*by),
+            Some(_) => return,
+        };
+        let state = match moved.state {
+            MovedState::Running => KeyState::RunningElsewhere {
+                by: giver.map_or(by, |known| known.latest(by)),
+            },
+            MovedState::MayHaveRun => KeyState::MayHaveRun,
+            MovedState::Ran => KeyState::Ran {
+                answer: moved.answer.map(Arc::new),
+            },
+            MovedState::NotStarted => {
+                // The news may be older than a second transfer, in which the same key runs after
+                // all: believing it would run the key here as well. So it only speaks for the
+                // transfer that it belongs to.
+                if giver == Some(by) {
+                    self.keys.remove(&moved.key);
+                }
+                return;
+            }
+        };
+        let expires = now + moved.keep_ms;
+        let entry = LedgerEntry {
+            fingerprint: moved.fingerprint,
+            state,
+            expires,
+        };
+        self.keys.insert(moved.key.clone(), entry);
+        let at = self.ended.partition_point(|(other, _)| *other <= expires);
+        self.ended.insert(at, (expires, moved.key.clone()));
+        self.keep_answer(now, &moved.key);
+    }
+
+    /// The slots whose unseen keys would be admitted at `now`; for status and metrics.
+    pub fn open_slots(&self, now: TimeMs) -> usize {
+        if now >= self.holding.lease_until {
+            return 0;
+        }
+        let open = |slot: &usize| {
+            let held = self.holding.held[*slot];
+            held.is_some_and(|held| !held.giving && now >= held.grace_until)
+        };
+        (0..SLOTS).filter(open).count()
+    }
+}
+
+fn seen_before(entry: &LedgerEntry, fingerprint: u64) -> Begin {
+    if entry.fingerprint != fingerprint {
+        return refuse_unknown(RefusalReason::KeyMismatch, 0);
+    }
+    match &entry.state {
+        KeyState::Running { .. } => Begin::Join,
+        KeyState::RunningElsewhere { .. } => {
+            refuse_unknown(RefusalReason::AlreadyRan, RUNNING_ELSEWHERE_RETRY_MS)
+        }
+        KeyState::Ran {
+            answer: Some(answer),
+        } => Begin::Answer(answer.clone()),
+        KeyState::Ran { answer: None } => Begin::Refuse(Refusal {
+            reason: RefusalReason::AlreadyRan,
+            run_state: RunState::Ran,
+            retry_after_ms: 0,
+        }),
+        KeyState::MayHaveRun => refuse_unknown(RefusalReason::AlreadyRan, 0),
+    }
+}
+
+fn refuse_unknown(reason: RefusalReason, retry_after_ms: u64) -> Begin {
+    Begin::Refuse(Refusal::unknown(reason, retry_after_ms))
+}
+
+fn refuse_not_run(reason: RefusalReason, retry_after_ms: u64) -> Begin {
+    Begin::Refuse(Refusal::not_run(reason, retry_after_ms))
+}
+
+fn has_ended(state: &KeyState) -> bool {
+    !matches!(state, KeyState::Running { .. })
+}
+
+fn answer_size(state: &KeyState) -> usize {
+    match state {
+        KeyState::Ran {
+            answer: Some(answer),
+        } => {
+            let headers = answer.headers.iter();
+            let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+            // An empty answer still takes room, and 0 means that none is kept.
+            answer.body.len() + header_bytes + 1
+        }
+        _ => 0,
+    }
+}
+
+/// A value in 0..=`up_to_ms` that differs from key to key: refused callers must not all come back
+/// at the end of the grace period.
+fn spread_of(key: &str, up_to_ms: u64) -> u64 {
+    let hash = key.bytes().fold(0_u64, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(u64::from(byte))
+    });
+    hash % (up_to_ms + 1)
+}
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -156,3 +156,16 @@
     #[error("the control thread cannot be started: {0}")]
     Start(#[from] io::Error),
 }
+
+/// A slot map or a transfer of a ledger that cannot be understood.
+#[derive(Debug, Error)]
+pub enum ClaimsError {
+    #[error("the row is not a slot map: {source}")]
+    Row { source: serde_json::Error },
+    #[error("the row has {slots} slots")]
+    SlotCount { slots: usize },
+    #[error("the row names the owner {owner:x} that is no member")]
+    UnlistedOwner { owner: u64 },
+    #[error("the transfer of a ledger cannot be decoded: {source}")]
+    Transfer { source: postcard::Error },
+}
