Carry calls from callers through entry, guard and backend server

Cause: the crate had vocabulary but no data path. Entry, forwarding, guard, backend call, live calls and the operators' listener are small files in src/node; metrics are in src/metrics.

--- a/src/adapters/http_client.rs
+++ b/src/adapters/http_client.rs
@@ -24,6 +24,8 @@
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(Duration::from_millis(idle_ms))
         .pool_timer(hyper_util::rt::TokioTimer::new())
-        .retry_canceled_requests(false)
+        // Only for requests that the pool hands back unsent, because the kept connection turned
+        // out to be closed: nothing of them left this process, so no second run can follow.
+        .retry_canceled_requests(true)
         .build(connector)
 }
--- a/src/core/identifiers.rs
+++ b/src/core/identifiers.rs
@@ -21,6 +21,20 @@
         Self(fastrand::u128(..))
     }
 
+    /// The identifier of a request that its caller named by a key: the same at every entry and
+    /// for every resend.
+    pub fn of_key(service: &str, key: &str) -> Self {
+        let half = |salt: u8| {
+            let mut hasher = FxHasher::default();
+            hasher.write_u8(salt);
+            hasher.write_usize(service.len());
+            hasher.write(service.as_bytes());
+            hasher.write(key.as_bytes());
+            u128::from(hasher.finish())
+        };
+        Self((half(1) << 64) | half(2))
+    }
+
     /// A stable value in 0..=u16::MAX, the same at every hop, by which requests of one class are
     /// ranked so that the same requests survive everywhere (docs/DESIGN.md, "The whole chain").
     pub fn rank(self) -> u16 {
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -121,6 +121,37 @@
     Signals(io::Error),
 }
 
+/// A body that is not what was announced.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    #[error("the body ended before its announced length")]
+    CutShort,
+    #[error("the body is longer than announced")]
+    TooLong,
+}
+
+/// A node that cannot start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    #[error("cannot listen for {listener} on {address}: {source}")]
+    Bind {
+        listener: &'static str,
+        address: SocketAddr,
+        source: io::Error,
+    },
+}
+
+/// An answer of a peer that must not be passed on.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    #[error(transparent)]
+    Header(#[from] WireError),
+    #[error("the answer is that of another attempt")]
+    OtherAttempt,
+    #[error("the answer has {actual} bytes where {announced} were announced")]
+    OtherLength { announced: u64, actual: u64 },
+}
+
 /// A gossip datagram that cannot be used; it is counted and dropped.
 #[derive(Debug, Error)]
 pub enum GossipError {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod core;
 pub mod errors;
 pub mod membership;
+pub mod metrics;
+pub mod node;
 pub mod platform;
 pub mod preset;
 pub mod retry;
--- /dev/null
+++ b/src/metrics/metrics.rs
@@ -0,0 +1,211 @@
+//! The metrics of a node.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::core::RefusalReason;
+use crate::core::RetryReason;
+use crate::metrics::ByReason;
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS_S: &[f64] = &[
+    0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+    10.0, 30.0,
+];
+
+/// Everything that a node counts.
+pub struct Metrics {
+    registry: Registry,
+    /// Refusals given to callers and to local backend servers, by this node as entry.
+    entry_refusals: ByReason,
+    /// Refusals given to other nodes, by this node as guard.
+    guard_refusals: ByReason,
+    retries: ByReason,
+    pub entry_calls: IntCounter,
+    pub guard_calls: IntCounter,
+    pub forged_headers: IntCounter,
+    pub roots_without_context: IntCounter,
+    pub wrong_answers: IntCounter,
+    pub broken_answers: IntCounter,
+    pub invariant_violations: IntCounter,
+    pub guard_in_flight: IntGauge,
+    pub guard_limit: IntGauge,
+    pub guard_queue: IntGaugeVec,
+    pub config_version: IntGauge,
+    pub entry_latency: Histogram,
+    pub guard_wait: Histogram,
+    pub backend_latency: Histogram,
+}
+
+impl Metrics {
+    /// Registers every metric.
+    ///
+    /// # Panics
+    /// When two metrics bear one name, which is a mistake in the program.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let refusals: Vec<&str> = RefusalReason::ALL.iter().map(|r| r.as_str()).collect();
+        let retries: Vec<&str> = RetryReason::ALL.iter().map(|r| r.as_str()).collect();
+        let by_reason = |name, help, words| ByReason::register(&registry, name, help, words);
+        let counter = |name, help| counter(&registry, name, help);
+        let gauge = |name, help| gauge(&registry, name, help);
+        let histogram = |name, help| histogram(&registry, name, help);
+        Self {
+            entry_refusals: by_reason(
+                "sassafrasgap_entry_refusals_total",
+                "Calls refused to callers by the reason given.",
+                &refusals,
+            ),
+            guard_refusals: by_reason(
+                "sassafrasgap_guard_refusals_total",
+                "Calls refused to other nodes by the reason given.",
+                &refusals,
+            ),
+            retries: by_reason(
+                "sassafrasgap_retries_total",
+                "Further attempts by the reason of the attempt before.",
+                &retries,
+            ),
+            entry_calls: counter(
+                "sassafrasgap_entry_calls_total",
+                "Calls taken from callers.",
+            ),
+            guard_calls: counter("sassafrasgap_guard_calls_total", "Calls taken from nodes."),
+            forged_headers: counter(
+                "sassafrasgap_forged_headers_total",
+                "Internal headers dropped on the callers' listener.",
+            ),
+            roots_without_context: counter(
+                "sassafrasgap_roots_without_context_total",
+                "Calls of the local backend server that named no live call; they get no retries.",
+            ),
+            wrong_answers: counter(
+                "sassafrasgap_wrong_answers_total",
+                "Answers of another attempt, or of another length than announced, not passed on.",
+            ),
+            broken_answers: counter(
+                "sassafrasgap_broken_answers_total",
+                "Streamed answers that were broken off visibly.",
+            ),
+            invariant_violations: counter(
+                "sassafrasgap_invariant_violations_total",
+                "Checks inside the program that failed; any is a fault to report.",
+            ),
+            guard_in_flight: gauge(
+                "sassafrasgap_guard_in_flight",
+                "Calls that run at the local backend server.",
+            ),
+            guard_limit: gauge(
+                "sassafrasgap_guard_limit",
+                "How many calls may run at the local backend server at once.",
+            ),
+            guard_queue: gauge_by_class(&registry),
+            config_version: gauge(
+                "sassafrasgap_config_version",
+                "The version of the configuration in force here.",
+            ),
+            entry_latency: histogram(
+                "sassafrasgap_entry_latency_seconds",
+                "From the arrival of a call at the entry to the head of its answer.",
+            ),
+            guard_wait: histogram(
+                "sassafrasgap_guard_wait_seconds",
+                "The wait of admitted calls in the guard's queue.",
+            ),
+            backend_latency: histogram(
+                "sassafrasgap_backend_latency_seconds",
+                "From sending a call to the backend server to the end of its answer.",
+            ),
+            registry,
+        }
+    }
+
+    /// Counts a refusal given by this node as entry.
+    pub fn count_entry_refusal(&self, reason: RefusalReason) {
+        self.entry_refusals.inc(reason as usize);
+    }
+
+    /// Counts a refusal given by this node as guard.
+    pub fn count_guard_refusal(&self, reason: RefusalReason) {
+        self.guard_refusals.inc(reason as usize);
+    }
+
+    /// Counts a further attempt.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries.inc(reason as usize);
+    }
+
+    /// Refusals given so far as entry.
+    pub fn entry_refusals(&self, reason: RefusalReason) -> u64 {
+        self.entry_refusals.get(reason as usize)
+    }
+
+    /// Refusals given so far as guard.
+    pub fn guard_refusals(&self, reason: RefusalReason) -> u64 {
+        self.guard_refusals.get(reason as usize)
+    }
+
+    /// Further attempts so far.
+    pub fn retries(&self, reason: RetryReason) -> u64 {
+        self.retries.get(reason as usize)
+    }
+
+    /// The text that Prometheus scrapes.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("writing into memory does not fail");
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the name of a counter is valid");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("the name of a counter is free");
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("the name of a gauge is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("the name of a gauge is free");
+    gauge
+}
+
+fn gauge_by_class(registry: &Registry) -> IntGaugeVec {
+    let opts = Opts::new(
+        "sassafrasgap_guard_queue",
+        "Calls that wait at the guard, by class (0 is the most important).",
+    );
+    let gauge = IntGaugeVec::new(opts, &["class"]).expect("the name of a gauge is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("the name of a gauge is free");
+    gauge
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
+    let histogram = Histogram::with_opts(opts).expect("the name of a histogram is valid");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("the name of a histogram is free");
+    histogram
+}
--- /dev/null
+++ b/src/node/backend_call.rs
@@ -0,0 +1,217 @@
+//! Running an admitted call at the local backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::adapters::Body;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::TimeMs;
+use crate::node::Node;
+use crate::node::answer::Answer;
+use crate::node::body::NodeBody;
+use crate::node::body::read_body;
+use crate::node::caller_headers;
+use crate::node::guarded_call::GuardedCall;
+use crate::node::live_calls::LiveCall;
+use crate::node::slots::Slot;
+use crate::node::watched_body::BodyEnd;
+use crate::node::watched_body::watched;
+use crate::wire::headers;
+
+/// How long a non-idempotent call may run on after its deadline, in milliseconds. Its end is
+/// still of use: the backend server's slot is known to be taken, and the ledger learns the outcome.
+const RUN_ON_MS: u64 = 60_000;
+/// When to come back after the backend server failed, in milliseconds.
+const FAILED_RETRY_AFTER_MS: u64 = 500;
+
+/// Runs a call that may be cancelled: when the future is dropped, because whoever sent the call
+/// went away, the connection to the backend server is closed and with it the work.
+pub(super) async fn run_until_dropped(
+    node: &Arc<Node>,
+    call: GuardedCall,
+    slot: Slot,
+) -> Result<Answer, Refusal> {
+    let deadline = call.deadline;
+    let left = Duration::from_millis(deadline.since(node.inputs.clock.now()));
+    match tokio::time::timeout(left, run(node.clone(), call, slot)).await {
+        Ok(end) => end,
+        Err(_) => Err(unknown(RefusalReason::DeadlineExceeded)),
+    }
+}
+
+/// Runs a call that must not be broken off once it may have started. It goes on in a task of its
+/// own, whoever goes away; an answer is waited for until the deadline only.
+pub(super) async fn run_to_end(
+    node: &Arc<Node>,
+    call: GuardedCall,
+    slot: Slot,
+) -> Result<Answer, Refusal> {
+    let left = Duration::from_millis(call.deadline.since(node.inputs.clock.now()));
+    let (tell, told) = oneshot::channel();
+    let task_node = node.clone();
+    tokio::spawn(async move {
+        let longest = left + Duration::from_millis(RUN_ON_MS);
+        let end = tokio::time::timeout(longest, run(task_node, call, slot)).await;
+        let end = end.unwrap_or_else(|_| Err(unknown(RefusalReason::DeadlineExceeded)));
+        // Nobody waits any more when the deadline has passed.
+        let _ = tell.send(end);
+    });
+    match tokio::time::timeout(left, told).await {
+        Ok(Ok(end)) => end,
+        Ok(Err(_)) => Err(unknown(RefusalReason::BackendBroke)),
+        Err(_) => Err(unknown(RefusalReason::DeadlineExceeded)),
+    }
+}
+
+async fn run(node: Arc<Node>, mut call: GuardedCall, slot: Slot) -> Result<Answer, Refusal> {
+    let address = node
+        .backend_address()
+        .ok_or_else(|| not_run(RefusalReason::BackendDown))?;
+    let entered = Entered::new(&node, call.live.clone());
+    let started_us = node.inputs.clock.now_us();
+    let request = backend_request(&mut call, address, entered.context, node.inputs.clock.now())
+        .ok_or_else(|| not_run(RefusalReason::BadRequest))?;
+    let response = node
+        .backend_client
+        .request(request)
+        .await
+        .map_err(|error| lost(&call, &error))?;
+    let answer = take_answer(&node, &call.method, response).await?;
+    let took_us = node.inputs.clock.now_us() - started_us;
+    node.metrics.backend_latency.observe(took_us as f64 / 1e6);
+    Ok(holding(&node, answer, slot, entered))
+}
+
+/// A call entered among the live ones until it ends.
+struct Entered {
+    node: Arc<Node>,
+    context: u128,
+}
+
+impl Entered {
+    fn new(node: &Arc<Node>, live: Arc<LiveCall>) -> Self {
+        Self {
+            context: node.live_calls.enter(live),
+            node: node.clone(),
+        }
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.node.live_calls.leave(self.context);
+    }
+}
+
+fn backend_request(
+    call: &mut GuardedCall,
+    address: SocketAddr,
+    context: u128,
+    now: TimeMs,
+) -> Option<Request<Body>> {
+    let uri = format!("http://{address}{}", call.path_and_query);
+    let mut request = Request::new(call.body.send_copy());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = uri.parse().ok()?;
+    let map = request.headers_mut();
+    *map = std::mem::take(&mut call.headers);
+    let context = HeaderValue::from_str(&format!("{context:032x}")).ok()?;
+    map.insert(headers::CONTEXT, context);
+    let id = HeaderValue::from_str(&call.header.request.to_string()).ok()?;
+    map.insert(headers::REQUEST_ID, id);
+    let left_ms = call.deadline.since(now);
+    map.insert(headers::DEADLINE_MS, HeaderValue::from(left_ms));
+    Some(request)
+}
+
+fn lost(call: &GuardedCall, error: &hyper_util::client::legacy::Error) -> Refusal {
+    log::debug!(
+        "guard: lost the backend server, request={} error={error}",
+        call.header.request
+    );
+    if error.is_connect() {
+        not_run(RefusalReason::BackendDown)
+    } else {
+        unknown(RefusalReason::BackendBroke)
+    }
+}
+
+async fn take_answer(
+    node: &Node,
+    method: &Method,
+    response: Response<Incoming>,
+) -> Result<Answer, Refusal> {
+    let (mut parts, body) = response.into_parts();
+    if is_shed(parts.status, &parts.headers) {
+        return Err(not_run(RefusalReason::BackendShed));
+    }
+    if !has_end(method, parts.status, &parts.headers) {
+        return Err(unknown(RefusalReason::BackendBroke));
+    }
+    caller_headers::strip_answer(&mut parts.headers, method);
+    let body = body.map_err(std::io::Error::other).boxed_unsync();
+    let body = read_body(body, node.settings.max_held_body_bytes)
+        .await
+        .map_err(|_| unknown(RefusalReason::BackendBroke))?;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
+
+fn is_shed(status: StatusCode, map: &HeaderMap) -> bool {
+    status == StatusCode::SERVICE_UNAVAILABLE
+        && caller_headers::text(map, headers::SHED) == Some("1")
+}
+
+/// Whether the end of the answer can be told from a connection that broke. Guards against an
+/// answer that ends with its connection (no length, no chunks): cut short, it looks whole.
+fn has_end(method: &Method, status: StatusCode, map: &HeaderMap) -> bool {
+    let is_empty = *method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    is_empty || map.contains_key(CONTENT_LENGTH) || map.contains_key(TRANSFER_ENCODING)
+}
+
+/// Keeps the slot and the live call until the end of a streamed answer.
+fn holding(node: &Arc<Node>, mut answer: Answer, slot: Slot, entered: Entered) -> Answer {
+    if let NodeBody::Streamed { body, len } = answer.body {
+        let node = node.clone();
+        let on_end = move |end| {
+            if end == BodyEnd::Broken {
+                node.metrics.broken_answers.inc();
+            }
+            drop((slot, entered));
+        };
+        let body = watched(body, len, on_end);
+        answer.body = NodeBody::Streamed { body, len };
+    }
+    answer
+}
+
+fn not_run(reason: RefusalReason) -> Refusal {
+    Refusal::not_run(reason, retry_after_ms())
+}
+
+fn unknown(reason: RefusalReason) -> Refusal {
+    Refusal::unknown(reason, retry_after_ms())
+}
+
+fn retry_after_ms() -> u64 {
+    FAILED_RETRY_AFTER_MS + fastrand::u64(..FAILED_RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/src/node/call.rs
@@ -0,0 +1,37 @@
+//! One call as the entry sees it.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::Method;
+
+use crate::core::Name;
+use crate::core::Priority;
+use crate::core::RequestId;
+use crate::core::TimeMs;
+use crate::node::body::NodeBody;
+use crate::node::live_calls::LiveCall;
+
+/// A classified call, ready to be forwarded.
+pub(super) struct Call {
+    pub(super) service: Name,
+    pub(super) method: Method,
+    /// `/<service>/<rest>`, as the caller sent it.
+    pub(super) path_and_query: String,
+    /// What is passed on to the backend server; without connection and internal headers.
+    pub(super) headers: HeaderMap,
+    pub(super) body: NodeBody,
+    pub(super) request: RequestId,
+    pub(super) priority: Priority,
+    pub(super) depth: u8,
+    pub(super) deadline: TimeMs,
+    pub(super) wait_ms: u32,
+    pub(super) non_idempotent: bool,
+    pub(super) key: Option<Name>,
+    pub(super) config_version: u64,
+    /// Holds the allotment: the call itself for a root, else the live call on whose behalf the
+    /// backend server makes this one.
+    pub(super) holder: Arc<LiveCall>,
+    /// Whether the body can be sent more than once.
+    pub(super) body_is_held: bool,
+}
--- /dev/null
+++ b/src/node/forward.rs
@@ -0,0 +1,103 @@
+//! Forwarding a call: choose a target, send, and perhaps try once more.
+
+use std::sync::Arc;
+
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RetryReason;
+use crate::core::Target;
+use crate::node::Node;
+use crate::node::answer::Answer;
+use crate::node::call::Call;
+use crate::node::peer_call::AttemptEnd;
+use crate::node::peer_call::call_peer;
+use crate::retry::Failure;
+use crate::retry::Situation;
+use crate::retry::retry_reason;
+use crate::routing::Pick;
+use crate::wire::AnswerHeader;
+
+/// When to come back when no target takes work, in milliseconds.
+const NO_TARGET_RETRY_AFTER_MS: u64 = 500;
+
+/// Forwards a call until it is answered or given up.
+///
+/// # Errors
+/// The refusal to give to the caller.
+pub(super) async fn forward(node: &Arc<Node>, call: &mut Call) -> Result<Answer, Refusal> {
+    let mut tried: Vec<Name> = Vec::new();
+    let mut last: Option<Refusal> = None;
+    node.targets.first_attempt(&call.service);
+    loop {
+        let Some(target) = choose(node, call, &tried) else {
+            return Err(last.unwrap_or_else(no_target));
+        };
+        let refusal = match attempt(node, call, &target).await {
+            AttemptEnd::Answered(answer, _) => return Ok(answer),
+            AttemptEnd::Refused(refusal, _) => refusal,
+        };
+        tried.push(target.node.clone());
+        let Some(reason) = next_attempt(node, call, refusal, &tried) else {
+            return Err(refusal);
+        };
+        node.metrics.count_retry(reason);
+        log::debug!(
+            "entry: tries again, request={} after={} reason={}",
+            call.request,
+            refusal.reason.as_str(),
+            reason.as_str(),
+        );
+        last = Some(refusal);
+    }
+}
+
+fn choose(node: &Node, call: &Call, tried: &[Name]) -> Option<Arc<Target>> {
+    let view = node.inputs.view.load();
+    let now = node.inputs.clock.now();
+    let domain = &node.settings.domain;
+    match node.targets.take(&view, &call.service, domain, tried, now) {
+        Pick::Take(target) => Some(target),
+        Pick::NoneTakesWork | Pick::Unknown => None,
+    }
+}
+
+/// One attempt with a share of the allotment; what the share's holders left over comes back.
+async fn attempt(node: &Arc<Node>, call: &mut Call, target: &Target) -> AttemptEnd {
+    let share = call.holder.hand_out();
+    let end = call_peer(node, call, target, share).await;
+    let unused = match &end {
+        AttemptEnd::Answered(_, header) => header.allotment_unused,
+        AttemptEnd::Refused(_, header) => header.as_ref().map_or(0, unused_of),
+    };
+    call.holder.take_back(share, unused);
+    end
+}
+
+fn unused_of(header: &AnswerHeader) -> u16 {
+    header.allotment_unused
+}
+
+/// Decides on a further attempt and pays for it out of the allotment and the service's budget.
+fn next_attempt(node: &Node, call: &Call, refusal: Refusal, tried: &[Name]) -> Option<RetryReason> {
+    let now = node.inputs.clock.now();
+    let view = node.inputs.view.load();
+    let failure = Failure {
+        reason: refusal.reason,
+        run_state: refusal.run_state,
+    };
+    let situation = Situation {
+        non_idempotent: call.non_idempotent,
+        body_is_held: call.body_is_held,
+        room_elsewhere: node.targets.has_room(&view, &call.service, tried, now),
+        deadline_left_ms: call.deadline.since(now),
+    };
+    let reason = retry_reason(failure, situation)?;
+    let paid = call.holder.spend() && node.targets.try_retry(&call.service);
+    paid.then_some(reason)
+}
+
+fn no_target() -> Refusal {
+    let retry_after_ms = NO_TARGET_RETRY_AFTER_MS + fastrand::u64(..NO_TARGET_RETRY_AFTER_MS);
+    Refusal::not_run(RefusalReason::NoTarget, retry_after_ms)
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,33 @@
+//! The data path of a node: entry for callers and for the local backend server's own calls, guard
+//! in front of the local backend server, and the operators' listener. See
+//! [docs/DESIGN.md](../../docs/DESIGN.md), "A call's way".
+
+mod answer;
+mod answer_check;
+mod backend_call;
+mod body;
+mod call;
+mod caller_headers;
+mod entry;
+mod forward;
+mod guard;
+mod guarded_call;
+mod live_calls;
+mod local_backend;
+mod local_listener;
+mod node;
+mod operators;
+mod peer_call;
+mod refusal_response;
+mod running_node;
+mod slots;
+mod status;
+mod targets;
+mod watched_body;
+
+pub use local_backend::Announcement;
+pub use local_backend::LocalBackend;
+pub use node::Node;
+pub use node::NodeInputs;
+pub use running_node::RunningNode;
+pub use status::Status;
--- /dev/null
+++ b/src/node/node.rs
@@ -0,0 +1,149 @@
+//! What all parts of the data path share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::watch;
+
+use crate::adapters::HttpClient;
+use crate::adapters::http_client;
+use crate::conf::NodeSettings;
+use crate::core::Clock;
+use crate::core::Published;
+use crate::core::TargetState;
+use crate::core::View;
+use crate::metrics::Metrics;
+use crate::node::Announcement;
+use crate::node::LocalBackend;
+use crate::node::live_calls::LiveCalls;
+use crate::node::slots::Slot;
+use crate::node::slots::Slots;
+use crate::node::targets::Targets;
+use crate::preset::InForce;
+use crate::wire::LoadReport;
+
+/// How long an unused connection between nodes is kept, in milliseconds.
+const PEER_IDLE_MS: u64 = 15_000;
+/// How long an unused connection towards the backend server is kept, in milliseconds.
+const BACKEND_IDLE_MS: u64 = 1_000;
+/// The longest wait for a new connection, in milliseconds.
+const CONNECT_MS: u64 = 500;
+
+/// What the control thread publishes and the data path reads.
+#[derive(Clone)]
+pub struct NodeInputs {
+    pub clock: Clock,
+    pub view: Arc<Published<View>>,
+    /// `None` until a first configuration is known.
+    pub in_force: Arc<Published<Option<InForce>>>,
+    /// The local backend server as it announced itself; the control thread watches it.
+    pub local: watch::Sender<LocalBackend>,
+}
+
+impl NodeInputs {
+    /// Inputs that know nothing yet.
+    pub fn empty() -> Self {
+        Self {
+            clock: Clock::new(),
+            view: Arc::new(Published::from_pointee(View::default())),
+            in_force: Arc::new(Published::from_pointee(None)),
+            local: watch::Sender::new(LocalBackend::default()),
+        }
+    }
+}
+
+/// The state shared by the four listeners.
+pub struct Node {
+    pub settings: NodeSettings,
+    pub inputs: NodeInputs,
+    pub metrics: Metrics,
+    pub(super) peer_client: HttpClient,
+    pub(super) backend_client: HttpClient,
+    pub(super) live_calls: LiveCalls,
+    pub(super) targets: Targets,
+    slots: Arc<Slots>,
+    draining: AtomicBool,
+}
+
+impl Node {
+    /// Joins the parts.
+    pub fn new(settings: NodeSettings, inputs: NodeInputs) -> Self {
+        Self {
+            settings,
+            inputs,
+            metrics: Metrics::new(),
+            peer_client: http_client(PEER_IDLE_MS, CONNECT_MS),
+            backend_client: http_client(BACKEND_IDLE_MS, CONNECT_MS),
+            live_calls: LiveCalls::new(),
+            targets: Targets::new(),
+            slots: Arc::new(Slots::default()),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Begins a planned stop: new work is refused from now on, what runs is finished.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.inputs.local.send_modify(LocalBackend::drain);
+    }
+
+    /// Whether a planned stop has begun, here or at the backend server.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Takes in what the local backend server says of itself.
+    pub(super) fn take_announcement(&self, announcement: Announcement) {
+        let news = format!(
+            "service={} address={} slots={} state={:?}",
+            announcement.service, announcement.address, announcement.slots, announcement.state,
+        );
+        let is_news = self.inputs.local.send_if_modified(|local| {
+            let is_news = local.announced.as_ref() != Some(&announcement);
+            local.announced = Some(announcement);
+            is_news
+        });
+        if is_news {
+            log::info!("node: the backend server announced itself, {news}");
+        }
+    }
+
+    /// Where the local backend server serves, once it announced itself.
+    pub(super) fn backend_address(&self) -> Option<SocketAddr> {
+        let local = self.inputs.local.borrow();
+        local.announced.as_ref().map(|announced| announced.address)
+    }
+
+    /// The slots of the local backend server, while it takes work.
+    pub(super) fn local_slots(&self) -> Option<u32> {
+        let local = self.inputs.local.borrow();
+        let announced = local.announced.as_ref()?;
+        (announced.state == TargetState::Up).then_some(announced.slots)
+    }
+
+    /// Takes a place among the calls in flight at the local backend server.
+    pub(super) fn take_slot(&self, limit: u32) -> Option<Slot> {
+        self.slots.take(limit)
+    }
+
+    /// The guard's own figures.
+    pub(super) fn load_report(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.slots.in_flight(),
+            limit: self.local_slots().unwrap_or(0),
+            queued: 0,
+        }
+    }
+
+    /// Brings the gauges up to date, for whoever reads the metrics.
+    pub(super) fn refresh_gauges(&self) {
+        let load = self.load_report();
+        self.metrics.guard_in_flight.set(i64::from(load.in_flight));
+        self.metrics.guard_limit.set(i64::from(load.limit));
+        let in_force = self.inputs.in_force.load();
+        let version = in_force.as_ref().as_ref().map_or(0, |known| known.version);
+        self.metrics.config_version.set(version as i64);
+    }
+}
--- /dev/null
+++ b/src/node/peer_call.rs
@@ -0,0 +1,223 @@
+//! One attempt: a call sent to the guard of one target, and what came of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::adapters::Body;
+use crate::core::AttemptId;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RequestId;
+use crate::core::RunState;
+use crate::core::Target;
+use crate::node::Node;
+use crate::node::answer::Answer;
+use crate::node::answer_check::check_head;
+use crate::node::answer_check::check_len;
+use crate::node::answer_check::is_plain_not_run;
+use crate::node::body::NodeBody;
+use crate::node::body::read_body;
+use crate::node::call::Call;
+use crate::node::caller_headers;
+use crate::node::targets::InFlightAt;
+use crate::node::watched_body::BodyEnd;
+use crate::node::watched_body::watched;
+use crate::wire::AnswerHeader;
+use crate::wire::CallHeader;
+use crate::wire::headers;
+
+/// How long an answer may come after the deadline: the guard's own refusal says more than a
+/// time-out here, so it gets the time to arrive.
+const GRACE_MS: u64 = 50;
+/// When to come back after a target was lost, in milliseconds.
+const LOST_RETRY_AFTER_MS: u64 = 200;
+
+/// What came of an attempt.
+pub(super) enum AttemptEnd {
+    Answered(Answer, AnswerHeader),
+    /// Refused by the guard, with its header, or lost.
+    Refused(Refusal, Option<AnswerHeader>),
+}
+
+/// What has to be remembered of a call while its answer is awaited.
+struct Sent {
+    attempt: AttemptId,
+    request: RequestId,
+    method: Method,
+    non_idempotent: bool,
+}
+
+/// Sends the call to one target with a share of its allotment and waits for the end.
+pub(super) async fn call_peer(
+    node: &Arc<Node>,
+    call: &mut Call,
+    target: &Target,
+    share: u16,
+) -> AttemptEnd {
+    let mut in_flight = InFlightAt::new(node.clone(), target.node.clone());
+    let sent = Sent {
+        attempt: AttemptId::random(),
+        request: call.request,
+        method: call.method.clone(),
+        non_idempotent: call.non_idempotent,
+    };
+    let Some(request) = peer_request(node, call, target, sent.attempt, share) else {
+        return lost(RefusalReason::BadRequest, RunState::NotRun);
+    };
+    let left_ms = call.deadline.since(node.inputs.clock.now()) + GRACE_MS;
+    let exchange = exchange(node, &sent, request, &mut in_flight);
+    let end = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
+    match end {
+        Ok(AttemptEnd::Answered(answer, header)) => {
+            AttemptEnd::Answered(holding(node, answer, in_flight), header)
+        }
+        Ok(refused) => refused,
+        Err(_) => lost(RefusalReason::DeadlineExceeded, RunState::Unknown),
+    }
+}
+
+fn peer_request(
+    node: &Node,
+    call: &mut Call,
+    target: &Target,
+    attempt: AttemptId,
+    share: u16,
+) -> Option<Request<Body>> {
+    let header = CallHeader {
+        request: call.request,
+        attempt,
+        priority: call.priority,
+        depth: call.depth,
+        deadline_left_ms: call.deadline.since(node.inputs.clock.now()) as u32,
+        wait_ms: call.wait_ms,
+        allotment: share,
+        non_idempotent: call.non_idempotent,
+        key: call.key.clone(),
+        owner_stamp: 0,
+        config_version: call.config_version,
+        body_len: call.body.len(),
+        from_node: node.settings.node.clone(),
+    };
+    let uri = format!("http://{}{}", target.peer_address, call.path_and_query);
+    let mut request = Request::new(call.body.send_copy());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = uri.parse().ok()?;
+    *request.headers_mut() = call.headers.clone();
+    let value = HeaderValue::from_str(&header.encode()).ok()?;
+    request.headers_mut().insert(headers::CALL, value);
+    Some(request)
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    sent: &Sent,
+    request: Request<Body>,
+    in_flight: &mut InFlightAt,
+) -> AttemptEnd {
+    let response = match node.peer_client.request(request).await {
+        Ok(response) => response,
+        Err(error) => {
+            in_flight.lost();
+            log::debug!("entry: lost a peer, request={} error={error}", sent.request);
+            return lost(RefusalReason::PeerLost, run_state_of(&error));
+        }
+    };
+    let body_len = response.body().size_hint().exact();
+    match check_head(response.headers(), sent.attempt, body_len) {
+        Ok(header) => {
+            in_flight.reported(header.load);
+            take_answer(node, sent, response, header).await
+        }
+        Err(error) if is_plain_not_run(response.headers(), &error) => {
+            lost(RefusalReason::PeerVersion, RunState::NotRun)
+        }
+        Err(error) => {
+            node.metrics.wrong_answers.inc();
+            log::warn!(
+                "entry: dropped a wrong answer, request={} error={error}",
+                sent.request
+            );
+            lost(RefusalReason::PeerLost, RunState::Unknown)
+        }
+    }
+}
+
+/// Nothing was sent when no connection could be made; after that anything may have happened.
+fn run_state_of(error: &hyper_util::client::legacy::Error) -> RunState {
+    if error.is_connect() {
+        RunState::NotRun
+    } else {
+        RunState::Unknown
+    }
+}
+
+async fn take_answer(
+    node: &Node,
+    sent: &Sent,
+    response: Response<Incoming>,
+    header: AnswerHeader,
+) -> AttemptEnd {
+    if let Some(refusal) = header.refusal {
+        return AttemptEnd::Refused(refusal, Some(header));
+    }
+    let (mut parts, body) = response.into_parts();
+    caller_headers::strip_answer(&mut parts.headers, &sent.method);
+    let body = body.map_err(std::io::Error::other).boxed_unsync();
+    let body = match read_body(body, node.settings.max_held_body_bytes).await {
+        Ok(body) if check_len(&header, body.len()).is_ok() => body,
+        _ => {
+            node.metrics.wrong_answers.inc();
+            return cut_short(sent, &header);
+        }
+    };
+    let answer = Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    };
+    AttemptEnd::Answered(answer, header)
+}
+
+/// The answer was lost on its way. That a non-idempotent call ran is still known and said; an
+/// idempotent one counts as lost, so that it may be sent again.
+fn cut_short(sent: &Sent, header: &AnswerHeader) -> AttemptEnd {
+    let run_state = if sent.non_idempotent {
+        header.run_state
+    } else {
+        RunState::Unknown
+    };
+    lost(RefusalReason::PeerLost, run_state)
+}
+
+fn lost(reason: RefusalReason, run_state: RunState) -> AttemptEnd {
+    let refusal = Refusal {
+        reason,
+        run_state,
+        retry_after_ms: LOST_RETRY_AFTER_MS + fastrand::u64(..LOST_RETRY_AFTER_MS),
+    };
+    AttemptEnd::Refused(refusal, None)
+}
+
+/// Keeps a streamed answer counted as in flight until its end, and checks its length on the way.
+fn holding(node: &Arc<Node>, mut answer: Answer, in_flight: InFlightAt) -> Answer {
+    if let NodeBody::Streamed { body, len } = answer.body {
+        let node = node.clone();
+        let on_end = move |end| {
+            if end == BodyEnd::Broken {
+                node.metrics.broken_answers.inc();
+            }
+            drop(in_flight);
+        };
+        let body = watched(body, len, on_end);
+        answer.body = NodeBody::Streamed { body, len };
+    }
+    answer
+}
--- /dev/null
+++ b/src/node/targets.rs
@@ -0,0 +1,172 @@
+//! First-hand figures of the targets, the choice among them, and the budgets of retries.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::TimeMs;
+use crate::core::View;
+use crate::retry::RetryBudget;
+use crate::routing::Choice;
+use crate::routing::Pick;
+use crate::routing::PickerConf;
+use crate::routing::TargetStats;
+use crate::routing::pick;
+use crate::wire::LoadReport;
+
+/// Retries in sum, in percent of first attempts.
+const BUDGET_PERCENT: u32 = 10;
+/// Retries that may follow each other without first attempts in between.
+const BUDGET_BURST: u32 = 20;
+
+#[derive(Default)]
+struct Known {
+    stats: FastMap<Name, TargetStats>,
+    budgets: FastMap<Name, RetryBudget>,
+    /// The change of the view up to which targets that are gone have been evicted.
+    evicted_at_change: u64,
+}
+
+/// Shared by all calls. Bounded by the view: what is not in it any more is evicted.
+pub(super) struct Targets {
+    known: Mutex<Known>,
+    conf: PickerConf,
+}
+
+impl Targets {
+    pub(super) fn new() -> Self {
+        Self {
+            known: Mutex::new(Known::default()),
+            conf: PickerConf::default(),
+        }
+    }
+
+    /// Chooses a target that was not tried and counts the call as in flight there.
+    pub(super) fn take(
+        &self,
+        view: &View,
+        service: &str,
+        own_domain: &str,
+        tried: &[Name],
+        now: TimeMs,
+    ) -> Pick {
+        let mut known = self.lock();
+        known.evict_gone(view);
+        let choice = Choice {
+            targets: view.targets(service),
+            stats: &known.stats,
+            own_domain,
+            cut_off_domains: &view.cut_off_domains,
+            tried,
+        };
+        let picked = pick(&choice, &self.conf, now, |n| fastrand::usize(..n));
+        if let Pick::Take(target) = &picked {
+            known.stats_of(&target.node, now).in_flight += 1;
+        }
+        picked
+    }
+
+    /// Whether a target that was not tried has room, as far as is known.
+    pub(super) fn has_room(&self, view: &View, service: &str, tried: &[Name], now: TimeMs) -> bool {
+        let known = self.lock();
+        view.targets(service)
+            .iter()
+            .filter(|target| target.state.takes_work() && !tried.contains(&target.node))
+            .any(|target| {
+                let stats = known.stats.get(&target.node);
+                stats.is_some_and(|stats| stats.load_permille(target.slots, now) < 1_000)
+            })
+    }
+
+    /// Takes in the end of an attempt. `lost` says that the target was not reached or fell silent.
+    pub(super) fn ended(&self, node: &Name, report: Option<LoadReport>, lost: bool, now: TimeMs) {
+        let mut known = self.lock();
+        let Some(stats) = known.stats.get_mut(node) else {
+            return;
+        };
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        if let Some(report) = report {
+            stats.note_report(report, now);
+            stats.note_success();
+        }
+        if lost {
+            stats.note_failure(now);
+        }
+    }
+
+    /// Notes a first attempt in the budget of its service.
+    pub(super) fn first_attempt(&self, service: &Name) {
+        self.lock().budget_of(service).first_attempt();
+    }
+
+    /// Takes a retry out of the budget of its service.
+    pub(super) fn try_retry(&self, service: &Name) -> bool {
+        self.lock().budget_of(service).try_retry()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().expect("no holder panics")
+    }
+}
+
+impl Known {
+    fn stats_of(&mut self, node: &Name, now: TimeMs) -> &mut TargetStats {
+        self.stats
+            .entry(node.clone())
+            .or_insert_with(|| TargetStats::new(now))
+    }
+
+    fn budget_of(&mut self, service: &Name) -> &mut RetryBudget {
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(BUDGET_PERCENT, BUDGET_BURST))
+    }
+
+    fn evict_gone(&mut self, view: &View) {
+        if self.evicted_at_change == view.changes {
+            return;
+        }
+        self.evicted_at_change = view.changes;
+        self.stats.retain(|node, _| view.nodes.contains_key(node));
+        self.budgets
+            .retain(|service, _| view.services.contains_key(service));
+    }
+}
+
+/// An attempt counted as in flight at its target until it has ended, however it ends.
+pub(super) struct InFlightAt {
+    targets: Arc<super::Node>,
+    node: Name,
+    report: Option<LoadReport>,
+    lost: bool,
+}
+
+impl InFlightAt {
+    pub(super) fn new(targets: Arc<super::Node>, node: Name) -> Self {
+        Self {
+            targets,
+            node,
+            report: None,
+            lost: false,
+        }
+    }
+
+    pub(super) fn reported(&mut self, report: LoadReport) {
+        self.report = Some(report);
+    }
+
+    pub(super) fn lost(&mut self) {
+        self.lost = true;
+    }
+}
+
+impl Drop for InFlightAt {
+    fn drop(&mut self) {
+        let now = self.targets.inputs.clock.now();
+        self.targets
+            .targets
+            .ended(&self.node, self.report, self.lost, now);
+    }
+}
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -2,6 +2,10 @@
 
 mod allotment;
 mod budget;
+mod decision;
 
 pub use allotment::Allotment;
 pub use budget::RetryBudget;
+pub use decision::Failure;
+pub use decision::Situation;
+pub use decision::retry_reason;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,9 @@
 //! What several test files share.
 
 #![allow(dead_code)]
+#![allow(unused_imports)]
 
+pub mod test_mesh;
 mod test_platform;
 
 pub use test_platform::TestPlatform;
