Add sassafrasgap-load: open-loop callers, traces and reports

Cause: nothing could yet offer load or say what became of whole requests. Callers send a trace at its moments whatever became of earlier calls, resend hard through the next entry, and count only complete answers to their own request. Reports join callers' records with the runs of stand-in backend servers: duplicates, losses, false not_run, wrong answers, wasted runs. Found by its test: a growing histogram clamped a latency of 10 ms to under 2 ms; histograms have fixed bounds now.

--- a/src/errors.rs
+++ b/src/errors.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 
 use serde::Serialize;
@@ -26,6 +27,96 @@
     Version { theirs: u8, ours: u8 },
 }
 
+/// A value of a load plan that makes no sense.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum PlanProblem {
+    #[error("{field}: empty; at least one entry is needed")]
+    Empty { field: &'static str },
+    #[error("{field}: {value}; a number above 0 is needed")]
+    NotPositive { field: String, value: f64 },
+    #[error("{field}: {value}; an HTTP method is needed, such as GET")]
+    Method { field: String, value: Name },
+    #[error("{field}: {value}; a path /<service>/<path> is needed")]
+    Path { field: String, value: Name },
+}
+
+/// What can go wrong in a load run.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    #[error("{}: cannot be read: {source}", path.display())]
+    Read { path: PathBuf, source: io::Error },
+    #[error("{}: cannot be written: {source}", path.display())]
+    Write { path: PathBuf, source: io::Error },
+    #[error("{}: {source}", path.display())]
+    Yaml {
+        path: PathBuf,
+        source: serde_yaml_ng::Error,
+    },
+    #[error("{}: {}", path.display(), joined(problems))]
+    Plan {
+        path: PathBuf,
+        problems: Vec<PlanProblem>,
+    },
+    #[error("{}: line {line}: {source}", path.display())]
+    TraceLine {
+        path: PathBuf,
+        line: usize,
+        source: serde_json::Error,
+    },
+    #[error("{}: not a report: {source}", path.display())]
+    ReportJson {
+        path: PathBuf,
+        source: serde_json::Error,
+    },
+    #[error("no entry to send to: give --entry at least once")]
+    NoEntries,
+    #[error("threads cannot be started: {source}")]
+    Runtime { source: io::Error },
+    #[error("a caller panicked; the run is worthless")]
+    CallerPanicked,
+    #[error("backend server {backend} does not answer GET /runs")]
+    RunsUnreachable { backend: SocketAddr },
+    #[error("backend server {backend} answers GET /runs with something else: {source}")]
+    Runs {
+        backend: SocketAddr,
+        source: serde_json::Error,
+    },
+    #[error("{}: cannot be drawn: {reason}", path.display())]
+    Plot { path: PathBuf, reason: String },
+}
+
+impl LoadError {
+    /// A file that cannot be read.
+    pub fn read(path: &Path, source: io::Error) -> Self {
+        let path = path.to_owned();
+        Self::Read { path, source }
+    }
+
+    /// A file that cannot be written.
+    pub fn write(path: &Path, source: io::Error) -> Self {
+        let path = path.to_owned();
+        Self::Write { path, source }
+    }
+
+    /// Whether the caller of the program is to correct something; nothing was sent then.
+    pub fn is_usage(&self) -> bool {
+        matches!(
+            self,
+            Self::Read { .. }
+                | Self::Yaml { .. }
+                | Self::Plan { .. }
+                | Self::TraceLine { .. }
+                | Self::ReportJson { .. }
+                | Self::NoEntries
+        )
+    }
+}
+
+fn joined(problems: &[PlanProblem]) -> String {
+    let texts: Vec<String> = problems.iter().map(PlanProblem::to_string).collect();
+    texts.join("; ")
+}
+
 /// A request to the platform that did not do what was asked.
 #[derive(Debug, Error)]
 pub enum PlatformError {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod core;
 pub mod errors;
+pub mod load;
 pub mod membership;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/src/load/commands/mod.rs
@@ -0,0 +1,8 @@
+//! The subcommands of `sassafrasgap-load`.
+
+mod finish;
+pub mod generate;
+pub mod replay;
+pub mod report;
+pub mod run;
+mod sending;
