Refuse requests that crash backend servers, and clear the innocent

Cause: a request that crashes each backend server that runs it comes back under new identifiers through other nodes, while popular reads run beside it at every crash. Crashes have identifiers, so that a report counts once; what runs to its end is cleared of the crashes so far, and the clearances travel with the next crash report. Conclusion: counted by content and identifier together, two crashes bound it for tries that come one after the other; simultaneous tries are not bounded.

--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -5,8 +5,8 @@
 
 use crate::core::AttemptId;
 use crate::core::Name;
-use crate::core::RequestId;
 use crate::core::Target;
+use crate::poison::CrashReport;
 
 /// What a guard knows of an attempt, when its sender asks over a new connection because the old
 /// one went silent.
@@ -67,7 +67,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspects {
     pub service: Name,
-    pub entries: Vec<(RequestId, u64)>,
+    pub report: CrashReport,
 }
 
 /// What one node can ask of another.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod node;
 pub mod platform;
+pub mod poison;
 pub mod preset;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/src/poison/mod.rs
@@ -0,0 +1,14 @@
+//! Requests that crash backend servers: who is suspected, who is cleared, who is refused
+//! ([docs/POISON.md](../../docs/POISON.md)).
+
+mod crash_report;
+mod crashes;
+mod suspects;
+
+pub use crash_report::Cleared;
+pub use crash_report::CrashId;
+pub use crash_report::CrashReport;
+pub use crash_report::Running;
+pub use suspects::PoisonSettings;
+pub use suspects::Suspects;
+pub use suspects::Verdict;
