Steer the admission level by the standing queue, and play chains in virtual time

Cause: the first level fell with every noisy window and rose too slowly, so four times the load on a slowed deep service left 25% of its capacity as goodput at depth 4. Now the level falls to where smoothed demand fits what is run, only when calls that it admits wait throughout a window, and rises by 2% of that, or in doubling steps while calls start at once.

--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -69,13 +69,12 @@
             return Offer::Refuse(self.refusal(RefusalReason::DeadlineExceeded, now));
         }
         if self.has_room() && self.queue.would_be_first(&call) {
-            self.start(call.ticket, call.priority, 0);
+            self.start(call.ticket, call.priority, true);
             return Offer::Run;
         }
         self.limit.note_full();
         if self.queue.len() >= self.queue_bound() {
             if !self.queue.outranks_last(&call) {
-                self.level.note_refusal();
                 return Offer::Refuse(self.refusal(RefusalReason::Overloaded, now));
             }
             self.displace_last(now);
@@ -117,7 +116,9 @@
             };
             actions.push(self.start_or_give_up(&waiting, now));
         }
-        self.level.roll(now, self.queue.len());
+        let standing = self.level.standing();
+        let queued = self.queue.count_within(self.level.level(), standing);
+        self.level.note_queue(now, queued);
         actions
     }
 
@@ -140,6 +141,11 @@
         self.limit.set_cap(slots.min(self.conf.most_limit));
     }
 
+    /// Takes over the number of classes of the preset in force.
+    pub fn set_classes(&mut self, classes: usize) {
+        self.level.set_classes(classes);
+    }
+
     fn has_room(&self) -> bool {
         self.running.len() < self.limit.get() as usize
     }
@@ -154,9 +160,9 @@
         now + needed_ms < call.deadline
     }
 
-    fn start(&mut self, ticket: u64, priority: Priority, waited_ms: u64) {
+    fn start(&mut self, ticket: u64, priority: Priority, at_once: bool) {
         self.running.insert(ticket, priority);
-        self.level.note_start(waited_ms);
+        self.level.note_start(at_once);
         debug_assert!(self.running.len() <= self.limit.get() as usize);
     }
 
@@ -165,12 +171,11 @@
             return self.give_up(waiting, now);
         }
         let call = &waiting.call;
-        self.start(call.ticket, call.priority, now.since(waiting.since));
+        self.start(call.ticket, call.priority, false);
         Action::Start(call.ticket)
     }
 
     fn give_up(&mut self, waiting: &Waiting, now: TimeMs) -> Action {
-        self.level.note_refusal();
         let reason = if self.can_be_met(&waiting.call, now) {
             RefusalReason::WaitExceeded
         } else {
@@ -183,7 +188,6 @@
         let Some(waiting) = self.queue.pop_last() else {
             return;
         };
-        self.level.note_refusal();
         let refusal = self.refusal(RefusalReason::Overloaded, now);
         let action = Action::Refuse(waiting.call.ticket, refusal);
         self.displaced.push(action);
--- a/src/admission/admission_conf.rs
+++ b/src/admission/admission_conf.rs
@@ -15,7 +15,8 @@
     pub queue_least: usize,
     /// How often the limit and the level are worked out anew.
     pub window_ms: u64,
-    /// The shortest wait in the queue that, lasting a whole window, counts as overload.
+    /// The wait in the queue that the level steers to: it falls when calls wait for twice as long
+    /// throughout a window, and rises when they wait for less.
     pub wait_target_ms: u64,
 }
 
--- a/src/admission/call_queue.rs
+++ b/src/admission/call_queue.rs
@@ -6,6 +6,7 @@
 
 use crate::admission::QueuedCall;
 use crate::core::FastMap;
+use crate::core::Priority;
 use crate::core::TimeMs;
 
 /// The order in which waiting calls are started: class, then deeper calls (more work has been done
@@ -59,6 +60,16 @@
         self.by_place.len()
     }
 
+    /// How many waiting calls a level admits, counted no further than `at_most`.
+    pub fn count_within(&self, level: Priority, at_most: usize) -> usize {
+        self.by_place
+            .values()
+            .take_while(|waiting| waiting.call.priority.class() <= level.class())
+            .filter(|waiting| waiting.call.priority <= level)
+            .take(at_most)
+            .count()
+    }
+
     pub fn push(&mut self, call: QueuedCall, now: TimeMs) {
         let place = Place::of(&call);
         let waiting = Waiting { call, since: now };
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -6,7 +6,7 @@
 use crate::core::TimeMs;
 
 /// Own service time may grow to this, in percent of the floor, before the limit falls.
-const TOLERANCE_PERCENT: u64 = 200;
+const TOLERANCE_PERCENT: u64 = 1_000;
 /// The floor drifts up by one part in this for each window, so that it follows a backend server
 /// that has become slower for good.
 const FLOOR_DRIFT: u64 = 32;
--- /dev/null
+++ b/tests/fake_chain/chain.rs
@@ -0,0 +1,571 @@
+//! The fake chain itself: an event queue over callers, entries, guards and backend servers.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+
+use fastrand::Rng;
+
+use sassafrasgap::admission::Action;
+use sassafrasgap::admission::Admission;
+use sassafrasgap::admission::AdmissionConf;
+use sassafrasgap::admission::Completion;
+use sassafrasgap::admission::Dependencies;
+use sassafrasgap::admission::Levels;
+use sassafrasgap::admission::Offer;
+use sassafrasgap::admission::QueuedCall;
+use sassafrasgap::admission::Verdict;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Priority;
+use sassafrasgap::core::RequestId;
+use sassafrasgap::core::TimeMs;
+
+use super::report::Done;
+use super::report::Lost;
+use super::report::Report;
+use super::story::Control;
+use super::story::DEADLINE_MS;
+use super::story::Order;
+use super::story::Story;
+use super::story::WAIT_MS;
+
+const HOP_US: u64 = 1_000;
+const CALLER_US: u64 = 3_000;
+const POLL_US: u64 = 5_000;
+const BASELINE_TIMEOUT_US: u64 = 1_000_000;
+const BASELINE_RETRIES: u32 = 3;
+const BASELINE_CONNECTIONS: usize = 700;
+const ENTRIES: usize = 3;
+const ROUTES: [&str; 2] = ["deep", "shallow"];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    /// An attempt of a root request reaches its entry.
+    Send(usize),
+    /// The caller's patience with an attempt ends.
+    GiveUp(usize, u32),
+    Reach(usize),
+    OwnWorkDone(usize),
+    Answer(usize),
+    HopTimeout(usize),
+    Poll(usize, usize),
+}
+
+struct Root {
+    id: u128,
+    class: usize,
+    shallow: bool,
+    first_sent_us: u64,
+    attempt: u32,
+    sent_us: u64,
+    over: bool,
+    /// Work done for the present attempt and for those before.
+    work_us: u64,
+    spent_us: u64,
+}
+
+struct Call {
+    root: usize,
+    attempt: u32,
+    service: usize,
+    target: usize,
+    parent: Option<usize>,
+    deadline_us: u64,
+    started_us: u64,
+    child_from_us: u64,
+    child_us: u64,
+    retries: u32,
+    ok: bool,
+    shed: bool,
+    answered: bool,
+    admit: Priority,
+    retry_after_ms: u64,
+}
+
+struct Node {
+    guard: Admission,
+    levels: Levels,
+    dependencies: Dependencies,
+    slots: usize,
+    busy: usize,
+    /// What the backend server queues inside because it was given more than it can run.
+    inside: VecDeque<usize>,
+}
+
+struct Chain<'a> {
+    story: &'a Story,
+    rng: Rng,
+    now_us: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    roots: Vec<Root>,
+    calls: Vec<Call>,
+    services: Vec<Vec<Node>>,
+    names: Vec<Name>,
+    entries: Vec<Levels>,
+    report: Report,
+}
+
+/// Plays a story and reports what came of it.
+pub fn run(story: &Story) -> Report {
+    let mut chain = Chain::new(story);
+    chain.after(0, Event::Arrival);
+    for service in 0..story.depth {
+        for target in 0..story.targets {
+            chain.after(POLL_US, Event::Poll(service, target));
+        }
+    }
+    let end_us = story.end_ms * 1_000;
+    while let Some(Reverse((at_us, _, event))) = chain.queue.pop() {
+        if at_us > end_us {
+            break;
+        }
+        chain.now_us = at_us;
+        chain.report.events += 1;
+        chain.handle(event);
+    }
+    chain.report
+}
+
+impl<'a> Chain<'a> {
+    fn new(story: &'a Story) -> Self {
+        let node = |service: usize, target: usize| {
+            let deep = service + 1 == story.depth;
+            let slots = if deep { story.deep_slots } else { story.slots };
+            let seed = (service * 100 + target) as u64;
+            let mut guard = Admission::new(AdmissionConf::default(), seed);
+            guard.set_classes(4);
+            guard.set_slots(slots as u32 * story.announced_percent / 100);
+            Node {
+                guard,
+                levels: Levels::default(),
+                dependencies: Dependencies::default(),
+                slots,
+                busy: 0,
+                inside: VecDeque::new(),
+            }
+        };
+        let service = |service: usize| (0..story.targets).map(|t| node(service, t)).collect();
+        Self {
+            story,
+            rng: Rng::with_seed(story.seed),
+            now_us: 0,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            roots: Vec::new(),
+            calls: Vec::new(),
+            services: (0..story.depth).map(service).collect(),
+            names: (0..story.depth)
+                .map(|i| Name::from(format!("s{i}")))
+                .collect(),
+            entries: vec![Levels::default(); ENTRIES],
+            report: Report::default(),
+        }
+    }
+
+    fn now(&self) -> TimeMs {
+        TimeMs(self.now_us / 1_000)
+    }
+
+    fn after(&mut self, delay_us: u64, event: Event) {
+        self.sequence += 1;
+        self.queue
+            .push(Reverse((self.now_us + delay_us, self.sequence, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Send(root) => self.send(root),
+            Event::GiveUp(root, attempt) => self.attempt_failed(root, attempt, 0),
+            Event::Reach(call) => self.reach(call),
+            Event::OwnWorkDone(call) => self.own_work_done(call),
+            Event::Answer(call) => self.answer(call),
+            Event::HopTimeout(call) => self.hop_failed(call),
+            Event::Poll(service, target) => {
+                self.poll(service, target);
+                self.after(POLL_US, Event::Poll(service, target));
+            }
+        }
+    }
+
+    fn exponential(&mut self, mean_us: f64) -> u64 {
+        (-mean_us * (1.0 - self.rng.f64()).ln()) as u64
+    }
+
+    fn arrival(&mut self) {
+        let now_ms = self.now_us / 1_000;
+        let deep_share = (100 - self.story.shallow_percent) as f64 / 100.0;
+        let rate = self.story.rate(now_ms) / deep_share;
+        let gap_us = self.exponential(1e6 / rate);
+        self.after(gap_us, Event::Arrival);
+        let draw = self.rng.u64(0..100);
+        let mut sum = 0;
+        let class = self.story.classes.iter().position(|share| {
+            sum += share;
+            draw < sum
+        });
+        let root = Root {
+            id: self.rng.u128(..),
+            class: class.unwrap_or(3),
+            shallow: self.rng.u64(0..100) < self.story.shallow_percent,
+            first_sent_us: self.now_us,
+            attempt: 0,
+            sent_us: 0,
+            over: false,
+            work_us: 0,
+            spent_us: 0,
+        };
+        self.roots.push(root);
+        self.after(CALLER_US, Event::Send(self.roots.len() - 1));
+    }
+
+    fn priority(&self, root: &Root) -> Priority {
+        let now_ms = root.sent_us / 1_000;
+        let rank = match self.story.order {
+            Order::Rank => RequestId(root.id).rank(),
+            Order::Fifo => (now_ms / 2) as u16,
+            Order::Lifo => u16::MAX - (now_ms / 2) as u16,
+            Order::Deadline => ((now_ms + DEADLINE_MS[root.class]) / 2) as u16,
+        };
+        Priority::new(root.class as u8, rank)
+    }
+
+    fn route(&self, root: usize) -> &'static str {
+        ROUTES[usize::from(self.roots[root].shallow)]
+    }
+
+    fn send(&mut self, index: usize) {
+        let now = self.now();
+        let now_us = self.now_us;
+        let root = &mut self.roots[index];
+        root.sent_us = now_us;
+        let attempt = root.attempt;
+        let patience_us = DEADLINE_MS[root.class] * 1_000;
+        let priority = self.priority(&self.roots[index]);
+        let entry = &self.entries[index % ENTRIES];
+        let route = self.route(index);
+        if self.story.control == Control::Levels
+            && !entry.may_pass(now, &self.names[0], route, priority)
+        {
+            self.attempt_failed(index, attempt, 200);
+            return;
+        }
+        self.after(patience_us, Event::GiveUp(index, attempt));
+        self.forward(index, None, 0, now_us + patience_us, 0);
+    }
+
+    fn forward(
+        &mut self,
+        root: usize,
+        parent: Option<usize>,
+        service: usize,
+        deadline_us: u64,
+        retries: u32,
+    ) {
+        let target = self.pick(service);
+        self.calls.push(Call {
+            root,
+            attempt: self.roots[root].attempt,
+            service,
+            target,
+            parent,
+            deadline_us,
+            started_us: 0,
+            child_from_us: 0,
+            child_us: 0,
+            retries,
+            ok: false,
+            shed: false,
+            answered: false,
+            admit: Priority::LOWEST,
+            retry_after_ms: 0,
+        });
+        let call = self.calls.len() - 1;
+        self.after(HOP_US, Event::Reach(call));
+        if self.story.control == Control::Baseline {
+            self.after(BASELINE_TIMEOUT_US, Event::HopTimeout(call));
+        }
+    }
+
+    fn pick(&mut self, service: usize) -> usize {
+        let first = self.rng.usize(0..self.story.targets);
+        let second = self.rng.usize(0..self.story.targets);
+        let load = |target: usize| {
+            let node = &self.services[service][target];
+            let load = node.guard.load();
+            (load.in_flight + load.queued) as usize + node.inside.len()
+        };
+        if load(second) < load(first) {
+            second
+        } else {
+            first
+        }
+    }
+
+    fn reach(&mut self, index: usize) {
+        let now = self.now();
+        let call = &self.calls[index];
+        let (service, target, root) = (call.service, call.target, call.root);
+        if self.story.control == Control::Baseline {
+            let node = &self.services[service][target];
+            if node.busy + node.inside.len() >= BASELINE_CONNECTIONS {
+                self.refuse(index, 0);
+            } else {
+                self.start(index);
+            }
+            return;
+        }
+        let priority = self.priority(&self.roots[root]);
+        let route = self.route(root);
+        let node = &mut self.services[service][target];
+        let behind = node
+            .dependencies
+            .level(now, route, Priority::LOWEST, &node.levels);
+        if self.story.control == Control::Levels && priority > behind {
+            self.refuse(index, 200);
+            return;
+        }
+        let offer = node.guard.offer(
+            now,
+            QueuedCall {
+                ticket: index as u64,
+                priority,
+                depth: service as u8,
+                wait_ms: WAIT_MS[usize::from(priority.class())],
+                deadline: TimeMs(call.deadline_us / 1_000),
+            },
+        );
+        match offer {
+            Offer::Run => self.start(index),
+            Offer::Wait => self.poll(service, target),
+            Offer::Refuse(refusal) => self.refuse(index, refusal.retry_after_ms),
+        }
+    }
+
+    fn poll(&mut self, service: usize, target: usize) {
+        let now = self.now();
+        for action in self.services[service][target].guard.poll(now) {
+            match action {
+                Action::Start(ticket) => self.start(ticket as usize),
+                Action::Refuse(ticket, refusal) => {
+                    self.refuse(ticket as usize, refusal.retry_after_ms);
+                }
+            }
+        }
+    }
+
+    fn refuse(&mut self, index: usize, retry_after_ms: u64) {
+        if self.calls[index].started_us > 0 && !self.calls[index].shed {
+            self.report.not_run_after_start += 1;
+        }
+        self.calls[index].retry_after_ms = retry_after_ms;
+        self.reply(index);
+    }
+
+    fn start(&mut self, index: usize) {
+        self.calls[index].started_us = self.now_us;
+        let call = &self.calls[index];
+        let deep = call.service + 1 == self.story.depth;
+        let (service, target) = (call.service, call.target);
+        let node = &mut self.services[service][target];
+        if node.busy < node.slots {
+            node.busy += 1;
+            self.work(index);
+        } else if deep && self.story.sheds {
+            self.calls[index].shed = true;
+            self.finish(index, Verdict::Shed);
+        } else {
+            node.inside.push_back(index);
+        }
+    }
+
+    fn work(&mut self, index: usize) {
+        let deep = self.calls[index].service + 1 == self.story.depth;
+        let mean_us = match (deep, self.story.in_surge(self.now_us / 1_000)) {
+            (false, _) => self.story.own_us,
+            (true, false) => self.story.deep_us,
+            (true, true) => self.story.deep_us * self.story.slow_percent / 100,
+        };
+        let work_us = mean_us / 2 + self.exponential(mean_us as f64 / 2.0);
+        let call = &self.calls[index];
+        let root = &mut self.roots[call.root];
+        self.report.work_us += work_us;
+        if call.attempt == root.attempt && !root.over {
+            root.work_us += work_us;
+        } else {
+            self.report.wasted_us += work_us;
+        }
+        self.after(work_us, Event::OwnWorkDone(index));
+    }
+
+    fn own_work_done(&mut self, index: usize) {
+        let call = &self.calls[index];
+        let last = call.service + 1 == self.story.depth || self.roots[call.root].shallow;
+        if last {
+            self.calls[index].ok = true;
+            self.release(index, Verdict::Ok);
+            return;
+        }
+        let (root, service, deadline_us) = (call.root, call.service, call.deadline_us);
+        let target = call.target;
+        let route = self.route(root);
+        let now = self.now();
+        let child = self.names[service + 1].clone();
+        let node = &mut self.services[service][target];
+        node.dependencies.note(now, route, &child, route);
+        self.calls[index].child_from_us = self.now_us;
+        self.forward(root, Some(index), service + 1, deadline_us, 0);
+    }
+
+    fn release(&mut self, index: usize, verdict: Verdict) {
+        let (service, target) = (self.calls[index].service, self.calls[index].target);
+        let node = &mut self.services[service][target];
+        node.busy -= 1;
+        if let Some(next) = node.inside.pop_front() {
+            node.busy += 1;
+            self.work(next);
+        }
+        self.finish(index, verdict);
+    }
+
+    fn finish(&mut self, index: usize, verdict: Verdict) {
+        let now = self.now();
+        let call = &self.calls[index];
+        let (service, target) = (call.service, call.target);
+        let completion = Completion {
+            service_us: self.now_us - call.started_us,
+            child_us: call.child_us,
+            verdict,
+        };
+        let guard = &mut self.services[service][target].guard;
+        guard.complete(now, index as u64, completion);
+        self.reply(index);
+        if self.story.control != Control::Baseline {
+            self.poll(service, target);
+        }
+    }
+
+    fn reply(&mut self, index: usize) {
+        let now = self.now();
+        let call = &self.calls[index];
+        let route = self.route(call.root);
+        let node = &self.services[call.service][call.target];
+        let own = node.guard.level();
+        self.calls[index].admit = node.dependencies.level(now, route, own, &node.levels);
+        self.after(HOP_US, Event::Answer(index));
+    }
+
+    fn answer(&mut self, index: usize) {
+        let now = self.now();
+        if self.calls[index].answered {
+            return;
+        }
+        let call = &self.calls[index];
+        let (root, service, admit) = (call.root, call.service, call.admit);
+        let route = self.route(root);
+        let name = self.names[service].clone();
+        let levels = match call.parent {
+            None => &mut self.entries[root % ENTRIES],
+            Some(parent) => {
+                let parent = &self.calls[parent];
+                &mut self.services[parent.service][parent.target].levels
+            }
+        };
+        levels.note(now, &name, route, admit);
+        if self.calls[index].ok {
+            self.calls[index].answered = true;
+            self.child_ended(index, true);
+        } else {
+            self.hop_failed(index);
+        }
+    }
+
+    fn hop_failed(&mut self, index: usize) {
+        if self.calls[index].answered {
+            return;
+        }
+        self.calls[index].answered = true;
+        let call = &self.calls[index];
+        let current = call.attempt == self.roots[call.root].attempt;
+        let baseline = self.story.control == Control::Baseline;
+        if baseline && call.retries < BASELINE_RETRIES && (current || call.parent.is_some()) {
+            let (root, parent) = (call.root, call.parent);
+            let (service, deadline_us) = (call.service, call.deadline_us);
+            let retries = call.retries + 1;
+            let attempt = call.attempt;
+            self.forward(root, parent, service, deadline_us, retries);
+            self.calls.last_mut().unwrap().attempt = attempt;
+            return;
+        }
+        self.child_ended(index, false);
+    }
+
+    fn child_ended(&mut self, index: usize, ok: bool) {
+        let call = &self.calls[index];
+        let (root, attempt) = (call.root, call.attempt);
+        let Some(parent) = call.parent else {
+            if ok {
+                self.root_done(root, attempt);
+            } else {
+                self.attempt_failed(root, attempt, self.calls[index].retry_after_ms);
+            }
+            return;
+        };
+        let now_us = self.now_us;
+        let parent_call = &mut self.calls[parent];
+        parent_call.child_us += now_us - parent_call.child_from_us;
+        parent_call.ok = ok;
+        self.release(parent, if ok { Verdict::Ok } else { Verdict::Failed });
+    }
+
+    fn root_done(&mut self, index: usize, attempt: u32) {
+        let root = &mut self.roots[index];
+        if root.over || root.attempt != attempt {
+            return;
+        }
+        root.over = true;
+        self.report.wasted_us += root.spent_us;
+        self.report.done.push(Done {
+            at_ms: self.now_us / 1_000,
+            first_sent_ms: root.first_sent_us / 1_000,
+            latency_us: self.now_us + CALLER_US - root.sent_us,
+            class: root.class,
+        });
+    }
+
+    fn attempt_failed(&mut self, index: usize, attempt: u32, retry_after_ms: u64) {
+        let root = &mut self.roots[index];
+        if root.over || root.attempt != attempt {
+            return;
+        }
+        self.report.failed_at_ms.push(self.now_us / 1_000);
+        root.spent_us += root.work_us;
+        root.work_us = 0;
+        root.attempt += 1;
+        if root.attempt > self.story.resends {
+            root.over = true;
+            self.report.wasted_us += root.spent_us;
+            let lost = Lost {
+                first_sent_ms: root.first_sent_us / 1_000,
+                class: root.class,
+            };
+            self.report.lost.push(lost);
+            return;
+        }
+        if self.story.new_rank {
+            root.id = self.rng.u128(..);
+        }
+        let wait_ms = if self.story.polite {
+            retry_after_ms
+        } else {
+            self.story.resend_ms
+        };
+        let jitter_us = self.rng.u64(0..=wait_ms * 200);
+        self.after(
+            2 * CALLER_US + wait_ms * 900 + jitter_us,
+            Event::Send(index),
+        );
+    }
+}
--- /dev/null
+++ b/tests/fake_chain/report.rs
@@ -0,0 +1,123 @@
+//! What came of a run.
+
+use super::story::Story;
+
+const BIN_MS: u64 = 100;
+const SPAN_MS: u64 = 500;
+
+/// One root request that was completed in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Done {
+    pub at_ms: u64,
+    pub first_sent_ms: u64,
+    pub latency_us: u64,
+    pub class: usize,
+}
+
+/// One root request that its caller gave up.
+#[derive(Clone, Copy, Debug)]
+pub struct Lost {
+    pub first_sent_ms: u64,
+    pub class: usize,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub done: Vec<Done>,
+    pub lost: Vec<Lost>,
+    pub work_us: u64,
+    pub wasted_us: u64,
+    pub not_run_after_start: u64,
+    pub failed_at_ms: Vec<u64>,
+    pub events: u64,
+}
+
+impl Report {
+    /// Completed root requests per second between two times.
+    pub fn goodput(&self, from_ms: u64, to_ms: u64) -> f64 {
+        let count = self.done_between(from_ms, to_ms).count();
+        count as f64 * 1e3 / (to_ms - from_ms) as f64
+    }
+
+    /// Goodput of the surge, without its first second.
+    pub fn surge_goodput(&self, story: &Story) -> f64 {
+        self.goodput(story.surge_from_ms + 1_000, story.surge_to_ms)
+    }
+
+    /// Goodput of the last part of the surge: what a lasting overload settles to.
+    pub fn wasted_percent(&self) -> f64 {
+        self.wasted_us as f64 * 100.0 / self.work_us.max(1) as f64
+    }
+
+    /// The share of the root requests of a class, first sent in the surge, that were lost.
+    pub fn lost_percent(&self, class: usize, story: &Story) -> f64 {
+        let from = story.surge_from_ms;
+        let to = story.surge_to_ms;
+        let sent = |at: u64| (from..to).contains(&at);
+        let done = self
+            .done
+            .iter()
+            .filter(|d| d.class == class && sent(d.first_sent_ms));
+        let lost = self
+            .lost
+            .iter()
+            .filter(|l| l.class == class && sent(l.first_sent_ms));
+        let lost = lost.count() as f64;
+        lost * 100.0 / (done.count() as f64 + lost).max(1.0)
+    }
+
+    /// The given percentile of the latency of what was done between two times.
+    pub fn latency_us(&self, percentile: usize, from_ms: u64, to_ms: u64) -> u64 {
+        let mut all: Vec<u64> = self
+            .done_between(from_ms, to_ms)
+            .map(|d| d.latency_us)
+            .collect();
+        all.sort_unstable();
+        let index = (all.len() * percentile / 100).min(all.len().saturating_sub(1));
+        all.get(index).copied().unwrap_or(0)
+    }
+
+    /// Time from the end of the surge to the first half second in which goodput is 95% of what it
+    /// was before and the 99th percentile is within twice the ordinary one.
+    pub fn recovery_ms(&self, story: &Story) -> u64 {
+        let mut at = story.surge_to_ms;
+        while at + SPAN_MS < story.end_ms && !self.is_ordinary(at, story, 95, 2) {
+            at += BIN_MS;
+        }
+        at - story.surge_to_ms
+    }
+
+    /// Whether any second later than two seconds after the surge is bad again.
+    pub fn relapses(&self, story: &Story) -> usize {
+        let from = story.surge_to_ms + 2_000;
+        let starts = (from..story.end_ms - SPAN_MS).step_by(SPAN_MS as usize);
+        starts
+            .filter(|&at| !self.is_ordinary(at, story, 80, 3))
+            .count()
+    }
+
+    fn is_ordinary(&self, from_ms: u64, story: &Story, percent: u64, times: u64) -> bool {
+        let ordinary_p99 = self.latency_us(99, story.settled_ms, story.surge_from_ms);
+        let ordinary = self.goodput(story.settled_ms, story.surge_from_ms);
+        let to_ms = from_ms + SPAN_MS;
+        let enough = self.goodput(from_ms, to_ms) >= ordinary * percent as f64 / 100.0;
+        enough && self.latency_us(99, from_ms, to_ms) <= times * ordinary_p99
+    }
+
+    /// Attempts of root requests that failed in ordinary times, in percent of requests.
+    pub fn ordinary_failures_percent(&self, story: &Story) -> f64 {
+        let ordinary = |at: &&u64| (story.settled_ms..story.surge_from_ms).contains(*at);
+        let failed = self.failed_at_ms.iter().filter(ordinary).count();
+        let done = self
+            .done_between(story.settled_ms, story.surge_from_ms)
+            .count();
+        failed as f64 * 100.0 / done.max(1) as f64
+    }
+
+    fn done_between(&self, from_ms: u64, to_ms: u64) -> impl Iterator<Item = &Done> {
+        self.done
+            .iter()
+            .filter(move |done| (from_ms..to_ms).contains(&done.at_ms))
+    }
+}
