--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -17,8 +17,11 @@
 use tokio::sync::oneshot;
 
 use crate::adapters::Body;
+use crate::admission::Completion;
+use crate::admission::Verdict;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::core::RequestId;
 use crate::core::TimeMs;
 use crate::node::Node;
 use crate::node::answer::Answer;
@@ -27,7 +30,7 @@
 use crate::node::caller_headers;
 use crate::node::guarded_call::GuardedCall;
 use crate::node::live_calls::LiveCall;
-use crate::node::slots::Slot;
+use crate::node::permit::Permit;
 use crate::node::watched_body::BodyEnd;
 use crate::node::watched_body::watched;
 use crate::wire::headers;
@@ -43,11 +46,11 @@
 pub(super) async fn run_until_dropped(
     node: &Arc<Node>,
     call: GuardedCall,
-    slot: Slot,
+    permit: Permit,
 ) -> Result<Answer, Refusal> {
     let deadline = call.deadline;
     let left = Duration::from_millis(deadline.since(node.inputs.clock.now()));
-    match tokio::time::timeout(left, run(node.clone(), call, slot)).await {
+    match tokio::time::timeout(left, run(node.clone(), call, permit)).await {
         Ok(end) => end,
         Err(_) => Err(unknown(RefusalReason::DeadlineExceeded)),
     }
@@ -58,14 +61,14 @@
 pub(super) async fn run_to_end(
     node: &Arc<Node>,
     call: GuardedCall,
-    slot: Slot,
+    permit: Permit,
 ) -> Result<Answer, Refusal> {
     let left = Duration::from_millis(call.deadline.since(node.inputs.clock.now()));
     let (tell, told) = oneshot::channel();
     let task_node = node.clone();
     tokio::spawn(async move {
         let longest = left + Duration::from_millis(RUN_ON_MS);
-        let end = tokio::time::timeout(longest, run(task_node, call, slot)).await;
+        let end = tokio::time::timeout(longest, run(task_node, call, permit)).await;
         let end = end.unwrap_or_else(|_| Err(unknown(RefusalReason::DeadlineExceeded)));
         // Nobody waits any more when the deadline has passed.
         let _ = tell.send(end);
@@ -77,41 +80,81 @@
     }
 }
 
-async fn run(node: Arc<Node>, mut call: GuardedCall, slot: Slot) -> Result<Answer, Refusal> {
+async fn run(node: Arc<Node>, mut call: GuardedCall, permit: Permit) -> Result<Answer, Refusal> {
+    let mut running = Running::new(&node, call.live.clone(), permit);
+    match exchange(&node, &mut call, running.context).await {
+        Ok(answer) => Ok(holding(answer, running)),
+        Err(refusal) => {
+            running.failed(refusal);
+            Err(refusal)
+        }
+    }
+}
+
+async fn exchange(node: &Node, call: &mut GuardedCall, context: u128) -> Result<Answer, Refusal> {
     let address = node
         .backend_address()
         .ok_or_else(|| not_run(RefusalReason::BackendDown))?;
-    let entered = Entered::new(&node, call.live.clone());
-    let started_us = node.inputs.clock.now_us();
-    let request = backend_request(&mut call, address, entered.context, node.inputs.clock.now())
+    let request = backend_request(call, address, context, node.inputs.clock.now())
         .ok_or_else(|| not_run(RefusalReason::BadRequest))?;
-    let response = node
-        .backend_client
-        .request(request)
-        .await
-        .map_err(|error| lost(&call, &error))?;
-    let answer = take_answer(&node, &call.method, response).await?;
-    let took_us = node.inputs.clock.now_us() - started_us;
-    node.metrics.backend_latency.observe(took_us as f64 / 1e6);
-    Ok(holding(&node, answer, slot, entered))
+    let method = call.method.clone();
+    let id = call.header.request;
+    let response = node.backend_client.request(request).await;
+    let response = response.map_err(|error| lost(id, &error))?;
+    take_answer(node, &method, response).await
 }
 
-/// A call entered among the live ones until it ends.
-struct Entered {
+/// A call that runs: entered among the live ones, and counted in flight, until it ends.
+struct Running {
     node: Arc<Node>,
+    live: Arc<LiveCall>,
     context: u128,
+    permit: Permit,
 }
 
-impl Entered {
-    fn new(node: &Arc<Node>, live: Arc<LiveCall>) -> Self {
+impl Running {
+    fn new(node: &Arc<Node>, live: Arc<LiveCall>, permit: Permit) -> Self {
         Self {
-            context: node.live_calls.enter(live),
+            context: node.live_calls.enter(live.clone()),
             node: node.clone(),
+            live,
+            permit,
+        }
+    }
+
+    fn failed(&mut self, refusal: Refusal) {
+        let verdict = match refusal.reason {
+            RefusalReason::BackendShed => Verdict::Shed,
+            _ => Verdict::Failed,
+        };
+        self.note(verdict);
+    }
+
+    fn note(&mut self, verdict: Verdict) {
+        let now_us = self.node.inputs.clock.now_us();
+        let service_us = now_us.saturating_sub(self.permit.since_us);
+        let seconds = service_us as f64 / 1e6;
+        self.node.metrics.backend_latency.observe(seconds);
+        self.permit.note(Completion {
+            service_us,
+            child_us: self.live.child_us(now_us),
+            verdict,
+        });
+    }
+
+    fn body_ended(&mut self, end: BodyEnd) {
+        match end {
+            BodyEnd::Whole => self.note(Verdict::Ok),
+            BodyEnd::Broken => {
+                self.node.metrics.broken_answers.inc();
+                self.note(Verdict::Failed);
+            }
+            BodyEnd::Dropped => {}
         }
     }
 }
 
-impl Drop for Entered {
+impl Drop for Running {
     fn drop(&mut self) {
         self.node.live_calls.leave(self.context);
     }
@@ -138,11 +181,8 @@
     Some(request)
 }
 
-fn lost(call: &GuardedCall, error: &hyper_util::client::legacy::Error) -> Refusal {
-    log::debug!(
-        "guard: lost the backend server, request={} error={error}",
-        call.header.request
-    );
+fn lost(request: RequestId, error: &hyper_util::client::legacy::Error) -> Refusal {
+    log::debug!("guard: lost the backend server, request={request} error={error}");
     if error.is_connect() {
         not_run(RefusalReason::BackendDown)
     } else {
@@ -188,18 +228,14 @@
     is_empty || map.contains_key(CONTENT_LENGTH) || map.contains_key(TRANSFER_ENCODING)
 }
 
-/// Keeps the slot and the live call until the end of a streamed answer.
-fn holding(node: &Arc<Node>, mut answer: Answer, slot: Slot, entered: Entered) -> Answer {
-    if let NodeBody::Streamed { body, len } = answer.body {
-        let node = node.clone();
-        let on_end = move |end| {
-            if end == BodyEnd::Broken {
-                node.metrics.broken_answers.inc();
-            }
-            drop((slot, entered));
-        };
-        let body = watched(body, len, on_end);
-        answer.body = NodeBody::Streamed { body, len };
+/// Keeps a streamed answer counted as running until its end.
+fn holding(mut answer: Answer, mut running: Running) -> Answer {
+    match answer.body {
+        NodeBody::Held(_) => running.note(Verdict::Ok),
+        NodeBody::Streamed { body, len } => {
+            let body = watched(body, len, move |end| running.body_ended(end));
+            answer.body = NodeBody::Streamed { body, len };
+        }
     }
     answer
 }
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -15,6 +15,8 @@
 /// A classified call, ready to be forwarded.
 pub(super) struct Call {
     pub(super) service: Name,
+    /// The route by which levels of the service are told apart.
+    pub(super) route: Name,
     pub(super) method: Method,
     /// `/<service>/<rest>`, as the caller sent it.
     pub(super) path_and_query: String,
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -16,7 +16,6 @@
 use crate::retry::Situation;
 use crate::retry::retry_reason;
 use crate::routing::Pick;
-use crate::wire::AnswerHeader;
 
 /// When to come back when no target takes work, in milliseconds.
 const NO_TARGET_RETRY_AFTER_MS: u64 = 500;
@@ -66,18 +65,20 @@
 async fn attempt(node: &Arc<Node>, call: &mut Call, target: &Target) -> AttemptEnd {
     let share = call.holder.hand_out();
     let end = call_peer(node, call, target, share).await;
-    let unused = match &end {
-        AttemptEnd::Answered(_, header) => header.allotment_unused,
-        AttemptEnd::Refused(_, header) => header.as_ref().map_or(0, unused_of),
+    let header = match &end {
+        AttemptEnd::Answered(_, header) => Some(header),
+        AttemptEnd::Refused(_, header) => header.as_ref(),
     };
+    let unused = header.map_or(0, |header| header.allotment_unused);
     call.holder.take_back(share, unused);
+    if let Some(header) = header {
+        let now = node.inputs.clock.now();
+        node.levels
+            .note_answer(now, &call.service, &call.route, header.admit);
+    }
     end
 }
 
-fn unused_of(header: &AnswerHeader) -> u16 {
-    header.allotment_unused
-}
-
 /// Decides on a further attempt and pays for it out of the allotment and the service's budget.
 fn next_attempt(node: &Node, call: &Call, refusal: Refusal, tried: &[Name]) -> Option<RetryReason> {
     let now = node.inputs.clock.now();
--- /dev/null
+++ b/src/node/gate.rs
@@ -0,0 +1,180 @@
+//! The way into the local backend server: admission decides, calls wait here for its word.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use tokio::sync::oneshot;
+
+use crate::admission::Action;
+use crate::admission::Admission;
+use crate::admission::AdmissionConf;
+use crate::admission::Completion;
+use crate::admission::Offer;
+use crate::admission::QueuedCall;
+use crate::core::Clock;
+use crate::core::FastMap;
+use crate::core::Priority;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::node::permit::Permit;
+use crate::wire::LoadReport;
+
+/// The answer to a waiting call.
+type Word = Result<Permit, Refusal>;
+
+struct GateState {
+    admission: Admission,
+    /// Calls that wait, by ticket. Bounded by the queue of admission.
+    waiting: FastMap<u64, oneshot::Sender<Word>>,
+    next_ticket: u64,
+    in_flight: u32,
+}
+
+/// Admission and the calls that wait for it.
+pub(super) struct Gate {
+    state: Mutex<GateState>,
+    clock: Clock,
+    /// `false` lets everything in at once: the baseline of measurements.
+    enabled: bool,
+}
+
+impl Gate {
+    pub(super) fn new(clock: Clock, enabled: bool) -> Arc<Self> {
+        let admission = Admission::new(AdmissionConf::default(), fastrand::u64(..));
+        let state = GateState {
+            admission,
+            waiting: FastMap::default(),
+            next_ticket: 0,
+            in_flight: 0,
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+            clock,
+            enabled,
+        })
+    }
+
+    /// Waits until the call may run. Dropped while it waits, the call is certainly not run.
+    ///
+    /// # Errors
+    /// The refusal, at once when admission decides so.
+    pub(super) async fn admit(self: &Arc<Self>, mut call: QueuedCall) -> Word {
+        let (told, word) = {
+            let mut state = self.lock();
+            state.next_ticket += 1;
+            call.ticket = state.next_ticket;
+            if !self.enabled {
+                return Ok(self.permit(&mut state, call.ticket));
+            }
+            match state.admission.offer(self.clock.now(), call) {
+                Offer::Run => return Ok(self.permit(&mut state, call.ticket)),
+                Offer::Refuse(refusal) => return Err(refusal),
+                Offer::Wait => {}
+            }
+            let (tell, told) = oneshot::channel();
+            state.waiting.insert(call.ticket, tell);
+            (Waiting::new(self.clone(), call.ticket), told)
+        };
+        self.poll();
+        let end = word.await;
+        drop(told);
+        end.unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::Overloaded, 0)))
+    }
+
+    /// Lets admission look at the time: starts what there is room for, refuses what waited long.
+    pub(super) fn poll(self: &Arc<Self>) {
+        let words = {
+            let mut state = self.lock();
+            let actions = state.admission.poll(self.clock.now());
+            self.words(&mut state, actions)
+        };
+        // Told without the lock: a permit nobody takes any more comes back through it.
+        for (tell, word) in words {
+            drop(tell.send(word));
+        }
+    }
+
+    /// Takes back the permit of a call that ended.
+    pub(super) fn complete(self: &Arc<Self>, ticket: u64, completion: Completion) {
+        {
+            let mut state = self.lock();
+            state.in_flight = state.in_flight.saturating_sub(1);
+            state
+                .admission
+                .complete(self.clock.now(), ticket, completion);
+        }
+        self.poll();
+    }
+
+    /// Caps the limit by what the backend server announces or by what it hints at.
+    pub(super) fn set_slots(&self, slots: u32) {
+        self.lock().admission.set_slots(slots);
+    }
+
+    /// The lowest priority admitted at present.
+    pub(super) fn level(&self) -> Priority {
+        self.lock().admission.level()
+    }
+
+    /// First-hand figures.
+    pub(super) fn load(&self) -> LoadReport {
+        let state = self.lock();
+        let load = state.admission.load();
+        LoadReport {
+            in_flight: state.in_flight,
+            ..load
+        }
+    }
+
+    fn permit(self: &Arc<Self>, state: &mut GateState, ticket: u64) -> Permit {
+        state.in_flight += 1;
+        Permit::new(self.clone(), ticket, self.clock.now_us())
+    }
+
+    fn words(
+        self: &Arc<Self>,
+        state: &mut GateState,
+        actions: Vec<Action>,
+    ) -> Vec<(oneshot::Sender<Word>, Word)> {
+        let mut words = Vec::with_capacity(actions.len());
+        for action in actions {
+            let (ticket, refusal) = match action {
+                Action::Start(ticket) => (ticket, None),
+                Action::Refuse(ticket, refusal) => (ticket, Some(refusal)),
+            };
+            let Some(tell) = state.waiting.remove(&ticket) else {
+                continue;
+            };
+            let word = refusal.map_or_else(|| Ok(self.permit(state, ticket)), Err);
+            words.push((tell, word));
+        }
+        words
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+/// A call that waits. When its caller goes away it is forgotten, so that it does not take the
+/// place of one that is still wanted.
+struct Waiting {
+    gate: Arc<Gate>,
+    ticket: u64,
+}
+
+impl Waiting {
+    fn new(gate: Arc<Gate>, ticket: u64) -> Self {
+        Self { gate, ticket }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        if state.waiting.remove(&self.ticket).is_some() {
+            state.admission.cancel(self.ticket);
+        }
+    }
+}
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -1,35 +1,31 @@
 //! The guard: the only way to the local backend server.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 
-use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 
 use crate::adapters::Body;
-use crate::adapters::empty_body;
-use crate::core::AttemptId;
-use crate::core::Priority;
+use crate::admission::QueuedCall;
+use crate::admission::route_of;
+use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
-use crate::core::RunState;
-use crate::errors::WireError;
+use crate::core::TargetState;
 use crate::node::Announcement;
 use crate::node::Node;
 use crate::node::answer::Answer;
 use crate::node::backend_call;
 use crate::node::body::read_body;
 use crate::node::caller_headers;
-use crate::node::entry::split_path;
+use crate::node::guard_answer::Answered;
+use crate::node::guard_answer::answer;
+use crate::node::guard_answer::refuse;
+use crate::node::guard_answer::refuse_unread;
 use crate::node::guarded_call::GuardedCall;
 use crate::node::live_calls::LiveCall;
-use crate::node::refusal_response::set_outcome;
-use crate::retry::Allotment;
-use crate::wire::AnswerHeader;
+use crate::node::take_call::split_path;
 use crate::wire::CallHeader;
-use crate::wire::headers;
 
 /// When to come back after a refusal that says nothing about load, in milliseconds.
 const LATER_MS: u64 = 500;
@@ -39,20 +35,24 @@
     node.metrics.guard_calls.inc();
     let header = match CallHeader::from_headers(request.headers()) {
         Ok(header) => header,
-        Err(error) => return not_understood(node, &error),
+        Err(error) => return refuse_unread(node, &error, later_ms()),
+    };
+    let mut answered = Answered {
+        attempt: header.attempt,
+        route: Name::from(""),
+        allotment_unused: header.allotment,
     };
-    let attempt = header.attempt;
-    let granted = header.allotment;
     let call = match take_call(node, header, request).await {
         Ok(call) => call,
-        Err(refusal) => return refused(node, attempt, refusal, granted),
+        Err(refusal) => return refuse(node, &answered, refusal),
     };
     let live = call.live.clone();
     let end = run(node, call).await;
-    let unused = live.close_allotment();
+    answered.allotment_unused = live.close_allotment();
+    answered.route = live.route.clone();
     match end {
-        Ok(answer) => answered(node, attempt, answer, unused),
-        Err(refusal) => refused(node, attempt, refusal, unused),
+        Ok(whole) => answer(node, &answered, whole),
+        Err(refusal) => refuse(node, &answered, refusal),
     }
 }
 
@@ -73,13 +73,14 @@
     if differs(header.body_len, body.len()) {
         return Err(not_run(RefusalReason::BodyCutShort));
     }
-    let live = LiveCall {
-        request: header.request,
-        priority: header.priority,
-        depth: header.depth,
+    let live = LiveCall::new(
+        header.request,
+        header.priority,
+        header.depth,
         deadline,
-        allotment: Mutex::new(Allotment::new(header.allotment)),
-    };
+        Name::from(route_of(&path_and_query)),
+        header.allotment,
+    );
     Ok(GuardedCall {
         method: parts.method,
         path_and_query,
@@ -110,19 +111,32 @@
     }
 }
 
-async fn run(node: &Arc<Node>, call: GuardedCall) -> Result<Answer, Refusal> {
-    if node.is_draining() {
-        return Err(not_run(RefusalReason::Draining));
+fn takes_work(node: &Node) -> Result<(), Refusal> {
+    match node.inputs.local.borrow().state() {
+        TargetState::Up | TargetState::Suspect => Ok(()),
+        TargetState::Starting => Err(not_run(RefusalReason::BackendDown)),
+        TargetState::Draining | TargetState::Dead | TargetState::Left => {
+            Err(not_run(RefusalReason::Draining))
+        }
     }
+}
+
+async fn run(node: &Arc<Node>, call: GuardedCall) -> Result<Answer, Refusal> {
     if call.deadline <= node.inputs.clock.now() {
         return Err(not_run(RefusalReason::DeadlineExceeded));
     }
-    let slots = node
-        .local_slots()
-        .ok_or_else(|| not_run(RefusalReason::BackendDown))?;
-    let permit = node
-        .take_slot(slots)
-        .ok_or_else(|| not_run(RefusalReason::Overloaded))?;
+    takes_work(node)?;
+    let queued = QueuedCall {
+        ticket: 0,
+        priority: call.header.priority,
+        depth: call.header.depth,
+        wait_ms: call.header.wait_ms,
+        deadline: call.deadline,
+    };
+    let arrived_us = node.inputs.clock.now_us();
+    let permit = node.gate.admit(queued).await?;
+    let waited_us = permit.since_us.saturating_sub(arrived_us);
+    node.metrics.guard_wait.observe(waited_us as f64 / 1e6);
     if call.header.non_idempotent {
         backend_call::run_to_end(node, call, permit).await
     } else {
@@ -130,75 +144,10 @@
     }
 }
 
-fn answered(node: &Node, attempt: AttemptId, mut answer: Answer, unused: u16) -> Response<Body> {
-    let header = AnswerHeader {
-        body_len: answer.body.len(),
-        ..answer_header(node, attempt, unused)
-    };
-    let mut response = Response::new(answer.body.send_copy());
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    set_answer_header(&mut response, &header);
-    response
-}
-
-fn refused(node: &Node, attempt: AttemptId, refusal: Refusal, unused: u16) -> Response<Body> {
-    node.metrics.count_guard_refusal(refusal.reason);
-    log::debug!(
-        "guard: refused, attempt={attempt} reason={} outcome={} retry_after_ms={}",
-        refusal.reason.as_str(),
-        refusal.run_state.as_str(),
-        refusal.retry_after_ms,
-    );
-    let header = AnswerHeader {
-        run_state: refusal.run_state,
-        refusal: Some(refusal),
-        body_len: Some(0),
-        ..answer_header(node, attempt, unused)
-    };
-    let mut response = Response::new(empty_body());
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    set_answer_header(&mut response, &header);
-    response
-}
-
-/// Refuses a call whose header cannot be read, in plain headers, which every version of the
-/// protocol understands: nothing was run.
-fn not_understood(node: &Node, error: &WireError) -> Response<Body> {
-    let reason = match error {
-        WireError::Version { .. } => RefusalReason::PeerVersion,
-        _ => RefusalReason::BadRequest,
-    };
-    log::warn!("guard: refused a call it cannot read, error={error}");
-    let refusal = not_run(reason);
-    let mut response = refused(node, AttemptId(0), refusal, 0);
-    *response.status_mut() = StatusCode::BAD_REQUEST;
-    let reason = HeaderValue::from_static(reason.as_str());
-    response.headers_mut().insert(headers::REASON, reason);
-    set_outcome(response.headers_mut(), refusal.run_state.as_str(), None);
-    response
-}
-
-fn answer_header(node: &Node, attempt: AttemptId, unused: u16) -> AnswerHeader {
-    let in_force = node.inputs.in_force.load();
-    AnswerHeader {
-        attempt,
-        run_state: RunState::Ran,
-        refusal: None,
-        allotment_unused: unused,
-        admit: Priority::LOWEST,
-        owner: None,
-        load: node.load_report(),
-        config_version: in_force.as_ref().as_ref().map_or(0, |known| known.version),
-        body_len: None,
-    }
-}
-
-fn set_answer_header(response: &mut Response<Body>, header: &AnswerHeader) {
-    let value = HeaderValue::from_str(&header.encode()).expect("base64 is a valid header value");
-    response.headers_mut().insert(headers::ANSWER, value);
+fn not_run(reason: RefusalReason) -> Refusal {
+    Refusal::not_run(reason, later_ms())
 }
 
-fn not_run(reason: RefusalReason) -> Refusal {
-    Refusal::not_run(reason, LATER_MS + fastrand::u64(..LATER_MS))
+fn later_ms() -> u64 {
+    LATER_MS + fastrand::u64(..LATER_MS)
 }
--- /dev/null
+++ b/src/node/guard_answer.rs
@@ -0,0 +1,105 @@
+//! What the guard sends back to the forwarding node.
+
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+
+use crate::adapters::Body;
+use crate::adapters::empty_body;
+use crate::core::AttemptId;
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RunState;
+use crate::errors::WireError;
+use crate::node::Node;
+use crate::node::answer::Answer;
+use crate::node::refusal_response::set_outcome;
+use crate::wire::AnswerHeader;
+use crate::wire::headers;
+
+/// What an answer header has to repeat of its call.
+pub(super) struct Answered {
+    pub(super) attempt: AttemptId,
+    pub(super) route: Name,
+    pub(super) allotment_unused: u16,
+}
+
+/// The answer of the backend server with the guard's news.
+pub(super) fn answer(node: &Node, answered: &Answered, mut answer: Answer) -> Response<Body> {
+    let header = AnswerHeader {
+        body_len: answer.body.len(),
+        ..answer_header(node, answered)
+    };
+    let mut response = Response::new(answer.body.send_copy());
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    set_answer_header(&mut response, &header);
+    response
+}
+
+/// A refusal with the guard's news.
+pub(super) fn refuse(node: &Node, answered: &Answered, refusal: Refusal) -> Response<Body> {
+    node.metrics.count_guard_refusal(refusal.reason);
+    log::debug!(
+        "guard: refused, attempt={} reason={} outcome={} retry_after_ms={}",
+        answered.attempt,
+        refusal.reason.as_str(),
+        refusal.run_state.as_str(),
+        refusal.retry_after_ms,
+    );
+    let header = AnswerHeader {
+        run_state: refusal.run_state,
+        refusal: Some(refusal),
+        body_len: Some(0),
+        ..answer_header(node, answered)
+    };
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    set_answer_header(&mut response, &header);
+    response
+}
+
+/// Refuses a call whose header cannot be read, in plain headers, which every version of the
+/// protocol understands: nothing was run.
+pub(super) fn refuse_unread(node: &Node, error: &WireError, retry_after_ms: u64) -> Response<Body> {
+    let reason = match error {
+        WireError::Version { .. } => RefusalReason::PeerVersion,
+        _ => RefusalReason::BadRequest,
+    };
+    log::warn!("guard: refused a call it cannot read, error={error}");
+    let refusal = Refusal::not_run(reason, retry_after_ms);
+    let answered = Answered {
+        attempt: AttemptId(0),
+        route: Name::from(""),
+        allotment_unused: 0,
+    };
+    let mut response = refuse(node, &answered, refusal);
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    let reason = HeaderValue::from_static(reason.as_str());
+    response.headers_mut().insert(headers::REASON, reason);
+    set_outcome(response.headers_mut(), refusal.run_state.as_str(), None);
+    response
+}
+
+fn answer_header(node: &Node, answered: &Answered) -> AnswerHeader {
+    let now = node.inputs.clock.now();
+    let in_force = node.inputs.in_force.load();
+    let own = node.gate.level();
+    AnswerHeader {
+        attempt: answered.attempt,
+        run_state: RunState::Ran,
+        refusal: None,
+        allotment_unused: answered.allotment_unused,
+        admit: node.levels.level_on(now, &answered.route, own),
+        load: node.gate.load(),
+        config_version: in_force.as_ref().as_ref().map_or(0, |known| known.version),
+        body_len: None,
+        owner: None,
+    }
+}
+
+fn set_answer_header(response: &mut Response<Body>, header: &AnswerHeader) {
+    let value = HeaderValue::from_str(&header.encode()).expect("base64 is a valid header value");
+    response.headers_mut().insert(headers::ANSWER, value);
+}
--- /dev/null
+++ b/src/node/heritage.rs
@@ -0,0 +1,83 @@
+//! What a call has from the call on whose behalf it is made, or as a new root.
+
+use std::sync::Arc;
+
+use crate::core::Name;
+use crate::core::Priority;
+use crate::core::RequestId;
+use crate::core::TimeMs;
+use crate::node::entry::Origin;
+use crate::node::live_calls::LiveCall;
+use crate::preset::CallPolicy;
+use crate::preset::InForce;
+
+/// What a call has from the call on whose behalf it is made, or as a new root.
+pub(super) struct Heritage {
+    pub(super) holder: Arc<LiveCall>,
+    pub(super) priority: Priority,
+    pub(super) depth: u8,
+    /// The deadline of the call above; a root has none but its own.
+    pub(super) deadline: Option<TimeMs>,
+}
+
+/// Works out what a call inherits. A call of the backend server that names no live call is a root
+/// without retries.
+pub(super) fn heritage(
+    in_force: &InForce,
+    policy: CallPolicy,
+    service: &str,
+    key: Option<&Name>,
+    origin: Origin,
+    now: TimeMs,
+) -> Heritage {
+    let allotment = in_force.preset.retry_allotment;
+    match origin {
+        Origin::Backend(Some(parent)) => child(policy, parent),
+        Origin::Backend(None) => root(policy, service, key, 0, now),
+        Origin::Caller => root(policy, service, key, allotment, now),
+    }
+}
+
+/// One priority for the whole chain. A child whose own class is more important keeps that: a
+/// charge made on behalf of unimportant work is still a charge.
+fn child(policy: CallPolicy, parent: Arc<LiveCall>) -> Heritage {
+    let class = policy.class.min(parent.priority.class());
+    Heritage {
+        priority: Priority::new(class, parent.priority.rank()),
+        depth: parent.depth.saturating_add(1),
+        deadline: Some(parent.deadline),
+        holder: parent,
+    }
+}
+
+fn root(
+    policy: CallPolicy,
+    service: &str,
+    key: Option<&Name>,
+    allotment: u16,
+    now: TimeMs,
+) -> Heritage {
+    let request = key.map_or_else(RequestId::random, |key| RequestId::of_key(service, key));
+    let priority = Priority::new(policy.class, request.rank());
+    let deadline = now + u64::from(policy.deadline_ms);
+    let route = Name::from("");
+    let holder = LiveCall::new(request, priority, 0, deadline, route, allotment);
+    Heritage {
+        holder: Arc::new(holder),
+        priority,
+        depth: 0,
+        deadline: None,
+    }
+}
+
+/// The earliest of what the caller, the preset and the call above allow.
+pub(super) fn deadline(
+    announced_ms: Option<u32>,
+    policy: CallPolicy,
+    inherited: Option<TimeMs>,
+    now: TimeMs,
+) -> TimeMs {
+    let own_ms = announced_ms.map_or(policy.deadline_ms, |ms| ms.min(policy.deadline_ms));
+    let own = now + u64::from(own_ms);
+    inherited.map_or(own, |inherited| own.min(inherited))
+}
--- a/src/node/live_calls.rs
+++ b/src/node/live_calls.rs
@@ -5,52 +5,95 @@
 use std::sync::MutexGuard;
 
 use crate::core::FastMap;
+use crate::core::Name;
 use crate::core::Priority;
 use crate::core::RequestId;
 use crate::core::TimeMs;
+use crate::node::child_clock::ChildClock;
 use crate::retry::Allotment;
 
-/// What a child call inherits.
+/// What a child call inherits. A caller's own call has one at its entry as well, for the allotment.
 pub(super) struct LiveCall {
     pub(super) request: RequestId,
     pub(super) priority: Priority,
     pub(super) depth: u8,
     pub(super) deadline: TimeMs,
-    pub(super) allotment: Mutex<Allotment>,
+    /// The route by which levels of services are told apart.
+    pub(super) route: Name,
+    allotment: Mutex<Allotment>,
+    children: Mutex<ChildClock>,
 }
 
 impl LiveCall {
+    pub(super) fn new(
+        request: RequestId,
+        priority: Priority,
+        depth: u8,
+        deadline: TimeMs,
+        route: Name,
+        allotment: u16,
+    ) -> Self {
+        Self {
+            request,
+            priority,
+            depth,
+            deadline,
+            route,
+            allotment: Mutex::new(Allotment::new(allotment)),
+            children: Mutex::new(ChildClock::default()),
+        }
+    }
+
     /// Takes a share for a child call out of the allotment.
     pub(super) fn hand_out(&self) -> u16 {
-        self.lock().hand_out()
+        self.allotment().hand_out()
     }
 
     /// Puts back what a child left of its share.
     pub(super) fn take_back(&self, share: u16, unused: u16) {
-        self.lock().take_back(share, unused);
+        self.allotment().take_back(share, unused);
     }
 
     /// Pays for a further attempt of a child; false when nothing is left.
     pub(super) fn spend(&self) -> bool {
-        self.lock().spend()
+        self.allotment().spend()
     }
 
     /// Takes everything that is left, when the answer goes out: what a child gives back later
     /// counts as used.
     pub(super) fn close_allotment(&self) -> u16 {
-        let mut allotment = self.lock();
+        let mut allotment = self.allotment();
         let left = allotment.left();
         *allotment = Allotment::new(0);
         left
     }
 
-    fn lock(&self) -> MutexGuard<'_, Allotment> {
+    /// A child call went out.
+    pub(super) fn child_began(&self, now_us: u64) {
+        self.children().begin(now_us);
+    }
+
+    /// A child call ended.
+    pub(super) fn child_ended(&self, now_us: u64) {
+        self.children().end(now_us);
+    }
+
+    /// How long child calls were outstanding so far.
+    pub(super) fn child_us(&self, now_us: u64) -> u64 {
+        self.children().total_us(now_us)
+    }
+
+    fn allotment(&self) -> MutexGuard<'_, Allotment> {
         self.allotment.lock().expect("no holder panics")
     }
+
+    fn children(&self) -> MutexGuard<'_, ChildClock> {
+        self.children.lock().expect("no holder panics")
+    }
 }
 
 /// Live calls by their unguessable context. Bounded by the guard's limit on calls in flight: an
-/// entry is made when a call starts and goes with its [`LiveCallEntry`].
+/// entry is made when a call starts and goes when it ends.
 pub(super) struct LiveCalls {
     by_context: Mutex<FastMap<u128, Arc<LiveCall>>>,
 }
@@ -65,21 +108,22 @@
     /// Enters a call and returns the context to give to the backend server.
     pub(super) fn enter(&self, call: Arc<LiveCall>) -> u128 {
         let context = fastrand::u128(..);
-        let mut by_context = self.by_context.lock().expect("no holder panics");
-        by_context.insert(context, call);
+        self.lock().insert(context, call);
         context
     }
 
     /// The call with this context, as the backend server sent it.
     pub(super) fn find(&self, context: &str) -> Option<Arc<LiveCall>> {
         let context = u128::from_str_radix(context, 16).ok()?;
-        let by_context = self.by_context.lock().expect("no holder panics");
-        by_context.get(&context).cloned()
+        self.lock().get(&context).cloned()
     }
 
     /// Removes a call that has ended.
     pub(super) fn leave(&self, context: u128) {
-        let mut by_context = self.by_context.lock().expect("no holder panics");
-        by_context.remove(&context);
+        self.lock().remove(&context);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<u128, Arc<LiveCall>>> {
+        self.by_context.lock().expect("no holder panics")
     }
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -12,17 +12,15 @@
 use crate::conf::NodeSettings;
 use crate::core::Clock;
 use crate::core::Published;
-use crate::core::TargetState;
 use crate::core::View;
 use crate::metrics::Metrics;
 use crate::node::Announcement;
 use crate::node::LocalBackend;
+use crate::node::gate::Gate;
+use crate::node::learnt_levels::LearntLevels;
 use crate::node::live_calls::LiveCalls;
-use crate::node::slots::Slot;
-use crate::node::slots::Slots;
 use crate::node::targets::Targets;
 use crate::preset::InForce;
-use crate::wire::LoadReport;
 
 /// How long an unused connection between nodes is kept, in milliseconds.
 const PEER_IDLE_MS: u64 = 15_000;
@@ -63,14 +61,17 @@
     pub(super) backend_client: HttpClient,
     pub(super) live_calls: LiveCalls,
     pub(super) targets: Targets,
-    slots: Arc<Slots>,
+    pub(super) gate: Arc<Gate>,
+    pub(super) levels: LearntLevels,
     draining: AtomicBool,
 }
 
 impl Node {
     /// Joins the parts.
     pub fn new(settings: NodeSettings, inputs: NodeInputs) -> Self {
+        let gate = Gate::new(inputs.clock, settings.control_enabled);
         Self {
+            gate,
             settings,
             inputs,
             metrics: Metrics::new(),
@@ -78,7 +79,7 @@
             backend_client: http_client(BACKEND_IDLE_MS, CONNECT_MS),
             live_calls: LiveCalls::new(),
             targets: Targets::new(),
-            slots: Arc::new(Slots::default()),
+            levels: LearntLevels::default(),
             draining: AtomicBool::new(false),
         }
     }
@@ -96,6 +97,7 @@
 
     /// Takes in what the local backend server says of itself.
     pub(super) fn take_announcement(&self, announcement: Announcement) {
+        self.gate.set_slots(announcement.slots);
         let news = format!(
             "service={} address={} slots={} state={:?}",
             announcement.service, announcement.address, announcement.slots, announcement.state,
@@ -116,30 +118,9 @@
         local.announced.as_ref().map(|announced| announced.address)
     }
 
-    /// The slots of the local backend server, while it takes work.
-    pub(super) fn local_slots(&self) -> Option<u32> {
-        let local = self.inputs.local.borrow();
-        let announced = local.announced.as_ref()?;
-        (announced.state == TargetState::Up).then_some(announced.slots)
-    }
-
-    /// Takes a place among the calls in flight at the local backend server.
-    pub(super) fn take_slot(&self, limit: u32) -> Option<Slot> {
-        self.slots.take(limit)
-    }
-
-    /// The guard's own figures.
-    pub(super) fn load_report(&self) -> LoadReport {
-        LoadReport {
-            in_flight: self.slots.in_flight(),
-            limit: self.local_slots().unwrap_or(0),
-            queued: 0,
-        }
-    }
-
     /// Brings the gauges up to date, for whoever reads the metrics.
     pub(super) fn refresh_gauges(&self) {
-        let load = self.load_report();
+        let load = self.gate.load();
         self.metrics.guard_in_flight.set(i64::from(load.in_flight));
         self.metrics.guard_limit.set(i64::from(load.limit));
         let in_force = self.inputs.in_force.load();
--- /dev/null
+++ b/src/node/permit.rs
@@ -0,0 +1,42 @@
+//! The right of one call to run at the local backend server.
+
+use std::sync::Arc;
+
+use crate::admission::Completion;
+use crate::admission::Verdict;
+use crate::node::gate::Gate;
+
+/// Counts as in flight until it is dropped, however the call ends.
+pub(super) struct Permit {
+    gate: Arc<Gate>,
+    ticket: u64,
+    /// When the call was let in, in microseconds.
+    pub(super) since_us: u64,
+    completion: Completion,
+}
+
+impl Permit {
+    pub(super) fn new(gate: Arc<Gate>, ticket: u64, since_us: u64) -> Self {
+        Self {
+            gate,
+            ticket,
+            since_us,
+            completion: Completion {
+                service_us: 0,
+                child_us: 0,
+                verdict: Verdict::Cancelled,
+            },
+        }
+    }
+
+    /// Notes how the call ended; without a word it counts as cancelled.
+    pub(super) fn note(&mut self, completion: Completion) {
+        self.completion = completion;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gate.complete(self.ticket, self.completion);
+    }
+}
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 
 use crate::adapters::Body;
 use crate::adapters::bind;
@@ -22,6 +24,9 @@
 use crate::node::local_listener::serve_local;
 use crate::node::operators::serve_operator;
 
+/// How often admission looks at the time.
+const GATE_TICK: Duration = Duration::from_millis(10);
+
 /// A node whose listeners are open. Dropping it closes them.
 pub struct RunningNode {
     pub node: Arc<Node>,
@@ -64,9 +69,23 @@
         running.serve(operators.0, |node, request| async move {
             serve_operator(&node, request).await
         });
+        running.poll_gate();
         Ok(running)
     }
 
+    /// Waiting calls give up in time also when nothing else happens at the guard.
+    fn poll_gate(&mut self) {
+        let node = self.node.clone();
+        self.tasks.spawn(async move {
+            let mut ticks = tokio::time::interval(GATE_TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                node.gate.poll();
+            }
+        });
+    }
+
     fn serve<F, R>(&mut self, listener: TcpListener, handler: F)
     where
         F: Fn(Arc<Node>, Request<Body>) -> R + Send + Sync + 'static,
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -43,7 +43,7 @@
         let in_force = node.inputs.in_force.load();
         let in_force = in_force.as_ref().as_ref();
         let local = node.inputs.local.borrow().clone();
-        let load = node.load_report();
+        let load = node.gate.load();
         let mut members: Vec<Target> = view.nodes.values().map(|t| t.as_ref().clone()).collect();
         members.sort_by(|a, b| a.node.cmp(&b.node));
         Self {
