Start meshes of real processes that can be killed, paused and cut

Each node gets a loopback address of its own (127.0.0.0/8), so meshes never compete for ports; relays in front of peer, control and backend addresses go silent, refuse, delay and cut by failure domain. Ruled out: free ports found by binding port 0, which another process may take before the node binds them; nix for signals, since its libc features rebuild every dependency (rustix was there already).

--- a/src/backend/backend.rs
+++ b/src/backend/backend.rs
@@ -129,7 +129,7 @@
     pub fn announcement(&self) -> Announcement {
         Announcement {
             service: self.settings.service.clone(),
-            address: self.address,
+            address: self.settings.announced_address.unwrap_or(self.address),
             slots: self.settings.slots,
             connections: self.settings.connections,
             state: self.life(),
--- a/src/backend/backend_settings.rs
+++ b/src/backend/backend_settings.rs
@@ -63,6 +63,8 @@
     /// A name for answers; made of the service and the port when it is empty.
     pub instance: String,
     pub listen: SocketAddr,
+    /// What it announces instead of `listen`, where something stands in between.
+    pub announced_address: Option<SocketAddr>,
     /// The local listener of its node, such as `http://127.0.0.1:7001`; it announces nothing and
     /// makes no calls without one.
     pub node: Option<String>,
@@ -92,6 +94,7 @@
             service: "echo".to_string(),
             instance: String::new(),
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announced_address: None,
             node: None,
             slots: 10,
             connections: 1_000,
@@ -125,6 +128,11 @@
         })
     }
 
+    /// The settings as a document that [`Self::read`] reads back to the same value.
+    pub fn to_yaml(&self) -> String {
+        serde_yaml_ng::to_string(self).expect("plain structs always encode")
+    }
+
     /// The route of a call, if one is set.
     pub fn route(&self, method: &str, path: &str) -> Option<&RouteSettings> {
         self.routes.iter().find(|route| {
--- a/src/backend/life.rs
+++ b/src/backend/life.rs
@@ -14,6 +14,7 @@
     /// Finishes what it has and asks for nothing new.
     Draining,
     /// Has finished.
+    #[serde(rename = "left")]
     Leaving,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod errors;
 pub mod load;
 pub mod membership;
+pub mod mesh;
 pub mod metrics;
 pub mod node;
 pub mod platform;
