--- a/src/errors.rs
+++ b/src/errors.rs
@@ -72,6 +72,8 @@
     NoEntries,
     #[error("threads cannot be started: {source}")]
     Runtime { source: io::Error },
+    #[error("cannot listen: {source}")]
+    Listen { source: io::Error },
     #[error("a caller panicked; the run is worthless")]
     CallerPanicked,
     #[error("backend server {backend} does not answer GET /runs")]
@@ -81,6 +83,8 @@
         backend: SocketAddr,
         source: serde_json::Error,
     },
+    #[error("backend server {backend} dropped {dropped} runs; give its run log instead")]
+    RunsDropped { backend: SocketAddr, dropped: u64 },
     #[error("{}: cannot be drawn: {reason}", path.display())]
     Plot { path: PathBuf, reason: String },
 }
--- a/src/load/audit.rs
+++ b/src/load/audit.rs
@@ -3,12 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::backend::RunRecord;
 use crate::core::FastMap;
 use crate::core::FastSet;
 use crate::load::AttemptEnd;
 use crate::load::AttemptRecord;
 use crate::load::CallRecord;
-use crate::load::RunEntry;
 use crate::load::Told;
 use crate::load::class_figures::share;
 
@@ -37,13 +37,13 @@
 
 /// The runs by what joins them to callers' records.
 struct RunIndex<'a> {
-    by_key: FastMap<&'a str, Vec<&'a RunEntry>>,
+    by_key: FastMap<&'a str, Vec<&'a RunRecord>>,
     by_request: FastSet<&'a str>,
 }
 
 impl Audit {
     /// Joins records and runs on key and request identifier.
-    pub fn of(records: &[CallRecord], runs: &[RunEntry]) -> Self {
+    pub fn of(records: &[CallRecord], runs: &[RunRecord]) -> Self {
         let index = RunIndex::of(runs);
         let mut audit = Self {
             runs: runs.len() as u64,
@@ -88,7 +88,7 @@
         }
     }
 
-    fn count_wasted(&mut self, records: &[CallRecord], runs: &[RunEntry]) {
+    fn count_wasted(&mut self, records: &[CallRecord], runs: &[RunRecord]) {
         let good = records.iter().filter(|record| record.is_good());
         let mut completed: FastSet<&str> = FastSet::default();
         for record in good {
@@ -96,7 +96,7 @@
             let last = &record.attempts[record.attempts.len() - 1];
             completed.extend(last.request_id.as_deref());
         }
-        let is_wasted = |run: &&RunEntry| {
+        let is_wasted = |run: &&RunRecord| {
             let by_key = run
                 .key
                 .as_deref()
@@ -115,8 +115,8 @@
 }
 
 impl<'a> RunIndex<'a> {
-    fn of(runs: &'a [RunEntry]) -> Self {
-        let mut by_key: FastMap<&str, Vec<&RunEntry>> = FastMap::default();
+    fn of(runs: &'a [RunRecord]) -> Self {
+        let mut by_key: FastMap<&str, Vec<&RunRecord>> = FastMap::default();
         let mut by_request = FastSet::default();
         for run in runs {
             by_request.insert(&*run.request_id);
--- a/src/load/cli.rs
+++ b/src/load/cli.rs
@@ -34,6 +34,7 @@
     Replay(commands::replay::ReplayArgs),
     Generate(commands::generate::GenerateArgs),
     Report(commands::report::ReportArgs),
+    Calibrate(commands::calibrate::CalibrateArgs),
 }
 
 /// Runs a subcommand and returns the exit code.
@@ -47,6 +48,7 @@
         LoadCommand::Replay(args) => commands::replay::run(args),
         LoadCommand::Generate(args) => commands::generate::run(args),
         LoadCommand::Report(args) => commands::report::run(args),
+        LoadCommand::Calibrate(args) => commands::calibrate::run(args),
     }
 }
 
--- a/src/load/commands/mod.rs
+++ b/src/load/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands of `sassafrasgap-load`.
 
+pub mod calibrate;
 mod finish;
 pub mod generate;
 pub mod replay;
--- a/src/load/commands/sending.rs
+++ b/src/load/commands/sending.rs
@@ -13,8 +13,10 @@
 use crate::load::Trace;
 use crate::load::drive;
 use crate::load::fetch_runs;
+use crate::load::last_run;
 use crate::load::load_runtime;
 use crate::load::read_run_log;
+use crate::load::runs_after;
 
 /// Where to send and whom to ask afterwards.
 pub struct Sending {
@@ -44,13 +46,13 @@
 async fn send(sending: Sending) -> Result<Sent, LoadError> {
     let mut known = Vec::new();
     for backend in &sending.backends {
-        known.push(fetch_runs(*backend).await?.last_run());
+        known.push(last_run(&fetch_runs(*backend).await?));
     }
     let records = drive(Arc::new(sending.trace), sending.options).await?;
     let asked = !(sending.backends.is_empty() && sending.run_logs.is_empty());
     let mut runs = Vec::new();
-    for (backend, last_run) in sending.backends.iter().zip(known) {
-        runs.extend(fetch_runs(*backend).await?.runs_after(last_run));
+    for (backend, known) in sending.backends.iter().zip(known) {
+        runs.extend(runs_after(fetch_runs(*backend).await?, known));
     }
     for path in &sending.run_logs {
         runs.extend(read_run_log(path)?);
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -3,13 +3,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::backend::RunRecord;
 use crate::core::Name;
 use crate::load::Audit;
 use crate::load::CallRecord;
 use crate::load::ClassFigures;
 use crate::load::PhaseSpan;
 use crate::load::Recovery;
-use crate::load::RunEntry;
 use crate::load::Timeline;
 use crate::load::latencies::quantile_ms;
 
@@ -63,7 +63,7 @@
         records: &[CallRecord],
         phases: &[PhaseSpan],
         classes: &[Name],
-        runs: Option<&[RunEntry]>,
+        runs: Option<&[RunRecord]>,
     ) -> Self {
         let duration_ms = phases.last().map_or(0, |phase| phase.end_ms);
         Self {
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -2,7 +2,10 @@
 
 use rstest::rstest;
 
+use sassafrasgap::backend::RunEvent;
+use sassafrasgap::backend::RunRecord;
 use sassafrasgap::core::Name;
+use sassafrasgap::core::TimeMs;
 use sassafrasgap::load::AttemptEnd;
 use sassafrasgap::load::AttemptRecord;
 use sassafrasgap::load::Audit;
@@ -11,10 +14,10 @@
 use sassafrasgap::load::PhaseRole;
 use sassafrasgap::load::PhaseSpan;
 use sassafrasgap::load::Report;
-use sassafrasgap::load::RunEntry;
 use sassafrasgap::load::Told;
 use sassafrasgap::load::draw_plot;
 use sassafrasgap::load::render_table;
+use sassafrasgap::load::runs_of_events;
 
 fn attempt(end: AttemptEnd, told: Told, request_id: &str) -> AttemptRecord {
     AttemptRecord {
@@ -47,12 +50,17 @@
     }
 }
 
-fn run(key: Option<&str>, request_id: &str) -> RunEntry {
-    RunEntry {
+fn run(key: Option<&str>, request_id: &str) -> RunRecord {
+    RunRecord {
+        run: 1,
         request_id: request_id.into(),
-        key: key.map(Name::from),
+        key: key.map(str::to_owned),
+        method: "POST".into(),
+        path: "/jobs".into(),
+        started_ms: TimeMs(0),
+        ended_ms: Some(TimeMs(1)),
         completed: true,
-        ..RunEntry::default()
+        cancelled: false,
     }
 }
 
@@ -234,3 +242,26 @@
     let svg = std::fs::read_to_string(&path).expect("the plot is there");
     assert!(svg.contains("good: jobs"));
 }
+
+/// A backend server crashes over its first run and is restarted: its second life numbers its runs
+/// from 1 again, and the run that never ended must not be taken for ended.
+#[test]
+fn the_log_of_a_restarted_backend_server_keeps_both_lives_apart() {
+    let crashed = RunRecord {
+        ended_ms: None,
+        completed: false,
+        ..run(Some("k1"), "r1")
+    };
+    let started = RunRecord {
+        ended_ms: None,
+        completed: false,
+        ..run(Some("k2"), "r2")
+    };
+    let ended = run(Some("k2"), "r2");
+    let events = vec![
+        RunEvent::Start(crashed.clone()),
+        RunEvent::Start(started),
+        RunEvent::End(ended.clone()),
+    ];
+    assert_eq!(runs_of_events(events), [crashed, ended]);
+}
