Distribute the configuration in force, which never reverts

Cause: a change that an operator was told is accepted must be in force everywhere within seconds, with the platform down or slow, and no node may go back, also after a restart among peers that are behind. Operators change one row by compare-and-set; a log row written with it tells what became of a change whose answer was lost. Two nodes of each failure domain poll that row, the others hear of it from their peers. A node that starts asks before it applies: the first answer may be old.

Before: no configuration.

Conclusion: the decision is pure and tested; measured on real processes once nodes run.

--- /dev/null
+++ b/src/configuration/config_shared.rs
@@ -0,0 +1,138 @@
+//! The configuration in force, shared between the task that changes it and the threads that read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use log::debug;
+use log::error;
+use log::info;
+use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::channel;
+
+use crate::configuration::ConfigMetrics;
+use crate::configuration::ConfigState;
+use crate::configuration::Ignored;
+use crate::configuration::Offer;
+use crate::configuration::Source;
+use crate::control::ConfigDocument;
+use crate::core::Published;
+use crate::preset::InForce;
+
+/// News that wait for the task; more are dropped, since gossip repeats them.
+const MAX_WAITING_NEWS: usize = 64;
+
+/// A peer has a higher version in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigNews {
+    /// The control address of the peer.
+    pub from: SocketAddr,
+    pub version: u64,
+}
+
+/// What is in force here. Any thread may read it and pass on news of other nodes.
+pub struct ConfigShared {
+    state: Mutex<ConfigState>,
+    in_force: Arc<Published<Option<InForce>>>,
+    highest: AtomicU64,
+    news: Sender<ConfigNews>,
+    pub(super) metrics: ConfigMetrics,
+}
+
+impl ConfigShared {
+    /// A node that knows no configuration yet publishes `None`: nothing can be classified, and
+    /// calls are refused as `no_preset`. There is no built-in preset to fall back on, as it could
+    /// rank work differently from what operators chose.
+    pub fn new(
+        in_force: Arc<Published<Option<InForce>>>,
+        metrics: ConfigMetrics,
+    ) -> (Arc<Self>, Receiver<ConfigNews>) {
+        let (news, receiver) = channel(MAX_WAITING_NEWS);
+        let shared = Self {
+            state: Mutex::new(ConfigState::new()),
+            in_force,
+            highest: AtomicU64::new(0),
+            news,
+            metrics,
+        };
+        (Arc::new(shared), receiver)
+    }
+
+    /// Takes the news, from gossip or from the header of an answer, that a peer has `version` in
+    /// force. Costs one load of an atomic when the version is held here.
+    pub fn note_news(&self, from: SocketAddr, version: u64) {
+        if version <= self.highest.load(Ordering::Relaxed) {
+            return;
+        }
+        if self.news.try_send(ConfigNews { from, version }).is_err() {
+            self.metrics.dropped_news.inc();
+        }
+    }
+
+    /// The document in force if its version is higher than `above`, for a peer that asks.
+    pub fn document_above(&self, above: u64) -> Option<ConfigDocument> {
+        self.lock().above(above)
+    }
+
+    /// The version in force, 0 when none is known.
+    pub fn version(&self) -> u64 {
+        self.lock().version()
+    }
+
+    /// The highest version held here, in force or still collected at the start.
+    pub fn highest(&self) -> u64 {
+        self.highest.load(Ordering::Relaxed)
+    }
+
+    /// Takes in a document; answers the version if it came into force.
+    pub fn offer(&self, document: ConfigDocument, source: Source) -> Option<u64> {
+        let mut state = self.lock();
+        let version = document.version;
+        let offer = state.offer(document, source);
+        self.highest.store(state.highest(), Ordering::Relaxed);
+        match offer {
+            Offer::Apply(in_force) => Some(self.publish(&state, in_force, source)),
+            Offer::Ignore(reason) => {
+                self.metrics.count_ignored(&reason);
+                log_ignored(version, &reason);
+                None
+            }
+        }
+    }
+
+    /// Every peer asked at the start has answered or failed.
+    pub fn finish_asking(&self) -> Option<u64> {
+        let mut state = self.lock();
+        let in_force = state.finish_asking()?;
+        Some(self.publish(&state, in_force, Source::Peer))
+    }
+
+    /// Publishes under the lock, so that two versions cannot be published in the wrong order.
+    fn publish(&self, state: &ConfigState, in_force: InForce, source: Source) -> u64 {
+        let version = in_force.version;
+        let preset = state.preset().map_or("", |name| name);
+        info!("config: in force version={version} preset={preset} source={source:?}");
+        self.metrics.count_applied(source);
+        self.in_force.store(Arc::new(Some(in_force)));
+        version
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ConfigState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn log_ignored(version: u64, reason: &Ignored) {
+    match reason {
+        Ignored::OtherContent => error!("config: two documents under one version={version}"),
+        Ignored::Unreadable(error) => error!("config: unreadable version={version} error={error}"),
+        Ignored::NotHigher { .. } | Ignored::StillAsking => {
+            debug!("config: not applied version={version} reason={reason:?}");
+        }
+    }
+}
--- /dev/null
+++ b/src/configuration/config_switch.rs
@@ -0,0 +1,192 @@
+//! Switching the preset in force by compare-and-set.
+
+use crate::configuration::Change;
+use crate::configuration::ChangeLog;
+use crate::configuration::ConfigStore;
+use crate::configuration::InForceRow;
+use crate::configuration::LatestRow;
+use crate::configuration::PastChange;
+use crate::configuration::config_store::Held;
+use crate::configuration::rows::CHANGE_LOG_KEY;
+use crate::configuration::rows::IN_FORCE_KEY;
+use crate::configuration::rows::decode;
+use crate::configuration::rows::document_key;
+use crate::configuration::rows::encode;
+use crate::configuration::rows::latest_key;
+use crate::core::Name;
+use crate::errors::ConfigError;
+use crate::platform::Check;
+use crate::platform::Resolution;
+use crate::platform::Transaction;
+
+/// What a switch led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Switched {
+    /// The preset came into force under this version.
+    InForce { version: u64, revision: u64 },
+    /// It was in force already, so nothing was changed.
+    Already { version: u64, revision: u64 },
+    /// It came into force under `version`, and another change has replaced it since.
+    Replaced { version: u64, by_version: u64 },
+}
+
+/// Both rows that a switch changes, as they were read before.
+struct Before {
+    in_force: Held<InForceRow>,
+    log: Held<ChangeLog>,
+}
+
+impl Before {
+    fn version(&self) -> u64 {
+        self.in_force.row.as_ref().map_or(0, |row| row.version)
+    }
+
+    fn changes(&self) -> ChangeLog {
+        self.log.row.clone().unwrap_or_default()
+    }
+
+    fn holds(&self, preset: &Name, revision: u64) -> bool {
+        let is_same = |row: &InForceRow| row.preset == *preset && row.revision == revision;
+        self.in_force.row.as_ref().is_some_and(is_same)
+    }
+}
+
+impl ConfigStore {
+    /// Brings the latest revision of a preset into force by compare-and-set.
+    ///
+    /// `expected` is the version that the operator believes to be in force, if it matters to him.
+    /// The new version is above `floor`: after the table was restored from an old copy, nodes
+    /// still hold higher versions, and a lower one would never be applied.
+    ///
+    /// # Errors
+    /// `Conflict` names the change that won; `OutcomeUnknown` when the answer was lost and cannot
+    /// be found out now: the same call with the same change id finds out later.
+    pub async fn switch(
+        &self,
+        preset: &Name,
+        expected: Option<u64>,
+        floor: u64,
+        change: &Change,
+    ) -> Result<Switched, ConfigError> {
+        let before = Before {
+            in_force: self.held(IN_FORCE_KEY).await?,
+            log: self.held(CHANGE_LOG_KEY).await?,
+        };
+        let changes = before.changes();
+        if let Some(done) = changes.find(&change.change_id) {
+            return Ok(outcome(done, &changes));
+        }
+        let version = before.version();
+        if expected.is_some_and(|expected| expected != version) {
+            return Err(conflict(&changes));
+        }
+        let latest = self.latest(preset).await?;
+        let revision = latest.revision;
+        if version > floor && before.holds(preset, revision) {
+            return Ok(Switched::Already { version, revision });
+        }
+        let next = PastChange {
+            version: version.max(floor) + 1,
+            preset: preset.clone(),
+            revision,
+            change_id: change.change_id.clone(),
+            operator: change.operator.clone(),
+            at_unix_s: change.at_unix_s,
+        };
+        let transaction = self.switch_transaction(&before, &latest, &next).await?;
+        let resolution = self.apply(&transaction, CHANGE_LOG_KEY, change).await?;
+        self.resolved_switch(&next, version, resolution).await
+    }
+
+    async fn latest(&self, preset: &Name) -> Result<LatestRow, ConfigError> {
+        let latest: Held<LatestRow> = self.held(&latest_key(preset)).await?;
+        if let Some(latest) = latest.row {
+            return Ok(latest);
+        }
+        let known = self.presets().await?;
+        let known: Vec<&str> = known.iter().map(|known| &*known.preset).collect();
+        Err(ConfigError::UnknownPreset {
+            preset: preset.clone(),
+            known: known.join(", "),
+        })
+    }
+
+    /// The document must still be there when the switch takes effect, or nodes could never fetch
+    /// what is in force: so it is checked in the same transaction.
+    async fn switch_transaction(
+        &self,
+        before: &Before,
+        latest: &LatestRow,
+        next: &PastChange,
+    ) -> Result<Transaction, ConfigError> {
+        let (_, document_version) = self
+            .document(&next.preset, next.revision, &latest.hash)
+            .await?;
+        let row = InForceRow {
+            version: next.version,
+            preset: next.preset.clone(),
+            revision: next.revision,
+            hash: latest.hash.clone(),
+            change_id: next.change_id.clone(),
+        };
+        let mut changes = before.changes();
+        changes.push(next.clone());
+        let mut transaction =
+            Transaction::put_if(IN_FORCE_KEY, before.in_force.row_version, encode(&row))
+                .and_put_if(CHANGE_LOG_KEY, before.log.row_version, encode(&changes));
+        transaction.checks.push(Check {
+            key: document_key(&next.preset, next.revision),
+            version: Some(document_version),
+        });
+        Ok(transaction)
+    }
+
+    async fn resolved_switch(
+        &self,
+        next: &PastChange,
+        version_before: u64,
+        resolution: Resolution,
+    ) -> Result<Switched, ConfigError> {
+        let unknown = || ConfigError::OutcomeUnknown {
+            change_id: next.change_id.clone(),
+        };
+        let log: ChangeLog = match resolution {
+            Resolution::Applied(row) | Resolution::NotApplied(Some(row)) => {
+                decode(CHANGE_LOG_KEY, &row.value)?
+            }
+            Resolution::NotApplied(None) => self.change_log().await?,
+            Resolution::Unknown => return Err(unknown()),
+        };
+        match log.find(&next.change_id) {
+            Some(done) => Ok(outcome(done, &log)),
+            // Only a log that reaches back far enough proves that the change never took effect.
+            None if log.reaches_back_to(version_before) => Err(conflict(&log)),
+            None => Err(unknown()),
+        }
+    }
+}
+
+fn outcome(done: &PastChange, log: &ChangeLog) -> Switched {
+    let by_version = log.version();
+    if done.version < by_version {
+        let version = done.version;
+        return Switched::Replaced {
+            version,
+            by_version,
+        };
+    }
+    Switched::InForce {
+        version: done.version,
+        revision: done.revision,
+    }
+}
+
+fn conflict(log: &ChangeLog) -> ConfigError {
+    let winner = log.changes.last();
+    ConfigError::Conflict {
+        version: log.version(),
+        preset: winner.map_or_else(|| Name::from("none"), |won| won.preset.clone()),
+        operator: winner.map_or_else(|| Name::from("nobody"), |won| won.operator.clone()),
+        change_id: winner.map_or_else(|| Name::from("none"), |won| won.change_id.clone()),
+    }
+}
--- /dev/null
+++ b/src/configuration/config_task.rs
@@ -0,0 +1,134 @@
+//! Keeps the configuration in force up to date: asks peers at the start, polls the platform, and
+//! fetches from peers what gossip and answers tell of.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use log::debug;
+use tokio::sync::mpsc::Receiver;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::configuration::ConfigNews;
+use crate::configuration::ConfigPorts;
+use crate::configuration::ConfigShared;
+use crate::configuration::PeerAnswer;
+use crate::configuration::PollOutcome;
+use crate::configuration::PollSchedule;
+use crate::configuration::Source;
+use crate::core::Clock;
+
+/// How often the schedule is looked at: whether this node polls may change at any moment.
+const LOOK_MS: u64 = 50;
+/// How long a peer may take to answer. The next one that has the news is asked after that, so
+/// that one silent connection does not hold the change up.
+const ASK_TIMEOUT_MS: u64 = 400;
+/// How many peers are asked at the start, in one round.
+const FIRST_PEERS: usize = 8;
+/// The pause between two rounds of questions at the start.
+const ROUND_PAUSE_MS: u64 = 200;
+
+/// Runs on the control thread.
+pub struct ConfigTask {
+    pub shared: Arc<ConfigShared>,
+    pub news: Receiver<ConfigNews>,
+    pub ports: ConfigPorts,
+    pub clock: Clock,
+    pub poll_ms: u64,
+}
+
+impl ConfigTask {
+    /// Runs until it is dropped.
+    pub async fn run(self) {
+        let Self {
+            shared,
+            news,
+            ports,
+            clock,
+            poll_ms,
+        } = self;
+        let start = ask_first_peers(&shared, &ports);
+        let polls = poll(&shared, &ports, clock, PollSchedule::new(poll_ms));
+        let fetches = fetch_news(&shared, &ports, news);
+        tokio::join!(start, polls, fetches);
+    }
+}
+
+/// Asks until something is in force; the platform's answer ends it as well. It does not end at
+/// the first answer: see [`crate::configuration::ConfigState`].
+async fn ask_first_peers(shared: &ConfigShared, ports: &ConfigPorts) {
+    while shared.version() == 0 {
+        let mut peers = (ports.first_peers)();
+        peers.truncate(FIRST_PEERS);
+        let asked = peers.into_iter().map(|peer| ask(shared, ports, peer));
+        join_all(asked).await;
+        if let Some(version) = shared.finish_asking() {
+            (ports.announce)(version);
+        }
+        sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
+    }
+}
+
+async fn poll(shared: &ConfigShared, ports: &ConfigPorts, clock: Clock, mut plan: PollSchedule) {
+    let mut due = plan.due(true, 0);
+    let mut was_poller = (ports.is_poller)();
+    loop {
+        let is_poller = (ports.is_poller)();
+        if is_poller != was_poller {
+            was_poller = is_poller;
+            due = plan.due(is_poller, fastrand::u64(0..=1_000));
+        }
+        if clock.now() < due {
+            sleep(Duration::from_millis(LOOK_MS)).await;
+            continue;
+        }
+        let outcome = poll_once(shared, ports).await;
+        shared.metrics.count_poll(outcome);
+        plan.note(outcome, clock.now());
+        due = plan.due(is_poller, fastrand::u64(0..=1_000));
+    }
+}
+
+async fn poll_once(shared: &ConfigShared, ports: &ConfigPorts) -> PollOutcome {
+    match (ports.poll)(shared.version()).await {
+        Ok(Some(document)) => {
+            if let Some(version) = shared.offer(document, Source::Platform) {
+                (ports.announce)(version);
+            }
+            PollOutcome::Answered
+        }
+        Ok(None) => PollOutcome::Answered,
+        Err(error) => {
+            debug!("config: poll failed error={error}");
+            PollOutcome::Failed
+        }
+    }
+}
+
+/// News are taken one after the other: the first answer makes the rest of them old, and a peer
+/// that does not answer is followed by the next one that told.
+async fn fetch_news(shared: &ConfigShared, ports: &ConfigPorts, mut news: Receiver<ConfigNews>) {
+    while let Some(ConfigNews { from, version }) = news.recv().await {
+        if version > shared.highest() {
+            ask(shared, ports, from).await;
+        }
+    }
+}
+
+async fn ask(shared: &ConfigShared, ports: &ConfigPorts, peer: SocketAddr) {
+    let answer = (ports.ask_peer)(peer, shared.highest());
+    let answer = timeout(Duration::from_millis(ASK_TIMEOUT_MS), answer).await;
+    let answer = answer.unwrap_or(PeerAnswer::NoAnswer);
+    shared.metrics.count_ask(&answer);
+    match answer {
+        PeerAnswer::Newer(document) => {
+            if let Some(version) = shared.offer(document, Source::Peer) {
+                (ports.announce)(version);
+            }
+        }
+        PeerAnswer::NothingNewer => {}
+        PeerAnswer::NoAnswer => debug!("config: no answer peer={peer}"),
+    }
+}
--- /dev/null
+++ b/src/configuration/mod.rs
@@ -0,0 +1,44 @@
+//! The configuration in force: published and switched by operators through the platform's table,
+//! fanned out between nodes, and never lowered ([docs/CONFIGURATION.md](../../docs/CONFIGURATION.md)).
+
+mod change;
+mod config_metrics;
+mod config_ports;
+mod config_publish;
+mod config_shared;
+mod config_state;
+mod config_store;
+mod config_switch;
+mod config_task;
+mod confirmation;
+mod document_hash;
+mod poll_schedule;
+mod pollers;
+mod rows;
+
+pub use change::Change;
+pub use config_metrics::ConfigMetrics;
+pub use config_ports::ConfigPorts;
+pub use config_ports::PeerAnswer;
+pub use config_publish::Publication;
+pub use config_shared::ConfigNews;
+pub use config_shared::ConfigShared;
+pub use config_state::ConfigState;
+pub use config_state::Ignored;
+pub use config_state::Offer;
+pub use config_state::Source;
+pub use config_store::ConfigStore;
+pub use config_store::PublishedPreset;
+pub use config_switch::Switched;
+pub use config_task::ConfigTask;
+pub use confirmation::DomainConfirmation;
+pub use confirmation::NodeVersion;
+pub use confirmation::confirmations;
+pub use document_hash::document_hash;
+pub use poll_schedule::PollOutcome;
+pub use poll_schedule::PollSchedule;
+pub use pollers::is_poller;
+pub use rows::ChangeLog;
+pub use rows::InForceRow;
+pub use rows::LatestRow;
+pub use rows::PastChange;
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -337,3 +337,40 @@
         source: serde_json::Error,
     },
 }
+
+/// A change or a read of the configuration that did not succeed.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
+    #[error(
+        "not changed: version {version} is in force, preset {preset}, by {operator} \
+         (change {change_id})"
+    )]
+    Conflict {
+        version: u64,
+        preset: Name,
+        operator: Name,
+        change_id: Name,
+    },
+    #[error("not published: another operator published revision {revision} of preset {preset}")]
+    PublishConflict { preset: Name, revision: u64 },
+    #[error("preset {preset} has not been published; published are: {known}")]
+    UnknownPreset { preset: Name, known: String },
+    #[error(
+        "the answer was lost and what became of the change cannot be found out now; \
+         ask again with --change-id {change_id}"
+    )]
+    OutcomeUnknown { change_id: Name },
+    #[error("the document has {bytes} bytes, but at most {limit_bytes} are accepted")]
+    TooLarge { bytes: usize, limit_bytes: usize },
+    #[error("row {key} of the platform is not understood: {source}")]
+    MalformedRow {
+        key: Name,
+        source: serde_json::Error,
+    },
+    #[error("row {key} of the platform is missing or not the document that is in force")]
+    DocumentMissing { key: Name },
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backend;
 pub mod claims;
 pub mod conf;
+pub mod configuration;
 pub mod control;
 pub mod core;
 pub mod errors;
--- /dev/null
+++ b/tests/configuration_store.rs
@@ -0,0 +1,335 @@
+//! Publishing and switching through the platform's table, with its faults.
+
+mod support;
+
+use rstest::rstest;
+use sassafrasgap::configuration::ChangeLog;
+use sassafrasgap::configuration::ConfigStore;
+use sassafrasgap::configuration::PastChange;
+use sassafrasgap::configuration::Publication;
+use sassafrasgap::configuration::Switched;
+use sassafrasgap::core::Name;
+use sassafrasgap::errors::ConfigError;
+use sassafrasgap::platform::Transaction;
+use serde_json::json;
+use support::TestPlatform;
+use support::presets::change;
+use support::presets::preset_text;
+
+async fn store_with(platform: &TestPlatform, presets: &[&str]) -> ConfigStore {
+    let store = ConfigStore::new(platform.client("a"));
+    for preset in presets {
+        let id = format!("publish-{preset}");
+        let text = preset_text(preset, 100);
+        let published = store.publish("p.yaml", &text, &change(&id, "setup")).await;
+        published.expect("published");
+    }
+    store
+}
+
+async fn switch(store: &ConfigStore, preset: &str, id: &str) -> Result<Switched, ConfigError> {
+    let change = change(id, id);
+    store.switch(&Name::from(preset), None, 0, &change).await
+}
+
+#[tokio::test]
+async fn a_switch_raises_the_version_and_hands_out_the_document() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak"]).await;
+    assert_eq!(store.newer_than(0).await.unwrap(), None);
+    let first = switch(&store, "ordinary", "c1").await.unwrap();
+    assert_eq!(
+        first,
+        Switched::InForce {
+            version: 1,
+            revision: 1
+        }
+    );
+    switch(&store, "peak", "c2").await.unwrap();
+    let again = switch(&store, "peak", "c3").await.unwrap();
+    assert_eq!(
+        again,
+        Switched::Already {
+            version: 2,
+            revision: 1
+        }
+    );
+    let document = store.newer_than(1).await.unwrap().expect("newer");
+    assert_eq!((document.version, &*document.preset), (2, "peak"));
+    assert_eq!(document.document, preset_text("peak", 100));
+    assert_eq!(store.newer_than(2).await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn publishing_twice_is_one_revision_and_a_change_is_the_next() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["peak"]).await;
+    let preset = Name::from("peak");
+    let same = store
+        .publish("p", &preset_text("peak", 100), &change("x", "eva"))
+        .await;
+    assert_eq!(
+        same.unwrap(),
+        Publication::Unchanged {
+            preset: preset.clone(),
+            revision: 1
+        }
+    );
+    let next = store
+        .publish("p", &preset_text("peak", 200), &change("y", "eva"))
+        .await;
+    assert_eq!(
+        next.unwrap(),
+        Publication::Published {
+            preset,
+            revision: 2
+        }
+    );
+    let bad = store
+        .publish("p", "preset: peak\n", &change("z", "eva"))
+        .await;
+    assert!(matches!(bad, Err(ConfigError::Settings(_))));
+    assert_eq!(store.presets().await.unwrap()[0].latest.revision, 2);
+}
+
+// What a user would see: a node that starts cannot fetch the preset in force any more.
+// The preset in force is published again and again without a switch; old revisions are deleted.
+// Cause: the revision in force is among the old ones.
+#[tokio::test]
+async fn the_revision_in_force_outlives_many_publications() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["peak"]).await;
+    switch(&store, "peak", "c1").await.unwrap();
+    for wait_ms in 200..230 {
+        let id = format!("p{wait_ms}");
+        let text = preset_text("peak", wait_ms);
+        store
+            .publish("p", &text, &change(&id, "eva"))
+            .await
+            .unwrap();
+    }
+    let document = store.newer_than(0).await.unwrap().expect("still there");
+    assert_eq!(document.document, preset_text("peak", 100));
+    let kept = platform.client("a").scan("preset/").await.unwrap();
+    assert_eq!(kept.len(), 21);
+}
+
+// What a user would see: two operators both read "done", and one of the changes is gone.
+// Both switch at the same moment. Cause: the second write does not look at the first.
+#[tokio::test]
+async fn of_two_operators_one_wins_and_the_other_learns_who() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak", "night"]).await;
+    switch(&store, "ordinary", "setup").await.unwrap();
+    // Slow answers let both read before either writes.
+    platform.add_fault(json!({"slow_delay_ms": 20})).await;
+    let mut conflicts = 0;
+    for round in 0..10 {
+        let (ana, rui) = (format!("ana-{round}"), format!("rui-{round}"));
+        let (peak, night) =
+            tokio::join!(switch(&store, "peak", &ana), switch(&store, "night", &rui));
+        let (won, lost, winner) = match (peak, night) {
+            (Ok(won), Err(lost)) => (won, lost, ana),
+            (Err(lost), Ok(won)) => (won, lost, rui),
+            // One came wholly after the other: both took effect, in order.
+            (Ok(_), Ok(_)) => continue,
+            both => panic!("both lost: {both:?}"),
+        };
+        let Switched::InForce { version, .. } = won else {
+            panic!("{won:?}");
+        };
+        let ConfigError::Conflict {
+            version: named,
+            change_id,
+            ..
+        } = &lost
+        else {
+            panic!("{lost:?}");
+        };
+        assert_eq!((*named, &**change_id), (version, winner.as_str()));
+        conflicts += 1;
+    }
+    assert!(conflicts > 0, "the operators never met");
+    let log = store.change_log().await.unwrap();
+    let versions: Vec<u64> = log.changes.iter().map(|change| change.version).collect();
+    assert!(versions.is_sorted_by(|a, b| a < b), "{versions:?}");
+}
+
+#[tokio::test]
+async fn an_expected_version_that_is_not_in_force_is_a_conflict() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak"]).await;
+    switch(&store, "ordinary", "c1").await.unwrap();
+    let late = change("c2", "rui");
+    let lost = store.switch(&Name::from("peak"), Some(0), 0, &late).await;
+    let text = lost.unwrap_err().to_string();
+    assert!(
+        text.contains("version 1 is in force, preset ordinary, by c1 (change c1)"),
+        "{text}"
+    );
+    let won = store
+        .switch(&Name::from("peak"), Some(1), 0, &late)
+        .await
+        .unwrap();
+    assert_eq!(
+        won,
+        Switched::InForce {
+            version: 2,
+            revision: 1
+        }
+    );
+}
+
+#[tokio::test]
+async fn an_unknown_preset_is_refused_with_the_known_ones() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak"]).await;
+    let text = switch(&store, "pek", "c1").await.unwrap_err().to_string();
+    assert!(text.contains("published are: ordinary, peak"), "{text}");
+}
+
+// What a user would see: a switch that took effect is reported as failed, and is repeated.
+// The platform writes the change, and the answer is lost; the connection breaks or goes silent.
+// Cause: silence is taken for failure instead of reading back the change id.
+#[rstest]
+#[case::broken("broken")]
+#[case::silent("silent")]
+#[tokio::test]
+async fn a_lost_answer_is_resolved_and_not_repeated(#[case] loss: &str) {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak"]).await;
+    switch(&store, "ordinary", "c1").await.unwrap();
+    platform
+        .add_fault(json!({"applied_answer_lost": loss}))
+        .await;
+    let switched = switch(&store, "peak", "c2").await.unwrap();
+    assert_eq!(
+        switched,
+        Switched::InForce {
+            version: 2,
+            revision: 1
+        }
+    );
+    let published = store
+        .publish("p", &preset_text("peak", 7), &change("c3", "eva"))
+        .await;
+    assert_eq!(
+        published.unwrap(),
+        Publication::Published {
+            preset: Name::from("peak"),
+            revision: 2
+        },
+    );
+    platform.clear_faults().await;
+    assert_eq!(store.change_log().await.unwrap().changes.len(), 2);
+}
+
+// What a user would see: an operator whose connection broke is told that he lost, or switches a
+// second time, although his switch came into force and was then replaced by a colleague.
+// Order: the switch is written, its answer lost, the platform unreachable, a colleague switches;
+// then the operator asks again under the same change id. Cause: only the row in force is looked at.
+#[tokio::test]
+async fn asking_again_under_the_same_change_id_finds_out_what_became_of_it() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak"]).await;
+    switch(&store, "ordinary", "c1").await.unwrap();
+    platform
+        .add_fault(json!({"applied_answer_lost": "broken"}))
+        .await;
+    platform
+        .add_fault(json!({"down": true, "operations": "reads", "at_ms": 0, "domains": ["cut"]}))
+        .await;
+    let cut = ConfigStore::new(platform.client("cut"));
+    assert!(switch(&cut, "peak", "c2").await.is_err(), "reads are down");
+    assert_eq!(store.in_force().await.unwrap().unwrap().version, 1);
+    switch(&store, "peak", "c2").await.unwrap();
+    platform.clear_faults().await;
+    switch(&store, "ordinary", "c3").await.unwrap();
+    let asked = switch(&store, "peak", "c2").await.unwrap();
+    assert_eq!(
+        asked,
+        Switched::Replaced {
+            version: 2,
+            by_version: 3
+        }
+    );
+    assert_eq!(store.in_force().await.unwrap().unwrap().version, 3);
+}
+
+#[tokio::test]
+async fn a_floor_lifts_versions_over_those_that_nodes_hold() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary"]).await;
+    switch(&store, "ordinary", "c1").await.unwrap();
+    let lifted = store
+        .switch(&Name::from("ordinary"), None, 40, &change("c2", "eva"))
+        .await;
+    assert_eq!(
+        lifted.unwrap(),
+        Switched::InForce {
+            version: 41,
+            revision: 1
+        }
+    );
+}
+
+#[rstest]
+#[case::down(json!({"down": true}))]
+#[case::hanging(json!({"hang": true}))]
+#[tokio::test]
+async fn a_platform_that_does_not_answer_changes_nothing(#[case] fault: serde_json::Value) {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["ordinary", "peak"]).await;
+    switch(&store, "ordinary", "c1").await.unwrap();
+    platform.add_fault(fault).await;
+    let failed = switch(&store, "peak", "c2").await;
+    assert!(
+        matches!(failed, Err(ConfigError::Platform(_))),
+        "{failed:?}"
+    );
+    platform.clear_faults().await;
+    assert_eq!(store.in_force().await.unwrap().unwrap().version, 1);
+}
+
+// What a user would see: nodes classify calls by a text that nobody published.
+// Something wrote over the row of a document. Cause: what is fetched is not compared with what
+// the row in force says.
+#[tokio::test]
+async fn a_document_that_was_written_over_is_not_handed_out() {
+    let platform = TestPlatform::start().await;
+    let store = store_with(&platform, &["peak"]).await;
+    switch(&store, "peak", "c1").await.unwrap();
+    let client = platform.client("a");
+    let row = client.get("preset/peak/1").await.unwrap().unwrap();
+    let other = preset_text("peak", 9);
+    let overwrite = Transaction::put_if("preset/peak/1", Some(row.version), other);
+    client.transact(&overwrite).await.unwrap();
+    let read = store.newer_than(0).await;
+    assert!(
+        matches!(read, Err(ConfigError::DocumentMissing { .. })),
+        "{read:?}"
+    );
+}
+
+// What a user would see: a switch is reported as lost to another operator, yet it had been in
+// force for a while. Many switches followed before its lost answer could be looked into, and the
+// log no longer lists it. Cause: absence from a log that has been cut is taken for a proof.
+#[test]
+fn a_log_that_has_been_cut_proves_nothing_about_older_changes() {
+    let mut log = ChangeLog::default();
+    assert!(log.reaches_back_to(0));
+    for version in 1..=40 {
+        log.push(PastChange {
+            version,
+            preset: Name::from("peak"),
+            revision: 1,
+            change_id: Name::from(format!("c{version}")),
+            operator: Name::from("eva"),
+            at_unix_s: 0,
+        });
+    }
+    assert_eq!(log.changes.len(), 32);
+    assert!(log.find("c8").is_none() && log.find("c9").is_some());
+    assert!(!log.reaches_back_to(7));
+    assert!(log.reaches_back_to(8));
+}
