Join the data path to membership and stop as planned

Cause: targets came from a fixed list and a stop broke off what ran. Attempts at the guard are remembered for senders that ask.

--- a/src/errors.rs
+++ b/src/errors.rs
@@ -234,6 +234,10 @@
         address: SocketAddr,
         source: io::Error,
     },
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    #[error("a metric cannot be registered: {0}")]
+    Metrics(#[from] prometheus::Error),
 }
 
 /// An answer of a peer that must not be passed on.
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -38,6 +38,8 @@
     pub guard_in_flight: IntGauge,
     pub guard_limit: IntGauge,
     pub guard_queue: IntGaugeVec,
+    /// Attempts that this node as entry awaits the end of.
+    pub entry_in_flight: IntGauge,
     pub config_version: IntGauge,
     pub entry_latency: Histogram,
     pub guard_wait: Histogram,
@@ -107,6 +109,10 @@
                 "How many calls may run at the local backend server at once.",
             ),
             guard_queue: gauge_by_class(&registry),
+            entry_in_flight: gauge(
+                "sassafrasgap_entry_in_flight",
+                "Calls that this node has forwarded and whose answers have not ended.",
+            ),
             config_version: gauge(
                 "sassafrasgap_config_version",
                 "The version of the configuration in force here.",
@@ -157,6 +163,11 @@
         self.retries.get(reason as usize)
     }
 
+    /// Where other concerns register their metrics.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// The text that Prometheus scrapes.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -5,22 +5,17 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use tokio::sync::watch;
-
 use crate::adapters::HttpClient;
 use crate::adapters::http_client;
 use crate::conf::NodeSettings;
-use crate::core::Clock;
-use crate::core::Published;
-use crate::core::View;
 use crate::metrics::Metrics;
 use crate::node::Announcement;
 use crate::node::LocalBackend;
+use crate::node::NodeInputs;
 use crate::node::gate::Gate;
 use crate::node::learnt_levels::LearntLevels;
 use crate::node::live_calls::LiveCalls;
 use crate::node::targets::Targets;
-use crate::preset::InForce;
 
 /// How long an unused connection between nodes is kept, in milliseconds.
 const PEER_IDLE_MS: u64 = 15_000;
@@ -29,34 +24,11 @@
 /// The longest wait for a new connection, in milliseconds.
 const CONNECT_MS: u64 = 500;
 
-/// What the control thread publishes and the data path reads.
-#[derive(Clone)]
-pub struct NodeInputs {
-    pub clock: Clock,
-    pub view: Arc<Published<View>>,
-    /// `None` until a first configuration is known.
-    pub in_force: Arc<Published<Option<InForce>>>,
-    /// The local backend server as it announced itself; the control thread watches it.
-    pub local: watch::Sender<LocalBackend>,
-}
-
-impl NodeInputs {
-    /// Inputs that know nothing yet.
-    pub fn empty() -> Self {
-        Self {
-            clock: Clock::new(),
-            view: Arc::new(Published::from_pointee(View::default())),
-            in_force: Arc::new(Published::from_pointee(None)),
-            local: watch::Sender::new(LocalBackend::default()),
-        }
-    }
-}
-
 /// The state shared by the four listeners.
 pub struct Node {
     pub settings: NodeSettings,
     pub inputs: NodeInputs,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     pub(super) peer_client: HttpClient,
     pub(super) backend_client: HttpClient,
     pub(super) live_calls: LiveCalls,
@@ -72,9 +44,9 @@
         let gate = Gate::new(inputs.clock, settings.control_enabled);
         Self {
             gate,
+            metrics: inputs.metrics.clone(),
             settings,
             inputs,
-            metrics: Metrics::new(),
             peer_client: http_client(PEER_IDLE_MS, CONNECT_MS),
             backend_client: http_client(BACKEND_IDLE_MS, CONNECT_MS),
             live_calls: LiveCalls::new(),
@@ -95,6 +67,12 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Calls that run at the local backend server or that this node has forwarded.
+    pub fn calls_in_flight(&self) -> u64 {
+        let forwarded = self.metrics.entry_in_flight.get().max(0) as u64;
+        forwarded + u64::from(self.gate.load().in_flight)
+    }
+
     /// Takes in what the local backend server says of itself.
     pub(super) fn take_announcement(&self, announcement: Announcement) {
         self.gate.set_slots(announcement.slots);
--- /dev/null
+++ b/src/node/node_inputs.rs
@@ -0,0 +1,57 @@
+//! What joins the data path to the control thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::future::ready;
+use tokio::sync::watch;
+
+use crate::control::AttemptStatus;
+use crate::core::AttemptId;
+use crate::core::Clock;
+use crate::core::Published;
+use crate::core::View;
+use crate::errors::PeerCallError;
+use crate::metrics::Metrics;
+use crate::node::Attempts;
+use crate::node::LocalBackend;
+use crate::preset::InForce;
+
+/// Asks the node with this control address what became of an attempt.
+pub type AskAttempt = Arc<
+    dyn Fn(SocketAddr, AttemptId) -> BoxFuture<'static, Result<AttemptStatus, PeerCallError>>
+        + Send
+        + Sync,
+>;
+
+/// What the control thread publishes, what it reads, and what both sides use.
+#[derive(Clone)]
+pub struct NodeInputs {
+    pub clock: Clock,
+    pub metrics: Arc<Metrics>,
+    pub view: Arc<Published<View>>,
+    /// `None` until a first configuration is known.
+    pub in_force: Arc<Published<Option<InForce>>>,
+    /// The local backend server as it announced itself; the control thread watches it.
+    pub local: watch::Sender<LocalBackend>,
+    /// The attempts of this guard, of which other nodes ask.
+    pub attempts: Arc<Attempts>,
+    pub ask_attempt: AskAttempt,
+}
+
+impl NodeInputs {
+    /// Inputs that know nothing yet and reach nobody.
+    pub fn empty() -> Self {
+        Self {
+            clock: Clock::new(),
+            metrics: Arc::new(Metrics::new()),
+            view: Arc::new(Published::from_pointee(View::default())),
+            in_force: Arc::new(Published::from_pointee(None)),
+            local: watch::Sender::new(LocalBackend::default()),
+            attempts: Arc::new(Attempts::default()),
+            ask_attempt: Arc::new(|_, _| ready(Err(PeerCallError::Stopped)).boxed()),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/node_process.rs
@@ -0,0 +1,98 @@
+//! A whole node: data path and control thread joined.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::ready;
+use tokio::sync::watch;
+
+use crate::conf::NodeSettings;
+use crate::control;
+use crate::control::ControlHandle;
+use crate::control::ControlHandlers;
+use crate::control::ControlMetrics;
+use crate::control::ControlSettings;
+use crate::errors::NodeError;
+use crate::node::Listeners;
+use crate::node::LocalBackend;
+use crate::node::NodeInputs;
+use crate::node::RunningNode;
+
+/// How long one question about an attempt may take, in milliseconds.
+const ASK_ATTEMPT_MS: u64 = 400;
+
+/// A node with its control thread.
+pub struct NodeProcess {
+    pub running: RunningNode,
+    pub control: Arc<ControlHandle>,
+}
+
+impl NodeProcess {
+    /// Opens the listeners, starts the control thread and serves.
+    ///
+    /// # Errors
+    /// When an address cannot be bound or the control thread cannot be started.
+    pub async fn start(settings: NodeSettings, mut inputs: NodeInputs) -> Result<Self, NodeError> {
+        let listeners = Listeners::open(&settings).await?;
+        let peer_address = advertised(settings.peer_advertised_address, listeners.peers.address);
+        let control_settings = ControlSettings::new(&settings, peer_address, inputs.clock);
+        let metrics = ControlMetrics::new(inputs.metrics.registry())?;
+        let control = control::start(control_settings, handlers(&inputs), metrics)?;
+        let control = Arc::new(control);
+        inputs.view = control.view.clone();
+        inputs.ask_attempt = ask_attempt(&control);
+        control
+            .runtime
+            .spawn(announce(control.clone(), inputs.local.subscribe()));
+        let running = RunningNode::serve(listeners, settings, inputs);
+        Ok(Self { running, control })
+    }
+}
+
+/// What others are told: the advertised address, with the real port when any was asked for.
+fn advertised(address: SocketAddr, bound: SocketAddr) -> SocketAddr {
+    if address.port() == 0 {
+        return SocketAddr::new(address.ip(), bound.port());
+    }
+    address
+}
+
+fn handlers(inputs: &NodeInputs) -> ControlHandlers {
+    let attempts = inputs.attempts.clone();
+    let clock = inputs.clock;
+    ControlHandlers {
+        attempt_status: Arc::new(move |attempt| {
+            let status = attempts.status(clock.now(), attempt);
+            ready(status).boxed()
+        }),
+        ..ControlHandlers::default()
+    }
+}
+
+fn ask_attempt(control: &ControlHandle) -> crate::node::AskAttempt {
+    let clients = control.clients.clone();
+    Arc::new(move |address, attempt| {
+        let clients = clients.clone();
+        let ask = async move {
+            clients
+                .attempt_status(address, attempt, ASK_ATTEMPT_MS)
+                .await
+        };
+        ask.boxed()
+    })
+}
+
+/// Tells all members what the local backend server says of itself, at each change.
+async fn announce(control: Arc<ControlHandle>, mut local: watch::Receiver<LocalBackend>) {
+    loop {
+        let state = local.borrow_and_update().clone();
+        match &state.announced {
+            Some(announced) => control.announce(&announced.service, announced.slots, state.state()),
+            None => control.set_state(state.state()),
+        }
+        if local.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -4,17 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
-use tokio::net::TcpListener;
+use http::header::CONNECTION;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
 use crate::adapters::Body;
-use crate::adapters::bind;
 use crate::adapters::serve;
 use crate::conf::NodeSettings;
 use crate::errors::NodeError;
+use crate::node::Listener;
+use crate::node::Listeners;
 use crate::node::Node;
 use crate::node::NodeInputs;
 use crate::node::caller_headers;
@@ -43,34 +45,37 @@
     /// # Errors
     /// When an address cannot be bound; the error names the listener.
     pub async fn start(settings: NodeSettings, inputs: NodeInputs) -> Result<Self, NodeError> {
-        let callers = listen("callers", settings.caller_address).await?;
-        let local = listen("the local backend server", settings.local_address).await?;
-        let peers = listen("other nodes", settings.peer_address).await?;
-        let operators = listen("operators", settings.operator_address).await?;
+        let listeners = Listeners::open(&settings).await?;
+        Ok(Self::serve(listeners, settings, inputs))
+    }
+
+    /// Serves on open listeners.
+    pub fn serve(listeners: Listeners, settings: NodeSettings, inputs: NodeInputs) -> Self {
         let mut running = Self {
             node: Arc::new(Node::new(settings, inputs)),
-            caller_address: callers.1,
-            local_address: local.1,
-            peer_address: peers.1,
-            operator_address: operators.1,
+            caller_address: listeners.callers.address,
+            local_address: listeners.local.address,
+            peer_address: listeners.peers.address,
+            operator_address: listeners.operators.address,
             tasks: JoinSet::new(),
         };
-        running.serve(callers.0, |node, request| async move {
+        running.spawn(listeners.callers, |node, request| async move {
             let forged = caller_headers::count_forged(request.headers());
             node.metrics.forged_headers.inc_by(forged as u64);
-            serve_call(&node, request, Origin::Caller).await
+            let response = serve_call(&node, request, Origin::Caller).await;
+            closing_while_draining(&node, response)
         });
-        running.serve(local.0, |node, request| async move {
+        running.spawn(listeners.local, |node, request| async move {
             serve_local(&node, request).await
         });
-        running.serve(peers.0, |node, request| async move {
+        running.spawn(listeners.peers, |node, request| async move {
             serve_peer(&node, request).await
         });
-        running.serve(operators.0, |node, request| async move {
+        running.spawn(listeners.operators, |node, request| async move {
             serve_operator(&node, request).await
         });
         running.poll_gate();
-        Ok(running)
+        running
     }
 
     /// Waiting calls give up in time also when nothing else happens at the guard.
@@ -86,28 +91,24 @@
         });
     }
 
-    fn serve<F, R>(&mut self, listener: TcpListener, handler: F)
+    fn spawn<F, R>(&mut self, listener: Listener, handler: F)
     where
         F: Fn(Arc<Node>, Request<Body>) -> R + Send + Sync + 'static,
         R: Future<Output = Response<Body>> + Send + 'static,
     {
         let node = self.node.clone();
-        self.tasks.spawn(serve(listener, move |request, _| {
+        self.tasks.spawn(serve(listener.socket, move |request, _| {
             handler(node.clone(), request)
         }));
     }
 }
 
-async fn listen(
-    listener: &'static str,
-    address: SocketAddr,
-) -> Result<(TcpListener, SocketAddr), NodeError> {
-    let failed = |source| NodeError::Bind {
-        listener,
-        address,
-        source,
-    };
-    let socket = bind(address).await.map_err(failed)?;
-    let bound = socket.local_addr().map_err(failed)?;
-    Ok((socket, bound))
+/// Asks the caller to open another connection, to another node, for its next call: one that is
+/// sent over a kept connection just when the process ends would be cut off.
+fn closing_while_draining(node: &Node, mut response: Response<Body>) -> Response<Body> {
+    if node.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
 }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -145,6 +145,7 @@
 
 impl InFlightAt {
     pub(super) fn new(targets: Arc<super::Node>, node: Name) -> Self {
+        targets.metrics.entry_in_flight.inc();
         Self {
             targets,
             node,
@@ -164,6 +165,7 @@
 
 impl Drop for InFlightAt {
     fn drop(&mut self) {
+        self.targets.metrics.entry_in_flight.dec();
         let now = self.targets.inputs.clock.now();
         self.targets
             .targets
