--- /dev/null
+++ b/src/claims/fair_share.rs
@@ -0,0 +1,54 @@
+//! How many slots each member should own, and who gives to whom.
+
+use crate::claims::SLOTS;
+use crate::claims::SlotMap;
+
+/// A member that may be given slots, and how many it owns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    pub instance: u64,
+    pub owned: usize,
+}
+
+/// The members that may be given slots, in the order of the row.
+pub fn candidates(map: &SlotMap, is_alive: impl Fn(u64) -> bool) -> Vec<Candidate> {
+    map.members
+        .iter()
+        .filter(|member| member.serving && is_alive(member.instance))
+        .map(|member| Candidate {
+            instance: member.instance,
+            owned: map.slots_of(member.instance).len(),
+        })
+        .collect()
+}
+
+/// The most that one of `owners` should own.
+pub fn fair_share(owners: usize) -> usize {
+    SLOTS.div_ceil(owners.max(1))
+}
+
+/// How many slots `me` should give to whom now, so that the members own about the same; `None`
+/// when nothing is worth moving.
+pub fn next_gift(
+    candidates: &[Candidate],
+    me: u64,
+    owned: usize,
+    leaving: bool,
+) -> Option<(u64, usize)> {
+    let others = candidates
+        .iter()
+        .filter(|candidate| candidate.instance != me);
+    let receiver = others.min_by_key(|candidate| (candidate.owned, candidate.instance))?;
+    if owned == 0 {
+        return None;
+    }
+    if leaving {
+        let receivers = candidates.iter().filter(|other| other.instance != me);
+        return Some((receiver.instance, owned.div_ceil(receivers.count())));
+    }
+    let too_many = owned > fair_share(candidates.len());
+    if !too_many || owned < receiver.owned + 2 {
+        return None;
+    }
+    Some((receiver.instance, (owned - receiver.owned) / 2))
+}
--- a/src/claims/ledger.rs
+++ b/src/claims/ledger.rs
@@ -8,15 +8,13 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use crate::claims::Giver;
 use crate::claims::Holding;
 use crate::claims::KeyOutcome;
 use crate::claims::KeyState;
+use crate::claims::LateNews;
 use crate::claims::LedgerEntry;
-use crate::claims::LedgerTransfer;
 use crate::claims::MovedKey;
 use crate::claims::MovedState;
-use crate::claims::MovedTo;
 use crate::claims::ResendLimits;
 use crate::claims::SLOTS;
 use crate::claims::slot_of;
@@ -75,28 +73,21 @@
     Refuse(Refusal),
 }
 
-/// News of a key for the node that was given its slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LateNews {
-    pub to: MovedTo,
-    pub key: MovedKey,
-}
-
 /// The ledger of one guard. It serves one service.
 #[derive(Debug)]
 pub struct Ledger {
-    service: Name,
-    instance: u64,
-    bounds: LedgerBounds,
-    limits: ResendLimits,
-    holding: Holding,
-    keys: FastMap<Name, LedgerEntry>,
+    pub(super) service: Name,
+    pub(super) instance: u64,
+    pub(super) bounds: LedgerBounds,
+    pub(super) limits: ResendLimits,
+    pub(super) holding: Holding,
+    pub(super) keys: FastMap<Name, LedgerEntry>,
     /// Ended keys, the earliest to forget first.
-    ended: VecDeque<(TimeMs, Name)>,
+    pub(super) ended: VecDeque<(TimeMs, Name)>,
     /// Keys with a kept answer, the oldest first, and when each is dropped.
     answers: VecDeque<(TimeMs, Name)>,
     answer_bytes: usize,
-    late_news: Vec<LateNews>,
+    pub(super) late_news: Vec<LateNews>,
 }
 
 impl Ledger {
@@ -294,7 +285,7 @@
         }
     }
 
-    fn keep_answer(&mut self, now: TimeMs, key: &Name) {
+    pub(super) fn keep_answer(&mut self, now: TimeMs, key: &Name) {
         let bytes = self
             .keys
             .get(key)
@@ -322,110 +313,6 @@
         }
     }
 
-    /// Copies the keys of slots for their next owner. From the call of [`Self::set_holding`] that
-    /// marked them as given no further key can start in them, so the copy misses none.
-    pub fn keys_of(&self, now: TimeMs, slots: &[usize]) -> Vec<MovedKey> {
-        let in_slots = |key: &&Name| slots.contains(&slot_of(&self.service, key));
-        self.keys
-            .keys()
-            .filter(in_slots)
-            .filter_map(|key| self.moved_key(now, key))
-            .collect()
-    }
-
-    fn moved_key(&self, now: TimeMs, key: &Name) -> Option<MovedKey> {
-        let entry = self.keys.get(key)?;
-        let (state, answer) = match &entry.state {
-            KeyState::Running { .. } | KeyState::RunningElsewhere { .. } => {
-                (MovedState::Running, None)
-            }
-            KeyState::Ran { answer } => (MovedState::Ran, answer.as_deref().cloned()),
-            KeyState::MayHaveRun => (MovedState::MayHaveRun, None),
-        };
-        let left_ms = match state {
-            MovedState::Running => self.limits.retention_ms(),
-            _ => entry.expires.since(now),
-        };
-        Some(MovedKey {
-            key: key.clone(),
-            fingerprint: entry.fingerprint,
-            state,
-            keep_ms: left_ms,
-            answer,
-        })
-    }
-
-    /// The slots are on their way to `to`: it will be told how the keys end that run here.
-    pub fn mark_moved(&mut self, slots: &[usize], to: &MovedTo) {
-        for (key, entry) in &mut self.keys {
-            if let KeyState::Running { moved_to } = &mut entry.state
-                && slots.contains(&slot_of(&self.service, key))
-            {
-                *moved_to = Some(to.clone());
-            }
-        }
-    }
-
-    /// Takes out the news for nodes that were given slots; news that cannot be delivered may be
-    /// dropped, the key then stays unknown there until it is forgotten.
-    pub fn take_late_news(&mut self) -> Vec<LateNews> {
-        std::mem::take(&mut self.late_news)
-    }
-
-    /// Takes in keys from another owner. They are facts about keys, so they may be taken in
-    /// whether or not the slots follow. False when there is no room for all of them.
-    pub fn receive(&mut self, now: TimeMs, transfer: LedgerTransfer) -> bool {
-        self.sweep(now);
-        if self.keys.len() + transfer.keys.len() > self.bounds.max_keys {
-            return false;
-        }
-        let by = Giver {
-            instance: transfer.from,
-            transfer: transfer.id,
-        };
-        for key in transfer.keys {
-            self.receive_one(now, key, by);
-        }
-        true
-    }
-
-    fn receive_one(&mut self, now: TimeMs, moved: MovedKey, by: Giver) {
-        let known = self.keys.get(&moved.key).map(|entry| &entry.state);
-        let giver = match known {
-            None => None,
-            Some(KeyState::RunningElsewhere { by }) => Some(*by),
-            Some(_) => return,
-        };
-        let state = match moved.state {
-            MovedState::Running => KeyState::RunningElsewhere {
-                by: giver.map_or(by, |known| known.latest(by)),
-            },
-            MovedState::MayHaveRun => KeyState::MayHaveRun,
-            MovedState::Ran => KeyState::Ran {
-                answer: moved.answer.map(Arc::new),
-            },
-            MovedState::NotStarted => {
-                // The news may be older than a second transfer, in which the same key runs after
-                // all: believing it would run the key here as well. So it only speaks for the
-                // transfer that it belongs to.
-                if giver == Some(by) {
-                    self.keys.remove(&moved.key);
-                }
-                return;
-            }
-        };
-        let expires = now + moved.keep_ms;
-        let entry = LedgerEntry {
-            fingerprint: moved.fingerprint,
-            state,
-            expires,
-        };
-        self.keys.insert(moved.key.clone(), entry);
-        let at = self.ended.partition_point(|(other, _)| *other <= expires);
-        self.ended.insert(at, (expires, moved.key.clone()));
-        self.keep_answer(now, &moved.key);
-    }
-
     /// The slots whose unseen keys would be admitted at `now`; for status and metrics.
     pub fn open_slots(&self, now: TimeMs) -> usize {
         if now >= self.holding.lease_until {
--- a/src/claims/ledger_entry.rs
+++ b/src/claims/ledger_entry.rs
@@ -8,6 +8,7 @@
 use crate::control::KeptAnswer;
 use crate::core::Name;
 use crate::core::TimeMs;
+use crate::errors::ClaimsError;
 
 /// The node to which a slot was given, and the transfer that gave it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -119,3 +120,18 @@
     pub slots: Vec<MovedSlot>,
     pub keys: Vec<MovedKey>,
 }
+
+impl LedgerTransfer {
+    /// The transfer as it travels.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain structs always encode")
+    }
+
+    /// Reads a transfer that a peer sent.
+    ///
+    /// # Errors
+    /// When the bytes are not a transfer.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ClaimsError> {
+        postcard::from_bytes(bytes).map_err(|source| ClaimsError::Transfer { source })
+    }
+}
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -1,11 +1,19 @@
 //! Non-idempotent calls with a caller's key run at most once: slots of keys, their owners, and the
 //! owners' ledgers. The argument is in [docs/AT_MOST_ONCE.md](../../docs/AT_MOST_ONCE.md).
 
+mod fair_share;
+mod held_slots;
 mod holding;
+mod keeper_action;
+mod lease_conf;
+mod lease_keeper;
 mod ledger;
 mod ledger_entry;
+mod ledger_moves;
 mod pause_watch;
+mod promises;
 mod resend_limits;
+mod row_plan;
 mod shared_ledger;
 mod slot;
 mod slot_map;
@@ -14,9 +22,16 @@
 pub use holding::HeldSlot;
 pub use holding::Holding;
 pub use holding::OtherOwner;
+pub use keeper_action::Action;
+pub use keeper_action::ReadResult;
+pub use keeper_action::Situation;
+pub use keeper_action::WriteResult;
+pub use lease_conf::LeaseConf;
+pub use lease_conf::LeaseTerms;
+pub use lease_keeper::Identity;
+pub use lease_keeper::LeaseKeeper;
 pub use ledger::Begin;
 pub use ledger::KeyedCall;
-pub use ledger::LateNews;
 pub use ledger::Ledger;
 pub use ledger::LedgerBounds;
 pub use ledger_entry::Giver;
@@ -28,6 +43,7 @@
 pub use ledger_entry::MovedSlot;
 pub use ledger_entry::MovedState;
 pub use ledger_entry::MovedTo;
+pub use ledger_moves::LateNews;
 pub use pause_watch::PauseWatch;
 pub use resend_limits::ResendLimits;
 pub use shared_ledger::Admitted;
--- a/src/claims/slot_map.rs
+++ b/src/claims/slot_map.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::claims::LeaseTerms;
 use crate::claims::SLOTS;
 use crate::core::Name;
 use crate::errors::ClaimsError;
@@ -28,6 +29,9 @@
     /// Names the run of the VM and the addresses that the process has bound: another process with
     /// the same value can only exist after this one is gone.
     pub boot: u64,
+    /// The durations it relies on as an owner; whoever takes over from it waits by these and not
+    /// by settings of its own.
+    pub terms: LeaseTerms,
     /// Its backend server takes work, so it may be given slots.
     pub serving: bool,
     /// The count of joins at which it was added.
--- a/tests/claims_ledger.rs
+++ b/tests/claims_ledger.rs
@@ -191,26 +191,12 @@
         instance: 2,
         transfer: id,
     };
-    from.mark_moved(&slots, &to);
-    LedgerTransfer {
-        service: Name::from("jobs"),
-        id,
-        from: 1,
-        to: 2,
-        slots: Vec::new(),
-        keys: from.keys_of(TimeMs(now), &slots),
-    }
+    from.give(TimeMs(now), &slots, &to)
 }
 
-fn late_news(from: &mut Ledger) -> LedgerTransfer {
-    let news = from.take_late_news();
-    LedgerTransfer {
-        service: Name::from("jobs"),
-        id: news.first().expect("news").to.transfer,
-        from: 1,
-        to: 2,
-        slots: Vec::new(),
-        keys: news.into_iter().map(|news| news.key).collect(),
+fn receive_news(from: &mut Ledger, to: &mut Ledger, now: u64) {
+    for (_, news) in from.take_late_news() {
+        assert!(to.receive(TimeMs(now), news));
     }
 }
 
@@ -227,7 +213,7 @@
     assert_eq!(refused(meanwhile), said);
     finish(&mut giver, 2, "ran", 10);
     giver.not_started(&Name::from("shed"));
-    assert!(receiver.receive(TimeMs(3), late_news(&mut giver)));
+    receive_news(&mut giver, &mut receiver, 3);
     let settled = begin(&mut receiver, 4, "ran", CONTENT);
     assert!(matches!(settled, Begin::Answer(_)));
     assert_eq!(begin(&mut receiver, 4, "shed", CONTENT), Begin::Run);
@@ -243,10 +229,12 @@
     assert_eq!(begin(&mut giver, 0, "a", CONTENT), Begin::Run);
     assert!(receiver.receive(TimeMs(0), transfer(&mut giver, 1, 0)));
     giver.not_started(&Name::from("a"));
-    let old_news = late_news(&mut giver);
+    let old_news = giver.take_late_news();
     assert_eq!(begin(&mut giver, 1, "a", CONTENT), Begin::Run);
     assert!(receiver.receive(TimeMs(2), transfer(&mut giver, 2, 2)));
-    assert!(receiver.receive(TimeMs(3), old_news));
+    for (_, news) in old_news {
+        assert!(receiver.receive(TimeMs(3), news));
+    }
     let again = begin(&mut receiver, 4, "a", CONTENT);
     let said = (RefusalReason::AlreadyRan, RunState::Unknown);
     assert_eq!(refused(again), said);
