--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -1,6 +1,8 @@
 //! Non-idempotent calls with a caller's key run at most once: slots of keys, their owners, and the
 //! owners' ledgers. The argument is in [docs/AT_MOST_ONCE.md](../../docs/AT_MOST_ONCE.md).
 
+mod boot;
+mod driver;
 mod fair_share;
 mod held_slots;
 mod holding;
@@ -18,7 +20,13 @@
 mod slot;
 mod slot_map;
 mod slot_router;
+mod window_watch;
 
+pub use boot::boot_of;
+pub use driver::Claims;
+pub use driver::ClaimsPorts;
+pub use driver::ClaimsSettings;
+pub use driver::LocalService;
 pub use holding::HeldSlot;
 pub use holding::Holding;
 pub use holding::OtherOwner;
@@ -60,3 +68,4 @@
 pub use slot_router::SlotRouter;
 pub use slot_router::helps_to_resend;
 pub use slot_router::run_state_at_entry;
+pub use window_watch::WindowWatch;
--- a/src/claims/pause_watch.rs
+++ b/src/claims/pause_watch.rs
@@ -20,6 +20,9 @@
 }
 
 impl PauseWatch {
+    /// A pause that is suspicious before the resend window is known.
+    pub const SHORTEST_MS: u64 = 1_000;
+
     /// Notes that the process runs; called several times a second.
     pub fn note(&self, now: TimeMs, unnoticed_pause_ms: u64) {
         let last = self.last_noted_ms.swap(now.0, Ordering::SeqCst);
--- /dev/null
+++ b/tests/claims_world/mod.rs
@@ -0,0 +1,745 @@
+//! A world in virtual time for the decisions of `claims`: processes on clocks that differ, a store
+//! and networks that lose and delay, callers that resend. It asserts at every step that no key
+//! runs twice, that no refusal says `not_run` of a key that ran, that epochs rise, and that no two
+//! processes could start keys of one slot.
+
+#![allow(dead_code, reason = "each test file uses a part of the world")]
+
+mod calls;
+mod process;
+mod store;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use sassafrasgap::claims::Action;
+use sassafrasgap::claims::Begin;
+use sassafrasgap::claims::KeyOutcome;
+use sassafrasgap::claims::KeyedCall;
+use sassafrasgap::claims::LeaseConf;
+use sassafrasgap::claims::LedgerTransfer;
+use sassafrasgap::claims::MovedTo;
+use sassafrasgap::claims::ReadResult;
+use sassafrasgap::claims::ResendLimits;
+use sassafrasgap::claims::SLOTS;
+use sassafrasgap::claims::Situation;
+use sassafrasgap::claims::SlotMap;
+use sassafrasgap::claims::WriteResult;
+use sassafrasgap::claims::slot_of;
+use sassafrasgap::control::KeptAnswer;
+use sassafrasgap::control::Promise;
+use sassafrasgap::control::PromiseAsk;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Refusal;
+use sassafrasgap::core::RefusalReason;
+use std::sync::Arc;
+
+pub use calls::Sending;
+pub use calls::Truth;
+pub use process::Process;
+pub use store::Store;
+
+pub const WINDOW_MS: u64 = 16_000;
+pub const LEASE_MS: u64 = 3_000;
+const TICK_MS: u64 = 100;
+const STORE_TIMEOUT_MS: u64 = 500;
+const PEER_TIMEOUT_MS: u64 = 500;
+const ATTEMPTS: u32 = 4;
+
+pub enum Event {
+    Tick,
+    StoreRead {
+        op: u64,
+    },
+    StoreWrite {
+        op: u64,
+        expected: Option<u64>,
+        map: SlotMap,
+    },
+    ReadDone {
+        op: u64,
+        result: ReadResult,
+    },
+    WriteDone {
+        op: u64,
+        result: WriteResult,
+    },
+    Asked {
+        from: usize,
+        round: u64,
+        ask: PromiseAsk,
+    },
+    Promised {
+        round: u64,
+        member: u64,
+        promise: Promise,
+    },
+    HandedOver {
+        from: usize,
+        transfer: LedgerTransfer,
+    },
+    HandOverDone {
+        transfer: u64,
+        confirmed: bool,
+    },
+    Attempt {
+        sending: Sending,
+        stamp: u64,
+    },
+    Dispatch {
+        key: Name,
+    },
+    Finish {
+        key: Name,
+    },
+    /// An entry sends the next attempt; not bound to a process.
+    Send {
+        sending: Sending,
+    },
+    Fault(Fault),
+}
+
+/// What a script or a seed does to the world.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Pause {
+        process: usize,
+        for_ms: u64,
+    },
+    Crash {
+        process: usize,
+    },
+    /// Starts a process of the same node; `same_vm` says whether the old one must be gone.
+    Restart {
+        process: usize,
+        same_vm: bool,
+    },
+    Isolate {
+        process: usize,
+        is_isolated: bool,
+    },
+    Serve {
+        process: usize,
+        serving: bool,
+    },
+    Stop {
+        process: usize,
+    },
+    StoreDown {
+        is_down: bool,
+    },
+    StoreSlow {
+        slow_ms: u64,
+    },
+    /// Cuts a domain off from the other domains and, if so said, from the store.
+    Cut {
+        domain: usize,
+        from_store: bool,
+    },
+    Heal,
+}
+
+struct Queued {
+    process: Option<(usize, u64)>,
+    event: Event,
+}
+
+/// How often messages go wrong, in thousandths.
+#[derive(Clone, Copy)]
+pub struct Noise {
+    pub lost_permille: u64,
+    pub late_permille: u64,
+    pub late_ms: u64,
+    pub shed_permille: u64,
+    pub false_alarm_permille: u64,
+}
+
+impl Noise {
+    pub const NONE: Self = Self {
+        lost_permille: 0,
+        late_permille: 0,
+        late_ms: 0,
+        shed_permille: 0,
+        false_alarm_permille: 0,
+    };
+    pub const HEAVY: Self = Self {
+        lost_permille: 30,
+        late_permille: 40,
+        late_ms: 12_000,
+        shed_permille: 100,
+        false_alarm_permille: 3,
+    };
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: fastrand::Rng,
+    pub processes: Vec<Process>,
+    pub store: Store,
+    pub truth: Truth,
+    pub noise: Noise,
+    pub conf: LeaseConf,
+    cut: Option<(usize, bool)>,
+    queue: BinaryHeap<Reverse<(u64, usize)>>,
+    events: Vec<Option<Queued>>,
+    keys: u64,
+}
+
+impl World {
+    /// `nodes` processes, the first `domains` of them in a domain each, and so on in turn.
+    pub fn new(seed: u64, nodes: usize, domains: usize, noise: Noise) -> Self {
+        let mut conf = LeaseConf::for_lease(LEASE_MS);
+        if seed % 2 == 1 {
+            conf.terms.outage_ms = 10 * LEASE_MS;
+        }
+        let mut world = Self {
+            now: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            processes: Vec::new(),
+            store: Store::default(),
+            truth: Truth::default(),
+            noise,
+            conf,
+            cut: None,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            keys: 0,
+        };
+        for node in 0..nodes {
+            let boot = world.rng.u64(1..);
+            world.start(Name::from(format!("node-{node}")), node % domains, boot);
+        }
+        world
+    }
+
+    fn start(&mut self, node: Name, domain: usize, boot: u64) {
+        let limits = ResendLimits::new(WINDOW_MS);
+        let (now, conf) = (self.now, self.conf);
+        let process = Process::new(node, domain, boot, conf, limits, now, &mut self.rng);
+        self.processes.push(process);
+        let index = self.processes.len() - 1;
+        let after_ms = self.rng.u64(0..TICK_MS);
+        self.post(index, after_ms, Event::Tick);
+    }
+
+    fn chance(&mut self, permille: u64) -> bool {
+        self.rng.u64(0..1_000) < permille
+    }
+
+    /// Lets an event happen at a process, if it still lives by then.
+    pub fn post(&mut self, process: usize, after_ms: u64, event: Event) {
+        let instance = self.processes[process].instance;
+        self.push(after_ms, Some((process, instance)), event);
+    }
+
+    pub fn post_fault(&mut self, at: u64, fault: Fault) {
+        self.push(at - self.now, None, Event::Fault(fault));
+    }
+
+    fn push(&mut self, after_ms: u64, process: Option<(usize, u64)>, event: Event) {
+        self.events.push(Some(Queued { process, event }));
+        let index = self.events.len() - 1;
+        self.queue.push(Reverse((self.now + after_ms, index)));
+    }
+
+    /// A message takes a moment, sometimes long, and may be lost.
+    fn delay(&mut self) -> Option<u64> {
+        if self.chance(self.noise.lost_permille) {
+            return None;
+        }
+        if self.chance(self.noise.late_permille) {
+            return Some(self.rng.u64(0..=self.noise.late_ms));
+        }
+        Some(self.rng.u64(1..=15))
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.processes[from], &self.processes[to]);
+        let is_cut = |domain: usize| self.cut.is_some_and(|(cut, _)| cut == domain);
+        let crosses = from.domain != to.domain && (is_cut(from.domain) || is_cut(to.domain));
+        !crosses && !from.is_isolated && !to.is_isolated
+    }
+
+    fn reaches_store(&self, process: usize) -> bool {
+        let process = &self.processes[process];
+        let cut_off = (process.domain, true);
+        !process.is_isolated && self.cut != Some(cut_off)
+    }
+
+    /// The process that answers at a node's address.
+    fn process_of(&self, node: &str) -> Option<usize> {
+        let runs = |index: &usize| {
+            let process = &self.processes[*index];
+            &*process.node == node && !process.is_dead && !process.is_isolated
+        };
+        (0..self.processes.len()).rev().find(runs)
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse((at, index))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            let Some(queued) = self.events[index].take() else {
+                continue;
+            };
+            self.handle(queued);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, queued: Queued) {
+        let Some((process, instance)) = queued.process else {
+            match queued.event {
+                Event::Send { sending } => self.send(sending),
+                Event::Fault(fault) => self.apply(fault),
+                Event::StoreRead { .. } | Event::StoreWrite { .. } => {}
+                _ => unreachable!("an event of a process"),
+            }
+            return;
+        };
+        // What is under way to the store arrives whatever became of its sender.
+        match queued.event {
+            Event::StoreRead { op } => return self.at_store_read(process, op),
+            Event::StoreWrite { op, expected, map } => {
+                return self.at_store_write(process, op, expected, map);
+            }
+            _ => {}
+        }
+        let target = &self.processes[process];
+        if target.is_dead || target.instance != instance {
+            return;
+        }
+        if target.paused_until > self.now {
+            let wait_ms = target.paused_until - self.now;
+            self.push(wait_ms, Some((process, instance)), queued.event);
+            return;
+        }
+        self.at_process(process, queued.event);
+        self.check_owners();
+    }
+
+    fn check_owners(&self) {
+        for slot in 0..SLOTS {
+            let open = |process: &&Process| process.could_start(slot, self.now);
+            let owners = self.processes.iter().filter(open).count();
+            assert!(
+                owners <= 1,
+                "slot {slot} has {owners} owners at {}",
+                self.now
+            );
+        }
+    }
+
+    fn at_store_read(&mut self, process: usize, op: u64) {
+        if !self.reaches_store(process) {
+            return;
+        }
+        let result = self.store.read();
+        if let Some(delay) = self.store_delay() {
+            self.post(process, delay, Event::ReadDone { op, result });
+        }
+    }
+
+    fn at_store_write(&mut self, process: usize, op: u64, expected: Option<u64>, map: SlotMap) {
+        let result = self.store.write(expected, map);
+        if let Some(delay) = self.store_delay() {
+            self.post(process, delay, Event::WriteDone { op, result });
+        }
+    }
+
+    fn store_delay(&mut self) -> Option<u64> {
+        let delay = self.delay()?;
+        Some(delay + self.rng.u64(0..=self.store.slow_ms))
+    }
+
+    fn at_process(&mut self, index: usize, event: Event) {
+        let now = self.processes[index].clock(self.now);
+        let process = &mut self.processes[index];
+        let actions = match event {
+            Event::Tick => return self.tick(index),
+            Event::ReadDone { op, result } => {
+                process.keep(|keeper| keeper.on_read(now, op, result))
+            }
+            Event::WriteDone { op, result } => {
+                process.keep(|keeper| keeper.on_write(now, op, result))
+            }
+            Event::Promised {
+                round,
+                member,
+                promise,
+            } => process.keep(|keeper| {
+                keeper.on_promise(now, round, member, &promise);
+                Vec::new()
+            }),
+            Event::HandOverDone {
+                transfer,
+                confirmed,
+            } => process.keep(|keeper| keeper.on_handed_over(now, transfer, confirmed)),
+            Event::Asked { from, round, ask } => return self.asked(index, from, round, &ask),
+            Event::HandedOver { from, transfer } => return self.handed_over(index, from, transfer),
+            Event::Attempt { sending, stamp } => return self.attempt(index, sending, stamp),
+            Event::Dispatch { key } => return self.dispatch(index, key),
+            Event::Finish { key } => return self.finish(index, &key),
+            _ => unreachable!("not an event of a process"),
+        };
+        self.act(index, actions);
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.refresh_alive(index);
+        let now = self.processes[index].clock(self.now);
+        let process = &mut self.processes[index];
+        let situation = Situation {
+            serving: process.serving,
+            stopping: process.stopping,
+            alive: process.alive.clone(),
+        };
+        let actions = process.keep(|keeper| keeper.tick(now, situation));
+        process.ledger.sweep(now);
+        let news = process.ledger.take_late_news();
+        let has_left = process.stopping && process.keeper.has_left();
+        process.is_dead |= has_left;
+        self.act(index, actions);
+        for (node, transfer) in news {
+            self.send_transfer(index, &node, transfer);
+        }
+        self.post(index, TICK_MS, Event::Tick);
+    }
+
+    /// What membership would say: those that run and can be reached, with a mistake now and then.
+    fn refresh_alive(&mut self, index: usize) {
+        let runs = |process: &Process| !process.is_dead && process.paused_until <= self.now;
+        let alive: Vec<Name> = (0..self.processes.len())
+            .filter(|other| runs(&self.processes[*other]))
+            .filter(|other| *other == index || self.reaches(index, *other))
+            .map(|other| self.processes[other].node.clone())
+            .collect();
+        self.processes[index].alive = alive.into_iter().collect();
+        if self.chance(self.noise.false_alarm_permille) {
+            self.processes[index].alive.clear();
+        }
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::ReadRow { op } => {
+                    self.post_to_store(index, Event::StoreRead { op });
+                    let result = ReadResult::Failed;
+                    self.post(index, STORE_TIMEOUT_MS, Event::ReadDone { op, result });
+                }
+                Action::WriteRow { op, expected, map } => {
+                    self.post_to_store(index, Event::StoreWrite { op, expected, map });
+                    let result = WriteResult::Unknown;
+                    self.post(index, STORE_TIMEOUT_MS, Event::WriteDone { op, result });
+                }
+                Action::AskPromise {
+                    round,
+                    node,
+                    member,
+                } => {
+                    self.ask(index, round, &node, member);
+                }
+                Action::HandOver {
+                    transfer,
+                    node,
+                    member,
+                    slots,
+                } => {
+                    self.hand_over(index, transfer, node, member, &slots);
+                }
+            }
+        }
+    }
+
+    fn post_to_store(&mut self, index: usize, event: Event) {
+        if !self.reaches_store(index) {
+            return;
+        }
+        if let Some(delay) = self.store_delay() {
+            self.post(index, delay, event);
+        }
+    }
+
+    fn ask(&mut self, index: usize, round: u64, node: &str, member: u64) {
+        let ask = PromiseAsk {
+            service: Name::from("jobs"),
+            owner: self.processes[index].instance,
+            member,
+        };
+        let to = self.process_of(node).filter(|to| self.reaches(index, *to));
+        if let (Some(to), Some(delay)) = (to, self.delay()) {
+            let from = index;
+            self.post(to, delay, Event::Asked { from, round, ask });
+        }
+    }
+
+    fn asked(&mut self, index: usize, from: usize, round: u64, ask: &PromiseAsk) {
+        let now = self.processes[index].clock(self.now);
+        let promise = self.processes[index].keeper.promise_asked(now, ask);
+        let member = ask.member;
+        if !self.reaches(index, from) {
+            return;
+        }
+        if let Some(delay) = self.delay() {
+            self.post(
+                from,
+                delay,
+                Event::Promised {
+                    round,
+                    member,
+                    promise,
+                },
+            );
+        }
+    }
+
+    fn hand_over(&mut self, index: usize, id: u64, node: Name, member: u64, slots: &[usize]) {
+        let now = self.processes[index].clock(self.now);
+        let to = MovedTo {
+            node: node.clone(),
+            instance: member,
+            transfer: id,
+        };
+        let transfer = self.processes[index].ledger.give(now, slots, &to);
+        self.send_transfer(index, &node, transfer);
+        let confirmed = false;
+        self.post(
+            index,
+            PEER_TIMEOUT_MS,
+            Event::HandOverDone {
+                transfer: id,
+                confirmed,
+            },
+        );
+    }
+
+    fn send_transfer(&mut self, index: usize, node: &str, transfer: LedgerTransfer) {
+        let to = self.process_of(node).filter(|to| self.reaches(index, *to));
+        if let (Some(to), Some(delay)) = (to, self.delay()) {
+            let transfer = LedgerTransfer::decode(&transfer.encode()).expect("a transfer");
+            self.post(
+                to,
+                delay,
+                Event::HandedOver {
+                    from: index,
+                    transfer,
+                },
+            );
+        }
+    }
+
+    fn handed_over(&mut self, index: usize, from: usize, transfer: LedgerTransfer) {
+        let process = &mut self.processes[index];
+        if transfer.to != process.instance {
+            return;
+        }
+        let now = process.clock(self.now);
+        let id = transfer.id;
+        let is_ledger = !transfer.slots.is_empty();
+        let confirmed = process.ledger.receive(now, transfer.clone());
+        if confirmed {
+            process.keeper.on_received(now, &transfer);
+        }
+        if is_ledger
+            && self.reaches(index, from)
+            && let Some(delay) = self.delay()
+        {
+            self.post(
+                from,
+                delay,
+                Event::HandOverDone {
+                    transfer: id,
+                    confirmed,
+                },
+            );
+        }
+    }
+
+    /// A caller sends a key for the first time, and again within the resend window.
+    pub fn new_key(&mut self, resends: u64) -> Name {
+        self.keys += 1;
+        let key = Name::from(format!("key-{}", self.keys));
+        self.truth.sent.insert(key.clone(), self.now);
+        for resend in 0..=resends {
+            let after_ms = if resend == 0 {
+                0
+            } else {
+                self.rng.u64(0..WINDOW_MS)
+            };
+            self.send_key(&key, after_ms);
+        }
+        key
+    }
+
+    /// A caller sends a key through an entry, which may be paused for a while, unnoticed.
+    pub fn send_key(&mut self, key: &Name, after_ms: u64) {
+        let limits = ResendLimits::new(WINDOW_MS);
+        let late = self.chance(self.noise.late_permille);
+        let pause_ms = if late {
+            self.rng.u64(0..limits.unnoticed_pause_ms())
+        } else {
+            0
+        };
+        let sending = Sending {
+            key: key.clone(),
+            arrived_at: self.now + after_ms + pause_ms,
+            attempts: 0,
+            next: None,
+        };
+        self.push(after_ms + pause_ms, None, Event::Send { sending });
+    }
+
+    fn send(&mut self, mut sending: Sending) {
+        let limits = ResendLimits::new(WINDOW_MS);
+        let too_late = self.now - sending.arrived_at > limits.entry_sends_ms();
+        if too_late || sending.attempts >= ATTEMPTS {
+            let refusal = Refusal::unknown(RefusalReason::NotOwner, 0);
+            self.truth.told_refused(&sending.key, refusal);
+            return;
+        }
+        sending.attempts += 1;
+        let (to, stamp) = sending
+            .next
+            .take()
+            .unwrap_or_else(|| (self.route(&sending.key), 0));
+        // Attempts may lie in a buffer for very long: the stamp has to notice.
+        let stuck = self.chance(self.noise.late_permille / 2);
+        let delay = if stuck {
+            Some(self.rng.u64(0..4 * WINDOW_MS))
+        } else {
+            self.delay()
+        };
+        if let Some(delay) = delay {
+            self.post(to, delay, Event::Attempt { sending, stamp });
+        }
+    }
+
+    /// Mostly to the owner by the row; else anywhere, as an entry with old news would.
+    fn route(&mut self, key: &str) -> usize {
+        let owner = self
+            .store
+            .map()
+            .and_then(|map| map.slots[slot_of("jobs", key)].owner);
+        let by_row = owner.and_then(|owner| {
+            let is_owner = |process: &Process| process.instance == owner;
+            self.processes.iter().position(is_owner)
+        });
+        match by_row {
+            Some(index) if !self.chance(self.noise.late_permille * 5) => index,
+            _ => self.rng.usize(0..self.processes.len()),
+        }
+    }
+
+    fn attempt(&mut self, index: usize, mut sending: Sending, stamp: u64) {
+        let process = &mut self.processes[index];
+        let now = process.clock(self.now);
+        let call = KeyedCall {
+            key: &sending.key,
+            fingerprint: 1,
+            stamp,
+        };
+        match process.ledger.begin(now, &call) {
+            Begin::Run => {
+                let key = sending.key;
+                let late = self.chance(self.noise.late_permille);
+                let wait_ms = self.rng.u64(0..if late { 5_000 } else { 200 });
+                self.post(index, wait_ms, Event::Dispatch { key });
+            }
+            Begin::Join => {}
+            Begin::Answer(_) => self.truth.told_ran(&sending.key, self.now),
+            Begin::Refuse(refusal) if refusal.reason == RefusalReason::StaleAttempt => {
+                sending.next = Some((index, process.ledger.stamp(now)));
+                let delay = self.rng.u64(1..20);
+                self.push(delay, None, Event::Send { sending });
+            }
+            Begin::Refuse(refusal) if refusal.reason == RefusalReason::NotOwner => {
+                self.push(50, None, Event::Send { sending });
+            }
+            Begin::Refuse(refusal) => self.truth.told_refused(&sending.key, refusal),
+        }
+    }
+
+    fn dispatch(&mut self, index: usize, key: Name) {
+        if self.chance(self.noise.shed_permille) {
+            self.processes[index].ledger.not_started(&key);
+            let refusal = Refusal::not_run(RefusalReason::Overloaded, 0);
+            self.truth.told_refused(&key, refusal);
+            return;
+        }
+        self.truth.run(&key);
+        let runs_ms = self.rng.u64(1..300);
+        self.post(index, runs_ms, Event::Finish { key });
+    }
+
+    fn finish(&mut self, index: usize, key: &Name) {
+        let process = &mut self.processes[index];
+        let answer = KeptAnswer {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![0; 20],
+        };
+        let now = process.clock(self.now);
+        let outcome = KeyOutcome::Ran(Some(Arc::new(answer)));
+        process.ledger.finish(now, key, outcome);
+        self.truth.told_ran(key, self.now);
+    }
+
+    pub fn apply(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause { process, for_ms } => {
+                self.processes[process].paused_until = self.now + for_ms;
+            }
+            Fault::Crash { process } => self.processes[process].is_dead = true,
+            Fault::Restart { process, same_vm } => self.restart(process, same_vm),
+            Fault::Isolate {
+                process,
+                is_isolated,
+            } => {
+                self.processes[process].is_isolated = is_isolated;
+            }
+            Fault::Serve { process, serving } => self.processes[process].serving = serving,
+            Fault::Stop { process } => self.processes[process].stopping = true,
+            Fault::StoreDown { is_down } => self.store.is_down = is_down,
+            Fault::StoreSlow { slow_ms } => self.store.slow_ms = slow_ms,
+            Fault::Cut { domain, from_store } => self.cut = Some((domain, from_store)),
+            Fault::Heal => {
+                self.cut = None;
+                self.store.is_down = false;
+                self.store.slow_ms = 0;
+            }
+        }
+    }
+
+    /// A process that binds the addresses of an earlier one proves that the earlier one is gone;
+    /// on another VM of the same name, the earlier one may go on.
+    fn restart(&mut self, process: usize, same_vm: bool) {
+        let old = &self.processes[process];
+        let (node, domain, boot) = (old.node.clone(), old.domain, old.boot);
+        if !same_vm {
+            let boot = self.rng.u64(1..);
+            return self.start(node, domain, boot);
+        }
+        let same_boot = self.processes.iter_mut().filter(|other| other.boot == boot);
+        same_boot.for_each(|other| other.is_dead = true);
+        self.start(node, domain, boot);
+    }
+
+    /// Those that have not died, by index.
+    pub fn living(&self) -> Vec<usize> {
+        let lives = |index: &usize| !self.processes[*index].is_dead;
+        (0..self.processes.len()).filter(lives).collect()
+    }
+
+    /// How many slots unseen keys can start in, at whatever process.
+    pub fn open_slots(&self) -> usize {
+        let open = |process: &Process| match process.is_dead {
+            true => 0,
+            false => process.ledger.open_slots(process.clock(self.now)),
+        };
+        self.processes.iter().map(open).sum()
+    }
+}
--- /dev/null
+++ b/tests/claims_world/process.rs
@@ -0,0 +1,93 @@
+//! One process of a node with its keeper and its ledger, on a clock of its own.
+
+use sassafrasgap::claims::Action;
+use sassafrasgap::claims::Identity;
+use sassafrasgap::claims::LeaseConf;
+use sassafrasgap::claims::LeaseKeeper;
+use sassafrasgap::claims::Ledger;
+use sassafrasgap::claims::LedgerBounds;
+use sassafrasgap::claims::ResendLimits;
+use sassafrasgap::core::FastSet;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::TimeMs;
+
+pub struct Process {
+    pub node: Name,
+    pub domain: usize,
+    pub instance: u64,
+    pub boot: u64,
+    pub keeper: LeaseKeeper,
+    pub ledger: Ledger,
+    pub is_dead: bool,
+    pub paused_until: u64,
+    pub serving: bool,
+    pub stopping: bool,
+    /// Cut off from everything but callers, though alive.
+    pub is_isolated: bool,
+    /// What it takes for alive; refreshed while it runs.
+    pub alive: FastSet<Name>,
+    started_at: u64,
+    /// The speed of its clock in thousandths of true time.
+    rate_permille: u64,
+}
+
+impl Process {
+    pub fn new(
+        node: Name,
+        domain: usize,
+        boot: u64,
+        conf: LeaseConf,
+        limits: ResendLimits,
+        now: u64,
+        rng: &mut fastrand::Rng,
+    ) -> Self {
+        let instance = rng.u64(1..);
+        let me = Identity {
+            node: node.clone(),
+            region: Name::from("region"),
+            service: Name::from("jobs"),
+            instance,
+            boot,
+        };
+        let bounds = LedgerBounds {
+            max_keys: 500,
+            max_answer_bytes: 10_000,
+        };
+        let keeper_rng = fastrand::Rng::with_seed(rng.u64(..));
+        Self {
+            node,
+            domain,
+            instance,
+            boot,
+            keeper: LeaseKeeper::new(me.clone(), conf, limits, keeper_rng),
+            ledger: Ledger::new(me.service, instance, bounds, limits),
+            is_dead: false,
+            paused_until: 0,
+            serving: true,
+            stopping: false,
+            is_isolated: false,
+            alive: FastSet::default(),
+            started_at: now,
+            rate_permille: rng.u64(990..=1010),
+        }
+    }
+
+    /// Its own clock at a moment of true time.
+    pub fn clock(&self, now: u64) -> TimeMs {
+        TimeMs(1 + (now - self.started_at) * self.rate_permille / 1_000)
+    }
+
+    /// Lets the keeper work, and the ledger see the result before any action is carried out.
+    pub fn keep(&mut self, work: impl FnOnce(&mut LeaseKeeper) -> Vec<Action>) -> Vec<Action> {
+        let actions = work(&mut self.keeper);
+        self.ledger.set_holding(self.keeper.holding().clone());
+        actions
+    }
+
+    /// Whether an unseen key of the slot could start now, but for the grace period.
+    pub fn could_start(&self, slot: usize, now: u64) -> bool {
+        let holding = self.ledger.holding();
+        let open = holding.held[slot].is_some_and(|held| !held.giving);
+        !self.is_dead && open && self.clock(now) < holding.lease_until
+    }
+}
--- /dev/null
+++ b/tests/claims_world/store.rs
@@ -0,0 +1,54 @@
+//! A stand-in for the platform's table: one row, compare-and-set, and the faults of its network.
+
+use sassafrasgap::claims::ReadResult;
+use sassafrasgap::claims::SlotMap;
+use sassafrasgap::claims::WriteResult;
+
+#[derive(Default)]
+pub struct Store {
+    row: Option<(u64, SlotMap)>,
+    versions: u64,
+    pub is_down: bool,
+    /// Every answer and request may take as long as this.
+    pub slow_ms: u64,
+    pub reads: u64,
+    pub writes: u64,
+}
+
+impl Store {
+    pub fn map(&self) -> Option<&SlotMap> {
+        self.row.as_ref().map(|(_, map)| map)
+    }
+
+    pub fn read(&mut self) -> ReadResult {
+        self.reads += 1;
+        if self.is_down {
+            return ReadResult::Failed;
+        }
+        ReadResult::Row(self.row.clone())
+    }
+
+    /// Writes, and checks that epochs rise and that every change of an owner raises one.
+    pub fn write(&mut self, expected: Option<u64>, map: SlotMap) -> WriteResult {
+        self.writes += 1;
+        if self.is_down {
+            return WriteResult::NotWritten;
+        }
+        if self.row.as_ref().map(|(version, _)| *version) != expected {
+            return WriteResult::Conflict;
+        }
+        if let Some((_, before)) = &self.row {
+            for (old, new) in before.slots.iter().zip(&map.slots) {
+                let raised = u64::from(old.owner != new.owner);
+                assert!(new.epoch >= old.epoch + raised, "an epoch fell or stood");
+            }
+        }
+        let value = map.encode();
+        let map = SlotMap::decode(value.as_bytes()).expect("the row reads back");
+        self.versions += 1;
+        self.row = Some((self.versions, map));
+        WriteResult::Applied {
+            version: self.versions,
+        }
+    }
+}
