--- a/src/claims/boot.rs
+++ b/src/claims/boot.rs
@@ -3,11 +3,10 @@
 use std::fs;
 use std::net::SocketAddr;
 
+use crate::claims::stable_hash::stable_hash;
+
 /// Where Linux names the present run of the machine.
 const BOOT_ID_PATH: &str = "/proc/sys/kernel/random/boot_id";
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// Names the run of the VM together with an address that this process has bound.
 ///
 /// A second process with the same value could only bind the address after this one is gone, be
@@ -18,7 +17,5 @@
         return fastrand::u64(..);
     };
     let text = format!("{} {bound}", boot_id.trim());
-    text.bytes().fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    })
+    stable_hash(text.bytes())
 }
--- a/src/claims/driver.rs
+++ b/src/claims/driver.rs
@@ -45,7 +45,7 @@
 use crate::core::View;
 use crate::errors::PlatformError;
 use crate::platform::PlatformClient;
-use crate::platform::protocol::Transaction;
+use crate::platform::Transaction;
 
 /// How often the keeper looks at the time.
 const TICK: Duration = Duration::from_millis(100);
@@ -122,7 +122,9 @@
 
     /// Whether an entry should doubt that a keyed request just read is new.
     pub fn is_pause_suspected(&self, now: TimeMs) -> bool {
-        let limits = self.ledger().map(|ledger| ledger.with(|ledger, _| ledger.limits()));
+        let limits = self
+            .ledger()
+            .map(|ledger| ledger.with(|ledger, _| ledger.limits()));
         let unnoticed_ms = limits.map_or(PauseWatch::SHORTEST_MS, |it| it.unnoticed_pause_ms());
         self.pauses.is_suspicious(now, unnoticed_ms)
     }
@@ -288,7 +290,11 @@
                     claims.keep(&ports, |keeper, now| keeper.on_write(now, op, result));
                 });
             }
-            Action::AskPromise { round, node, member } => {
+            Action::AskPromise {
+                round,
+                node,
+                member,
+            } => {
                 let ask = PromiseAsk {
                     service: kept.service.clone(),
                     owner: kept.instance,
@@ -302,13 +308,20 @@
                     });
                 });
             }
-            Action::HandOver { transfer, node, member, slots } => {
+            Action::HandOver {
+                transfer,
+                node,
+                member,
+                slots,
+            } => {
                 let to = MovedTo {
                     node: node.clone(),
                     instance: member,
                     transfer,
                 };
-                let ledger = kept.ledger.with(|ledger, now| ledger.give(now, &slots, &to));
+                let ledger = kept
+                    .ledger
+                    .with(|ledger, now| ledger.give(now, &slots, &to));
                 log::info!("claims: hand over slots={} to={node}", slots.len());
                 tokio::spawn(async move {
                     let confirmed = send_transfer(&ports, &node, &ledger).await;
--- a/src/claims/ledger.rs
+++ b/src/claims/ledger.rs
@@ -18,6 +18,7 @@
 use crate::claims::ResendLimits;
 use crate::claims::SLOTS;
 use crate::claims::slot_of;
+use crate::claims::stable_hash::stable_hash;
 use crate::control::KeptAnswer;
 use crate::core::FastMap;
 use crate::core::Name;
@@ -376,8 +377,6 @@
 /// A value in 0..=`up_to_ms` that differs from key to key: refused callers must not all come back
 /// at the end of the grace period.
 fn spread_of(key: &str, up_to_ms: u64) -> u64 {
-    let hash = key.bytes().fold(0_u64, |hash, byte| {
-        hash.wrapping_mul(31).wrapping_add(u64::from(byte))
-    });
+    let hash = stable_hash(key.bytes());
     hash % (up_to_ms + 1)
 }
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -20,6 +20,7 @@
 mod slot;
 mod slot_map;
 mod slot_router;
+mod stable_hash;
 mod window_watch;
 
 pub use boot::boot_of;
--- a/tests/claims_ledger.rs
+++ b/tests/claims_ledger.rs
@@ -14,6 +14,7 @@
 use sassafrasgap::claims::MovedTo;
 use sassafrasgap::claims::ResendLimits;
 use sassafrasgap::claims::SLOTS;
+use sassafrasgap::claims::slot_of;
 use sassafrasgap::control::KeptAnswer;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Refusal;
@@ -158,6 +159,16 @@
     assert_eq!(ledger.len(), 1);
 }
 
+/// Two nodes of different versions serve one service. Were the slot of a key to depend on the
+/// version, each would take itself for the key's owner, and both would run it.
+#[rstest]
+#[case("jobs", "a", 7)]
+#[case("jobs", "order-2026-12-02/17", 24)]
+#[case("compras", "a", 0)]
+fn the_slot_of_a_key_never_changes(#[case] service: &str, #[case] key: &str, #[case] slot: usize) {
+    assert_eq!(slot_of(service, key), slot);
+}
+
 #[test]
 fn kept_answers_stay_within_their_bound() {
     let mut ledger = ledger(1, 100, 1_000);
