Join the data path to the configuration in force

Nodes now poll, ask peers and hear of versions from gossip and answer headers; the mesh publishes its presets through the platform as operators do.

--- a/src/bin/sassafrasgap-node.rs
+++ b/src/bin/sassafrasgap-node.rs
@@ -1,7 +1,6 @@
 //! The node beside each backend server.
 
 use std::path::PathBuf;
-use std::sync::Arc;
 
 use argh::FromArgs;
 use tokio::signal::unix::SignalKind;
@@ -9,24 +8,18 @@
 
 use sassafrasgap::conf::NodeSettings;
 use sassafrasgap::conf::load_node_settings;
-use sassafrasgap::conf::load_preset;
 use sassafrasgap::node::NodeInputs;
 use sassafrasgap::node::NodeProcess;
-use sassafrasgap::preset::InForce;
 
 /// Runs beside a backend server: entry for callers and for the backend server's own calls, and
 /// guard in front of the backend server. SIGTERM and Ctrl-C stop it as planned: what is in flight
 /// is finished. See docs/OPERATIONS.md.
 #[derive(FromArgs)]
-#[argh(example = "{command_name} --settings node.yaml --preset ordinary.yaml")]
+#[argh(example = "{command_name} --settings node.yaml")]
 struct Arguments {
     /// YAML file with the settings of this node
     #[argh(option)]
     settings: PathBuf,
-
-    /// YAML preset to have in force, as version 0, until a published one is known
-    #[argh(option)]
-    preset: Option<PathBuf>,
 }
 
 fn main() -> eyre::Result<()> {
@@ -36,11 +29,6 @@
     let log = env_logger::Env::default().default_filter_or(filter);
     env_logger::Builder::from_env(log).init();
     let inputs = NodeInputs::empty();
-    if let Some(preset) = &arguments.preset {
-        let preset = Arc::new(load_preset(preset)?);
-        let in_force = InForce { version: 0, preset };
-        inputs.in_force.store(Arc::new(Some(in_force)));
-    }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -333,6 +333,8 @@
         wait_ms: u64,
         last: String,
     },
+    #[error("the presets cannot be published: {0}")]
+    Publish(#[from] ConfigError),
     #[error("no answer from {uri}: {why}")]
     Call { uri: String, why: String },
     #[error("{uri} answered something else: {source}")]
--- a/src/mesh/mesh.rs
+++ b/src/mesh/mesh.rs
@@ -19,9 +19,9 @@
 use crate::mesh::Net;
 use crate::mesh::RunSummary;
 use crate::mesh::Web;
-use crate::mesh::fixed_inputs::fixed_inputs;
 use crate::mesh::mesh_folder::MeshFolder;
 use crate::mesh::mesh_target::TargetSite;
+use crate::mesh::publish_presets::publish_presets;
 use crate::mesh::ready::wait_ready;
 use crate::mesh::ready::wait_serves;
 use crate::mesh::tcp_relay::TcpRelay;
@@ -66,6 +66,7 @@
             plan,
         };
         wait_serves(&mesh.web, "platform", mesh.platform_address, READY_WAIT_MS).await?;
+        publish_presets(&mesh.plan, mesh.platform_address).await?;
         if mesh.plan.relayed {
             mesh.start_relays(&addresses).await?;
         }
@@ -191,7 +192,6 @@
             plan: &self.plan,
             folder: self.folder.path(),
             platform: self.platform_address,
-            node_arguments: fixed_inputs(&self.plan, self.folder.path(), addresses)?,
         };
         for (index, target) in self.plan.targets.iter().enumerate() {
             let started = MeshTarget::start(&site, target, addresses.node(index))?;
--- a/src/mesh/mesh_target.rs
+++ b/src/mesh/mesh_target.rs
@@ -33,8 +33,6 @@
     pub folder: &'a Path,
     pub seeds: Vec<std::net::SocketAddr>,
     pub platform: std::net::SocketAddr,
-    /// Arguments of every node beside its settings.
-    pub node_arguments: Vec<String>,
 }
 
 impl MeshTarget {
@@ -145,11 +143,7 @@
     Ok(Launch {
         name: Name::from(format!("node {}", target.node)),
         program: site.plan.binaries.node.clone(),
-        arguments: [
-            vec!["--settings".to_string(), file],
-            site.node_arguments.clone(),
-        ]
-        .concat(),
+        arguments: vec!["--settings".to_string(), file],
         environment: Vec::new(),
         log: site.folder.join(format!("{}.node.log", target.node)),
     })
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -6,7 +6,6 @@
 
 mod address_plan;
 mod binaries;
-mod fixed_inputs;
 mod gate;
 mod mesh;
 mod mesh_folder;
@@ -14,6 +13,7 @@
 mod mesh_target;
 mod net;
 mod process;
+mod publish_presets;
 mod ready;
 mod run_files;
 mod tcp_relay;
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -75,6 +75,7 @@
         let now = node.inputs.clock.now();
         node.levels
             .note_answer(now, &call.service, &call.route, header.admit);
+        (node.inputs.note_config)(target.control_address, header.config_version);
     }
     end
 }
--- a/src/node/node_inputs.rs
+++ b/src/node/node_inputs.rs
@@ -26,6 +26,9 @@
         + Sync,
 >;
 
+/// Takes the news that the node with this control address has a version in force.
+pub type NoteConfig = Arc<dyn Fn(SocketAddr, u64) + Send + Sync>;
+
 /// What the control thread publishes, what it reads, and what both sides use.
 #[derive(Clone)]
 pub struct NodeInputs {
@@ -39,6 +42,7 @@
     /// The attempts of this guard, of which other nodes ask.
     pub attempts: Arc<Attempts>,
     pub ask_attempt: AskAttempt,
+    pub note_config: NoteConfig,
 }
 
 impl NodeInputs {
@@ -51,6 +55,7 @@
             in_force: Arc::new(Published::from_pointee(None)),
             local: watch::Sender::new(LocalBackend::default()),
             attempts: Arc::new(Attempts::default()),
+            note_config: Arc::new(|_, _| {}),
             ask_attempt: Arc::new(|_, _| ready(Err(PeerCallError::Stopped)).boxed()),
         }
     }
--- a/src/node/node_process.rs
+++ b/src/node/node_process.rs
@@ -8,16 +8,21 @@
 use tokio::sync::watch;
 
 use crate::conf::NodeSettings;
+use crate::configuration::ConfigShared;
 use crate::control;
 use crate::control::ControlHandle;
 use crate::control::ControlHandlers;
 use crate::control::ControlMetrics;
 use crate::control::ControlSettings;
 use crate::errors::NodeError;
+use crate::node::AskAttempt;
 use crate::node::Listeners;
 use crate::node::LocalBackend;
 use crate::node::NodeInputs;
+use crate::node::NoteConfig;
 use crate::node::RunningNode;
+use crate::node::join_configuration::JoinedConfiguration;
+use crate::platform::PlatformClient;
 
 /// How long one question about an attempt may take, in milliseconds.
 const ASK_ATTEMPT_MS: u64 = 400;
@@ -38,8 +43,17 @@
         let peer_address = advertised(settings.peer_advertised_address, listeners.peers.address);
         let control_settings = ControlSettings::new(&settings, peer_address, inputs.clock);
         let metrics = ControlMetrics::new(inputs.metrics.registry())?;
-        let control = control::start(control_settings, handlers(&inputs), metrics)?;
+        let configuration = JoinedConfiguration::new(&inputs)?;
+        let handlers = handlers(&inputs, &configuration.shared);
+        let control = control::start(control_settings, handlers, metrics)?;
         let control = Arc::new(control);
+        let platform = PlatformClient::new(
+            settings.platform_address,
+            settings.domain.clone(),
+            settings.platform_timeout_ms,
+        );
+        inputs.note_config = note_config(&configuration.shared);
+        configuration.start(&settings, &inputs, &control, platform);
         inputs.view = control.view.clone();
         inputs.ask_attempt = ask_attempt(&control);
         control
@@ -58,10 +72,14 @@
     address
 }
 
-fn handlers(inputs: &NodeInputs) -> ControlHandlers {
+fn handlers(inputs: &NodeInputs, configuration: &Arc<ConfigShared>) -> ControlHandlers {
     let attempts = inputs.attempts.clone();
     let clock = inputs.clock;
+    let asked = configuration.clone();
+    let told = configuration.clone();
     ControlHandlers {
+        config_above: Arc::new(move |above| asked.document_above(above)),
+        config_news: Arc::new(move |from, version| told.note_news(from, version)),
         attempt_status: Arc::new(move |attempt| {
             let status = attempts.status(clock.now(), attempt);
             ready(status).boxed()
@@ -70,7 +88,12 @@
     }
 }
 
-fn ask_attempt(control: &ControlHandle) -> crate::node::AskAttempt {
+fn note_config(configuration: &Arc<ConfigShared>) -> NoteConfig {
+    let configuration = configuration.clone();
+    Arc::new(move |from, version| configuration.note_news(from, version))
+}
+
+fn ask_attempt(control: &ControlHandle) -> AskAttempt {
     let clients = control.clients.clone();
     Arc::new(move |address, attempt| {
         let clients = clients.clone();
