Refuse at the guard what a service behind it sheds, and bound levels by the preset's classes

Cause: a call that passed the entry with an older level took a slot at every hop before the deep guard refused it.

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -112,6 +112,11 @@
         self.lock().admission.set_slots(slots);
     }
 
+    /// Takes over how many classes the preset in force has.
+    pub(super) fn set_classes(&self, classes: usize) {
+        self.lock().admission.set_classes(classes);
+    }
+
     /// The lowest priority admitted at present.
     pub(super) fn level(&self) -> Priority {
         self.lock().admission.level()
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -9,6 +9,7 @@
 use crate::admission::QueuedCall;
 use crate::admission::route_of;
 use crate::core::Name;
+use crate::core::Priority;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::TargetState;
@@ -126,6 +127,7 @@
         return Err(not_run(RefusalReason::DeadlineExceeded));
     }
     takes_work(node)?;
+    passes_deeper(node, &call)?;
     let queued = QueuedCall {
         ticket: 0,
         priority: call.header.priority,
@@ -144,6 +146,19 @@
     }
 }
 
+/// Refuses a call that a service behind this one would shed, before it takes a slot here. It passed
+/// its sender with an older level than the one known here.
+fn passes_deeper(node: &Node, call: &GuardedCall) -> Result<(), Refusal> {
+    let now = node.inputs.clock.now();
+    let level = node
+        .levels
+        .level_on(now, &call.live.route, Priority::LOWEST);
+    if call.header.priority > level {
+        return Err(not_run(RefusalReason::ShedAtEntry));
+    }
+    Ok(())
+}
+
 fn not_run(reason: RefusalReason) -> Refusal {
     Refusal::not_run(reason, later_ms())
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -96,6 +96,13 @@
         local.announced.as_ref().map(|announced| announced.address)
     }
 
+    /// How many classes the preset in force has; 1 while none is known.
+    pub(super) fn classes_in_force(&self) -> usize {
+        let in_force = self.inputs.in_force.load();
+        let known = in_force.as_ref().as_ref();
+        known.map_or(1, |known| known.preset.classes.len())
+    }
+
     /// Brings the gauges up to date, for whoever reads the metrics.
     pub(super) fn refresh_gauges(&self) {
         let load = self.gate.load();
--- a/src/node/running_node.rs
+++ b/src/node/running_node.rs
@@ -86,6 +86,7 @@
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
                 ticks.tick().await;
+                node.gate.set_classes(node.classes_in_force());
                 node.gate.poll();
             }
         });
