Measure variants of the system on chains of real processes

Cause: whether control helps can only be told against no control in the same run. experiment overload surges on a chain whose last service slows down at the same moment, callers resending hard; experiment cost pairs calls straight to the backend server with calls through entry and guard.

--- a/src/errors.rs
+++ b/src/errors.rs
@@ -89,6 +89,17 @@
     Plot { path: PathBuf, reason: String },
 }
 
+/// What can go wrong in an experiment.
+#[derive(Debug, Error)]
+pub enum ExperimentError {
+    #[error("{text:?} is no change of a setting; give key=value, such as control_enabled=false")]
+    Change { text: String },
+    #[error(transparent)]
+    Load(#[from] LoadError),
+    #[error(transparent)]
+    Mesh(#[from] MeshError),
+}
+
 impl LoadError {
     /// A file that cannot be read.
     pub fn read(path: &Path, source: io::Error) -> Self {
--- a/src/load/audit.rs
+++ b/src/load/audit.rs
@@ -31,6 +31,8 @@
     /// Runs for requests that did not complete.
     pub wasted_runs: u64,
     pub wasted_share: f64,
+    /// The same by the time that runs took.
+    pub wasted_time_share: f64,
     /// Keys and request identifiers of the first few faults, to look for in the logs.
     pub examples: Vec<String>,
 }
@@ -103,7 +105,13 @@
                 .is_some_and(|key| completed.contains(key));
             !(by_key || completed.contains(&*run.request_id))
         };
+        let time_ms = |run: &RunRecord| {
+            let ended = run.ended_ms.unwrap_or(run.started_ms);
+            ended.since(run.started_ms)
+        };
         self.wasted_runs = runs.iter().filter(is_wasted).count() as u64;
+        let wasted_ms = runs.iter().filter(is_wasted).map(time_ms).sum();
+        self.wasted_time_share = share(wasted_ms, runs.iter().map(time_ms).sum());
         self.wasted_share = share(self.wasted_runs, self.runs);
     }
 
--- a/src/load/cli.rs
+++ b/src/load/cli.rs
@@ -35,6 +35,7 @@
     Generate(commands::generate::GenerateArgs),
     Report(commands::report::ReportArgs),
     Calibrate(commands::calibrate::CalibrateArgs),
+    Experiment(commands::experiment::ExperimentArgs),
 }
 
 /// Runs a subcommand and returns the exit code.
@@ -49,6 +50,7 @@
         LoadCommand::Generate(args) => commands::generate::run(args),
         LoadCommand::Report(args) => commands::report::run(args),
         LoadCommand::Calibrate(args) => commands::calibrate::run(args),
+        LoadCommand::Experiment(args) => commands::experiment::run(args),
     }
 }
 
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 mod commands;
 mod driver;
+pub mod experiment;
 mod latencies;
 mod outcomes;
 mod phase;
