--- a/src/load/cli.rs
+++ b/src/load/cli.rs
@@ -36,6 +36,7 @@
     Report(commands::report::ReportArgs),
     Calibrate(commands::calibrate::CalibrateArgs),
     Experiment(commands::experiment::ExperimentArgs),
+    Demo(commands::demo::DemoArgs),
 }
 
 /// Runs a subcommand and returns the exit code.
@@ -51,6 +52,7 @@
         LoadCommand::Report(args) => commands::report::run(args),
         LoadCommand::Calibrate(args) => commands::calibrate::run(args),
         LoadCommand::Experiment(args) => commands::experiment::run(args),
+        LoadCommand::Demo(args) => commands::demo::run(args),
     }
 }
 
--- a/src/load/commands/mod.rs
+++ b/src/load/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands of `sassafrasgap-load`.
 
 pub mod calibrate;
+pub mod demo;
 pub mod experiment;
 mod finish;
 pub mod generate;
--- a/src/mesh/mesh_target.rs
+++ b/src/mesh/mesh_target.rs
@@ -77,6 +77,11 @@
         self.node.is_running() && self.backend.is_running()
     }
 
+    /// The file to which the backend server writes what it runs.
+    pub fn run_log(&self) -> &Path {
+        &self.run_log
+    }
+
     /// What the backend server ran so far, over all its starts.
     pub fn run_events(&self) -> Vec<RunEvent> {
         read_run_events(&self.run_log)
