Give operators their tool

Cause: operators had no way to check files, publish, switch, look at all nodes or drain one.

GET /fleet asks all nodes over control calls, so an operator needs to reach one; draining by name goes the same way. A node that starts asks up to 32 peers and its seeds also when it knows some members: with 8, its own failure domain could be left out. Polls wait 2.5 s for the platform.

Two faults found on the way, each with a test: a control thread that dropped its own last handle waited for its own end and panicked; a node that drained before its backend server announced itself was told to others as starting.

--- a/src/configuration/config_task.rs
+++ b/src/configuration/config_task.rs
@@ -25,8 +25,9 @@
 /// How long a peer may take to answer. The next one that has the news is asked after that, so
 /// that one silent connection does not hold the change up.
 const ASK_TIMEOUT_MS: u64 = 400;
-/// How many peers are asked at the start, in one round.
-const FIRST_PEERS: usize = 8;
+/// How many peers are asked at the start, in one round: enough that nodes of the own failure
+/// domain are among the seeds asked, whose domains are not known yet.
+const FIRST_PEERS: usize = 32;
 /// The pause between two rounds of questions at the start.
 const ROUND_PAUSE_MS: u64 = 200;
 
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -78,6 +78,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
+        // A task on the control thread may drop the last handle. The thread ends by the command;
+        // waiting for its own end it would panic.
+        let own_thread = std::thread::current().id();
+        let thread = thread.filter(|thread| thread.thread().id() != own_thread);
         if thread.is_some_and(|thread| thread.join().is_err()) {
             log::error!("control: the control thread panicked");
         }
--- a/src/control/control_handlers.rs
+++ b/src/control/control_handlers.rs
@@ -41,6 +41,10 @@
     pub hand_over: Arc<dyn Fn(Vec<u8>) -> BoxFuture<'static, bool> + Send + Sync>,
     /// Takes in requests that ran when a backend server crashed.
     pub report_suspects: Arc<dyn Fn(Suspects) + Send + Sync>,
+    /// The status of this node in JSON, without its members.
+    pub node_status: Arc<dyn Fn() -> String + Send + Sync>,
+    /// Begins to drain on an operator's word.
+    pub drain: Arc<dyn Fn() + Send + Sync>,
     /// A peer (its control address) has this higher configuration version in force: fetch it
     /// there. Repeated until [`super::ControlHandle::set_config_version`] catches up.
     pub config_news: Arc<dyn Fn(SocketAddr, u64) + Send + Sync>,
@@ -59,6 +63,8 @@
             promise: Arc::new(|_| Promise::Refused),
             hand_over: Arc::new(|_| ready(false).boxed()),
             report_suspects: Arc::new(|_| {}),
+            node_status: Arc::new(String::new),
+            drain: Arc::new(|| {}),
             config_news: Arc::new(|_, _| {}),
             slot_map_news: Arc::new(|_| {}),
             compare_slot_maps: Arc::new(|_| {}),
--- a/src/control/peer_clients.rs
+++ b/src/control/peer_clients.rs
@@ -169,6 +169,25 @@
         .await
     }
 
+    /// See [`super::PeerControl::node_status`].
+    ///
+    /// # Errors
+    /// When no answer comes in [`CALL_TIMEOUT_MS`].
+    pub async fn node_status(&self, address: SocketAddr) -> Result<String, PeerCallError> {
+        let ask =
+            |client: PeerControlClient, context| async move { client.node_status(context).await };
+        self.call(address, CALL_TIMEOUT_MS, ask).await
+    }
+
+    /// See [`super::PeerControl::drain`].
+    ///
+    /// # Errors
+    /// When no answer comes in [`CALL_TIMEOUT_MS`].
+    pub async fn drain(&self, address: SocketAddr) -> Result<(), PeerCallError> {
+        let ask = |client: PeerControlClient, context| async move { client.drain(context).await };
+        self.call(address, CALL_TIMEOUT_MS, ask).await
+    }
+
     /// Calls a peer, over a cached connection first and a new one when that is silent.
     ///
     /// # Errors
--- a/src/control/peer_server.rs
+++ b/src/control/peer_server.rs
@@ -95,4 +95,12 @@
     async fn report_suspects(self, _: Context, suspects: Suspects) {
         (self.handlers.report_suspects)(suspects);
     }
+
+    async fn node_status(self, _: Context) -> String {
+        (self.handlers.node_status)()
+    }
+
+    async fn drain(self, _: Context) {
+        (self.handlers.drain)();
+    }
 }
--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -85,4 +85,8 @@
     async fn hand_over(transfer: Vec<u8>) -> bool;
     /// Spreads requests that ran when a backend server crashed.
     async fn report_suspects(suspects: Suspects);
+    /// The status of this node in JSON, without its members, for an operator who asks another.
+    async fn node_status() -> String;
+    /// An operator's word to take the target beside this node out of service.
+    async fn drain();
 }
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -391,3 +391,30 @@
     #[error("row {key} of the platform is missing or not the document that is in force")]
     DocumentMissing { key: Name },
 }
+
+/// A command of an operator that did not succeed.
+#[derive(Debug, Error)]
+pub enum CtlError {
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error("give {option} ADDRESS or set {variable} to an IP address with port")]
+    Usage {
+        option: &'static str,
+        variable: &'static str,
+    },
+    #[error("node {node} cannot be reached: {why}")]
+    NodeUnreachable { node: SocketAddr, why: String },
+    #[error("node {node} answered {status}: {text}")]
+    NodeRefused {
+        node: SocketAddr,
+        status: u16,
+        text: String,
+    },
+    #[error("node {node} answered what is not understood: {source}")]
+    NodeUnreadable {
+        node: SocketAddr,
+        source: serde_json::Error,
+    },
+    #[error("cannot start: {source}")]
+    Start { source: io::Error },
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod control;
 pub mod core;
+pub mod ctl;
 pub mod demo;
 pub mod errors;
 pub mod load;
--- /dev/null
+++ b/src/node/fleet.rs
@@ -0,0 +1,78 @@
+//! What an operator sees of all nodes by asking one.
+
+use futures::StreamExt;
+use futures::stream;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::Target;
+use crate::core::TargetState;
+use crate::node::Node;
+use crate::node::Status;
+
+/// Nodes asked at once. An operator asks rarely, and answers are small.
+const ASKED_AT_ONCE: usize = 32;
+
+/// One node as it is known from gossip, and what it says itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FleetNode {
+    pub target: Target,
+    /// `None` when it did not answer.
+    pub status: Option<Status>,
+}
+
+/// The answer to `GET /fleet`, in JSON.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FleetStatus {
+    /// The node that asked the others.
+    pub seen_from: Name,
+    pub cut_off_domains: Vec<Name>,
+    /// Ordered by failure domain and name.
+    pub nodes: Vec<FleetNode>,
+}
+
+impl FleetStatus {
+    /// Asks all nodes that may live.
+    pub(super) async fn ask(node: &Node) -> Self {
+        let view = node.inputs.view.load_full();
+        let targets: Vec<Target> = view.nodes.values().map(|t| t.as_ref().clone()).collect();
+        let ask = |target: Target| async move {
+            let status = status_of(node, &target).await;
+            FleetNode { target, status }
+        };
+        let mut nodes: Vec<FleetNode> = stream::iter(targets)
+            .map(ask)
+            .buffer_unordered(ASKED_AT_ONCE)
+            .collect()
+            .await;
+        nodes.sort_by(|a, b| {
+            let key = |node: &FleetNode| (node.target.domain.clone(), node.target.node.clone());
+            key(a).cmp(&key(b))
+        });
+        Self {
+            seen_from: node.settings.node.clone(),
+            cut_off_domains: view.cut_off_domains.clone(),
+            nodes,
+        }
+    }
+}
+
+async fn status_of(node: &Node, target: &Target) -> Option<Status> {
+    if target.node == node.settings.node {
+        return Some(Status::without_members(node));
+    }
+    if matches!(target.state, TargetState::Dead | TargetState::Left) {
+        return None;
+    }
+    let answer = (node.inputs.operations.status)(target.control_address).await;
+    match answer {
+        Ok(text) => serde_json::from_str(&text).ok(),
+        Err(error) => {
+            log::debug!("node: no status, node={} error={error}", target.node);
+            None
+        }
+    }
+}
--- a/src/node/join_configuration.rs
+++ b/src/node/join_configuration.rs
@@ -1,5 +1,6 @@
 //! Joins the configuration to the control thread and to the platform.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures::FutureExt;
@@ -13,11 +14,14 @@
 use crate::configuration::PeerAnswer;
 use crate::configuration::is_poller;
 use crate::control::ControlHandle;
-use crate::core::Name;
-use crate::core::Target;
+use crate::core::View;
 use crate::node::NodeInputs;
 use crate::platform::PlatformClient;
 
+/// How long a poll may wait for one answer of the platform. Longer than for other requests: a
+/// slow platform should delay a change by its slowness and not by time-outs as well.
+const POLL_TIMEOUT_MS: u64 = 2_500;
+
 /// The configuration of a node, before its control thread runs.
 pub(super) struct JoinedConfiguration {
     pub(super) shared: Arc<ConfigShared>,
@@ -39,12 +43,11 @@
         settings: &NodeSettings,
         inputs: &NodeInputs,
         control: &Arc<ControlHandle>,
-        platform: PlatformClient,
     ) {
         let task = ConfigTask {
             shared: self.shared,
             news: self.news,
-            ports: ports(settings, control, platform),
+            ports: ports(settings, control),
             clock: inputs.clock,
             poll_ms: settings.config_poll_ms,
         };
@@ -52,19 +55,16 @@
     }
 }
 
-fn ports(
-    settings: &NodeSettings,
-    control: &Arc<ControlHandle>,
-    platform: PlatformClient,
-) -> ConfigPorts {
-    let store = ConfigStore::new(platform);
+fn ports(settings: &NodeSettings, control: &Arc<ControlHandle>) -> ConfigPorts {
+    let platform = settings.platform_address;
+    let client = PlatformClient::new(platform, settings.domain.clone(), POLL_TIMEOUT_MS);
+    let store = ConfigStore::new(client);
     let clients = control.clients.clone();
     let view = control.view.clone();
     let pollers_view = control.view.clone();
     let node = settings.node.clone();
     let domain = settings.domain.clone();
-    let own = (node.clone(), domain.clone());
-    let seeds = settings.seeds.clone();
+    let first = settings.clone();
     // Held weakly: the task lives on the control thread, which the handle ends.
     let announcer = Arc::downgrade(control);
     ConfigPorts {
@@ -84,15 +84,7 @@
             .boxed()
         }),
         is_poller: Arc::new(move || is_poller(&pollers_view.load(), &node, &domain)),
-        first_peers: Arc::new(move || {
-            let view = view.load();
-            let peers = first_peers(view.nodes.values(), &own);
-            if peers.is_empty() {
-                seeds.clone()
-            } else {
-                peers
-            }
-        }),
+        first_peers: Arc::new(move || first_peers(&view.load(), &first)),
         announce: Arc::new(move |version| {
             if let Some(control) = announcer.upgrade() {
                 control.set_config_version(version);
@@ -101,13 +93,20 @@
     }
 }
 
-/// Peers of the own failure domain first: they knew what this node knew before a restart.
-fn first_peers<'a>(
-    nodes: impl Iterator<Item = &'a Arc<Target>>,
-    own: &(Name, Name),
-) -> Vec<std::net::SocketAddr> {
-    let (node, domain) = own;
-    let mut others: Vec<&Arc<Target>> = nodes.filter(|other| other.node != *node).collect();
-    others.sort_by_key(|other| (other.domain != *domain, other.node.clone()));
-    others.iter().map(|other| other.control_address).collect()
+/// Peers of the own failure domain first: they knew what this node knew before a restart. Then the
+/// seeds, some of which are of the own domain, and then everybody else.
+fn first_peers(view: &View, settings: &NodeSettings) -> Vec<SocketAddr> {
+    let of_domain = |own: bool| {
+        let nodes = view.nodes.values();
+        let nodes = nodes.filter(move |other| (other.domain == settings.domain) == own);
+        nodes.map(|other| other.control_address)
+    };
+    let seeds = settings.seeds.iter().copied();
+    let mut peers: Vec<SocketAddr> = Vec::new();
+    for peer in of_domain(true).chain(seeds).chain(of_domain(false)) {
+        if peer != settings.control_advertised_address && !peers.contains(&peer) {
+            peers.push(peer);
+        }
+    }
+    peers
 }
--- a/src/node/local_backend.rs
+++ b/src/node/local_backend.rs
@@ -42,8 +42,8 @@
     /// The state that others should know.
     pub fn state(&self) -> TargetState {
         match &self.announced {
+            _ if self.node_draining => TargetState::Draining,
             None => TargetState::Starting,
-            Some(_) if self.node_draining => TargetState::Draining,
             Some(announcement) => announcement.state,
         }
     }
--- a/src/node/node_inputs.rs
+++ b/src/node/node_inputs.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::node::Attempts;
 use crate::node::LocalBackend;
+use crate::node::PeerOperations;
 use crate::preset::InForce;
 
 /// Asks the node with this control address what became of an attempt.
@@ -43,6 +44,7 @@
     pub attempts: Arc<Attempts>,
     pub ask_attempt: AskAttempt,
     pub note_config: NoteConfig,
+    pub operations: PeerOperations,
 }
 
 impl NodeInputs {
@@ -56,6 +58,7 @@
             local: watch::Sender::new(LocalBackend::default()),
             attempts: Arc::new(Attempts::default()),
             note_config: Arc::new(|_, _| {}),
+            operations: PeerOperations::none(),
             ask_attempt: Arc::new(|_, _| ready(Err(PeerCallError::Stopped)).boxed()),
         }
     }
--- a/src/node/node_process.rs
+++ b/src/node/node_process.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::Weak;
 
 use futures::FutureExt;
 use futures::future::ready;
@@ -18,11 +20,13 @@
 use crate::node::AskAttempt;
 use crate::node::Listeners;
 use crate::node::LocalBackend;
+use crate::node::Node;
 use crate::node::NodeInputs;
 use crate::node::NoteConfig;
+use crate::node::PeerOperations;
 use crate::node::RunningNode;
+use crate::node::Status;
 use crate::node::join_configuration::JoinedConfiguration;
-use crate::platform::PlatformClient;
 
 /// How long one question about an attempt may take, in milliseconds.
 const ASK_ATTEMPT_MS: u64 = 400;
@@ -44,22 +48,21 @@
         let control_settings = ControlSettings::new(&settings, peer_address, inputs.clock);
         let metrics = ControlMetrics::new(inputs.metrics.registry())?;
         let configuration = JoinedConfiguration::new(&inputs)?;
-        let handlers = handlers(&inputs, &configuration.shared);
+        let served = Arc::new(OnceLock::new());
+        let mut handlers = handlers(&inputs, &configuration.shared);
+        add_operator_handlers(&mut handlers, &served);
         let control = control::start(control_settings, handlers, metrics)?;
         let control = Arc::new(control);
-        let platform = PlatformClient::new(
-            settings.platform_address,
-            settings.domain.clone(),
-            settings.platform_timeout_ms,
-        );
         inputs.note_config = note_config(&configuration.shared);
-        configuration.start(&settings, &inputs, &control, platform);
+        configuration.start(&settings, &inputs, &control);
+        inputs.operations = PeerOperations::over(&control.clients);
         inputs.view = control.view.clone();
         inputs.ask_attempt = ask_attempt(&control);
         control
             .runtime
             .spawn(announce(control.clone(), inputs.local.subscribe()));
         let running = RunningNode::serve(listeners, settings, inputs);
+        served.get_or_init(|| Arc::downgrade(&running.node));
         Ok(Self { running, control })
     }
 }
@@ -93,6 +96,24 @@
     Arc::new(move |from, version| configuration.note_news(from, version))
 }
 
+/// Answers operators who ask by way of another node. The node serves only after its control
+/// thread has started; until then there is nothing to say.
+fn add_operator_handlers(handlers: &mut ControlHandlers, served: &Arc<OnceLock<Weak<Node>>>) {
+    let asked = served.clone();
+    handlers.node_status = Arc::new(move || {
+        let node = asked.get().and_then(Weak::upgrade);
+        let status = node.map(|node| serde_json::to_string(&Status::without_members(&node)));
+        status.and_then(Result::ok).unwrap_or_default()
+    });
+    let told = served.clone();
+    handlers.drain = Arc::new(move || {
+        if let Some(node) = told.get().and_then(Weak::upgrade) {
+            log::info!("node: drains on the word of an operator at another node");
+            node.drain();
+        }
+    });
+}
+
 fn ask_attempt(control: &ControlHandle) -> AskAttempt {
     let clients = control.clients.clone();
     Arc::new(move |address, attempt| {
--- /dev/null
+++ b/src/node/peer_operations.rs
@@ -0,0 +1,50 @@
+//! What an operator at one node asks of another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::future::ready;
+
+use crate::control::PeerClients;
+use crate::errors::PeerCallError;
+
+/// Asks the node with a control address for its status, in JSON.
+pub type AskStatus =
+    Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, Result<String, PeerCallError>> + Send + Sync>;
+/// Tells the node with a control address to drain.
+pub type TellDrain =
+    Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, Result<(), PeerCallError>> + Send + Sync>;
+
+/// Operators reach the operators' listener of one node; the rest goes over control calls.
+#[derive(Clone)]
+pub struct PeerOperations {
+    pub status: AskStatus,
+    pub drain: TellDrain,
+}
+
+impl PeerOperations {
+    /// Reaches nobody.
+    pub fn none() -> Self {
+        Self {
+            status: Arc::new(|_| ready(Err(PeerCallError::Stopped)).boxed()),
+            drain: Arc::new(|_| ready(Err(PeerCallError::Stopped)).boxed()),
+        }
+    }
+
+    /// Reaches peers by control calls.
+    pub fn over(clients: &Arc<PeerClients>) -> Self {
+        let (asked, told) = (clients.clone(), clients.clone());
+        Self {
+            status: Arc::new(move |address| {
+                let clients = asked.clone();
+                async move { clients.node_status(address).await }.boxed()
+            }),
+            drain: Arc::new(move |address| {
+                let clients = told.clone();
+                async move { clients.drain(address).await }.boxed()
+            }),
+        }
+    }
+}
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -37,15 +37,24 @@
 }
 
 impl Status {
-    /// The status of a node at this moment.
+    /// The status of a node at this moment, with all members that it knows.
     pub fn of(node: &Node) -> Self {
+        let view = node.inputs.view.load();
+        let mut members: Vec<Target> = view.nodes.values().map(|t| t.as_ref().clone()).collect();
+        members.sort_by(|a, b| a.node.cmp(&b.node));
+        Self {
+            members,
+            ..Self::without_members(node)
+        }
+    }
+
+    /// The status of a node at this moment, for a list of many nodes.
+    pub fn without_members(node: &Node) -> Self {
         let view = node.inputs.view.load();
         let in_force = node.inputs.in_force.load();
         let in_force = in_force.as_ref().as_ref();
         let local = node.inputs.local.borrow().clone();
         let load = node.gate.load();
-        let mut members: Vec<Target> = view.nodes.values().map(|t| t.as_ref().clone()).collect();
-        members.sort_by(|a, b| a.node.cmp(&b.node));
         Self {
             node: node.settings.node.clone(),
             region: node.settings.region.clone(),
@@ -62,7 +71,7 @@
             guard_refusals: refusals(|reason| node.metrics.guard_refusals(reason)),
             retries: retries(node),
             cut_off_domains: view.cut_off_domains.clone(),
-            members,
+            members: Vec::new(),
         }
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 #![allow(unused_imports)]
 
+pub mod ctl;
 pub mod presets;
 pub mod test_mesh;
 mod test_platform;
