--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -122,9 +122,8 @@
             }
             Command::AddSeeds(seeds) => self.membership.add_seeds(&seeds),
             Command::Exchange { members, answer } => {
-                let held = self.membership.all_members();
                 let from = self.membership.own().control_address;
-                let actions = self.membership.merge(now, from, &members);
+                let (held, actions) = self.membership.answer_exchange(now, from, &members);
                 self.act(actions);
                 // The asker may have gone; then nobody needs the answer.
                 drop(answer.send(held));
--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -73,7 +73,7 @@
 /// What one node can ask of another.
 #[tarpc::service]
 pub trait PeerControl {
-    /// Exchanges everything known of all members: the caller's members in, this node's out.
+    /// Exchanges what is known of all members: the caller's in, and out what it lacks.
     async fn exchange_members(members: Vec<Target>) -> Vec<Target>;
     /// The configuration in force here, if its version is higher than `above`.
     async fn config_above(above: u64) -> Option<ConfigDocument>;
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -24,6 +24,8 @@
     /// Digest of the members that the sender takes to be alive.
     #[serde(with = "postcard::fixint::le")]
     pub members_digest: u32,
+    /// How many members the sender takes to be alive.
+    pub members: u32,
     /// The version of the configuration in force at the sender.
     pub config_version: u64,
     /// Digest of the versions of all slot maps that the sender holds.
--- a/src/membership/domain_watch.rs
+++ b/src/membership/domain_watch.rs
@@ -8,6 +8,27 @@
 
 /// More failure domains than any deployment has; further ones are not watched.
 const MAX_DOMAINS: usize = 256;
+/// Milliseconds in the unit of [`HeardDomain::age_tenths`].
+const TENTH_MS: u64 = 100;
+
+/// What is known of one failure domain.
+#[derive(Clone, Copy, Debug)]
+struct Watched {
+    /// The hash of the domain's name, kept because it is looked for in every datagram.
+    hash: u16,
+    /// When this node began to watch. It counts for the own judgement only: passed on, it would
+    /// look like an answer, and a node that restarts would make cut-off domains look alive.
+    since: TimeMs,
+    /// The last answer to anybody of the own domain.
+    answered: Option<TimeMs>,
+}
+
+impl Watched {
+    fn silent_ms(self, now: TimeMs) -> u64 {
+        let last = self.answered.unwrap_or_default().max(self.since);
+        now.since(last)
+    }
+}
 
 /// The last answers from each failure domain, as far as this node's own domain knows.
 ///
@@ -16,60 +37,80 @@
 /// sent something proves nothing about reaching the sender.
 #[derive(Clone, Debug, Default)]
 pub struct DomainWatch {
-    heard: FastMap<Name, TimeMs>,
+    domains: FastMap<Name, Watched>,
 }
 
 impl DomainWatch {
-    /// Begins to watch a domain; until it answers, it counts as heard at this moment.
+    /// Begins to watch a domain.
     pub fn watch(&mut self, domain: &Name, now: TimeMs) {
-        if self.heard.len() < MAX_DOMAINS && !self.heard.contains_key(domain) {
-            self.heard.insert(domain.clone(), now);
+        if self.domains.len() < MAX_DOMAINS && !self.domains.contains_key(domain) {
+            let watched = Watched {
+                hash: domain_hash(domain),
+                since: now,
+                answered: None,
+            };
+            self.domains.insert(domain.clone(), watched);
         }
     }
 
-    /// Notes an answer that came at `at`.
-    pub fn note(&mut self, domain: &str, at: TimeMs) {
-        if let Some(last) = self.heard.get_mut(domain) {
-            *last = (*last).max(at);
-        }
+    /// Notes an answer that came at `at`. Returns for how long there had been none.
+    pub fn note(&mut self, domain: &str, at: TimeMs) -> u64 {
+        let Some(watched) = self.domains.get_mut(domain) else {
+            return 0;
+        };
+        let silent_ms = watched.silent_ms(at);
+        watched.answered = watched.answered.max(Some(at));
+        silent_ms
     }
 
-    /// Takes in what a member of the own domain knows.
-    pub fn merge(&mut self, heard: &[HeardDomain], now: TimeMs) {
-        for (domain, last) in &mut self.heard {
-            let hash = domain_hash(domain);
-            let Some(theirs) = heard.iter().find(|theirs| theirs.domain_hash == hash) else {
+    /// Takes in what a member of the own domain knows. Returns the domains that had not answered
+    /// for longer than `silent_ms`.
+    pub fn merge(&mut self, heard: &[HeardDomain], now: TimeMs, silent_ms: u64) -> Vec<Name> {
+        let mut heard_again = Vec::new();
+        for (domain, watched) in &mut self.domains {
+            let mut about_it = heard.iter().filter(|h| h.domain_hash == watched.hash);
+            let Some(theirs) = about_it.next() else {
                 continue;
             };
-            if theirs.age_tenths < u8::MAX {
-                *last = (*last).max(now - u64::from(theirs.age_tenths) * 100);
+            let answered = Some(now - u64::from(theirs.age_tenths) * TENTH_MS);
+            if theirs.age_tenths == u8::MAX || watched.answered >= answered {
+                continue;
+            }
+            let before_ms = watched.silent_ms(now);
+            watched.answered = answered;
+            if before_ms > silent_ms && watched.silent_ms(now) <= silent_ms {
+                heard_again.push(domain.clone());
             }
         }
+        heard_again
     }
 
-    /// The ages to send to members of the own domain, rounded up so that evidence never gets
+    /// The ages to send to members of the own domain, rounded up so that an answer never gets
     /// younger by being passed on.
     pub fn ages(&self, now: TimeMs) -> Vec<HeardDomain> {
-        self.heard
-            .iter()
-            .map(|(domain, last)| HeardDomain {
-                domain_hash: domain_hash(domain),
-                age_tenths: now.since(*last).div_ceil(100).min(255) as u8,
+        let age = |answered: TimeMs| now.since(answered).div_ceil(TENTH_MS).min(255) as u8;
+        self.domains
+            .values()
+            .filter_map(|watched| {
+                watched.answered.map(|answered| HeardDomain {
+                    domain_hash: watched.hash,
+                    age_tenths: age(answered),
+                })
             })
             .collect()
     }
 
     /// When the domain was last known to answer.
-    pub fn last_heard(&self, domain: &str) -> Option<TimeMs> {
-        self.heard.get(domain).copied()
+    pub fn last_answer(&self, domain: &str) -> Option<TimeMs> {
+        self.domains.get(domain)?.answered
     }
 
-    /// Domains whose last answer is older than `age_ms`, in order of name.
-    pub fn silent(&self, now: TimeMs, age_ms: u64) -> Vec<Name> {
+    /// Domains that did not answer for longer than `silent_ms`, in order of name.
+    pub fn silent(&self, now: TimeMs, silent_ms: u64) -> Vec<Name> {
         let mut silent: Vec<Name> = self
-            .heard
+            .domains
             .iter()
-            .filter(|(_, last)| now.since(**last) > age_ms)
+            .filter(|(_, watched)| watched.silent_ms(now) > silent_ms)
             .map(|(domain, _)| domain.clone())
             .collect();
         silent.sort_unstable();
@@ -78,11 +119,13 @@
 
     /// Stops watching domains of which no member is known.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
-        self.heard.retain(|domain, _| known(domain));
+        self.domains.retain(|domain, _| known(domain));
     }
 
-    /// Starts afresh after this process was paused: the silence was its own.
+    /// Begins anew after this process was paused: the silence was its own.
     pub fn restart(&mut self, now: TimeMs) {
-        self.heard.values_mut().for_each(|last| *last = now);
+        for watched in self.domains.values_mut() {
+            watched.since = now;
+        }
     }
 }
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -8,6 +8,7 @@
 use super::digest::bucket_of;
 use super::digest::entry_digest;
 use crate::core::FastMap;
+use crate::core::FastSet;
 use crate::core::Name;
 use crate::core::Target;
 use crate::core::TargetState;
@@ -31,6 +32,8 @@
     digest: u32,
     buckets: [u32; BUCKETS],
     alive: usize,
+    /// Members under suspicion, so that looking after them costs nothing while there are none.
+    suspects: FastSet<Name>,
     last_change: TimeMs,
 }
 
@@ -42,6 +45,7 @@
             digest: 0,
             buckets: [0; BUCKETS],
             alive: 0,
+            suspects: FastSet::default(),
             last_change: TimeMs::default(),
         }
     }
@@ -62,6 +66,13 @@
         self.members.is_empty()
     }
 
+    /// Members under suspicion.
+    pub fn suspects(&self) -> impl Iterator<Item = &Member> {
+        self.suspects
+            .iter()
+            .filter_map(|node| self.members.get(node))
+    }
+
     /// Members that are neither dead nor departed.
     pub fn alive(&self) -> usize {
         self.alive
@@ -164,8 +175,8 @@
 
     /// Begins all suspicions anew, after a pause in which no refutation could be heard.
     pub fn restart_suspicions(&mut self, now: TimeMs) {
-        for member in self.members.values_mut() {
-            if let Standing::Suspected { .. } = member.standing {
+        for node in &self.suspects {
+            if let Some(member) = self.members.get_mut(node) {
                 member.standing = Standing::Suspected { since: now };
             }
         }
@@ -206,6 +217,10 @@
     fn replace(&mut self, member: Member, now: TimeMs) {
         let digest_before = self.digest;
         let node = member.own.node.clone();
+        match member.standing {
+            Standing::Suspected { .. } => self.suspects.insert(node.clone()),
+            _ => self.suspects.remove(&node),
+        };
         self.count(&member, 1);
         if let Some(old) = self.members.insert(node, member) {
             self.count(&old, -1);
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -14,6 +14,7 @@
 use super::NewsBudget;
 use super::ProbeRing;
 use super::Probes;
+use super::Receiver;
 use super::SlotMapVersions;
 use super::Standing;
 use super::Update;
@@ -36,12 +37,17 @@
 const HELPERS: usize = 3;
 /// A failure domain whose last answer is older than this gets extra probes.
 const QUIET_DOMAIN_MS: u64 = 1_500;
+/// A node that knows of no answer for so long asks a member of its own domain for fresher news.
+const STALE_ANSWER_MS: u64 = 2_500;
 /// How many extra probes a quiet failure domain gets from the whole own domain in each period.
 const QUIET_DOMAIN_PROBES: f64 = 2.0;
 /// Missed periods after which this process was paused, and the silence was its own.
 const PAUSE_PERIODS: u64 = 3;
 /// How often tombstones and unknown failure domains are swept out.
 const SWEEP_PERIOD_MS: u64 = 10_000;
+/// How many seeds all members that know each other try in each rejoin period. When everything
+/// starts at once, seeds would otherwise be asked by everybody for everything.
+const SEED_TRIES: f64 = 8.0;
 /// How often a node that knows nobody asks a seed for all members.
 const JOIN_PERIOD_MS: u64 = 1_000;
 
@@ -82,6 +88,8 @@
     pub(super) config_version: u64,
     /// The header has news (a new configuration) that is to be pushed at once.
     pub(super) header_is_urgent: bool,
+    /// The own failure domain is to hear at once that another one answers again.
+    pub(super) answers_are_urgent: bool,
     pub(super) view: ViewBuilder,
     pub(super) schedule: Schedule,
     own_ring: ProbeRing,
@@ -102,6 +110,7 @@
         own.incarnation = first_incarnation(rng.u16(..));
         let own_address = own.control_address;
         let first_probe = rng.u64(0..settings.probe_period_ms.max(1));
+        let probe_count = rng.u64(0..PROBE_CYCLE);
         let mut this = Self {
             settings,
             seeds: seeds
@@ -118,11 +127,12 @@
             slot_maps: SlotMapVersions::default(),
             config_version: 0,
             header_is_urgent: false,
+            answers_are_urgent: false,
             view: ViewBuilder::default(),
             schedule: Schedule::default(),
             own_ring: ProbeRing::default(),
             other_ring: ProbeRing::default(),
-            probe_count: 0,
+            probe_count,
             own,
         };
         this.schedule.last_tick = now;
@@ -203,6 +213,7 @@
             self.schedule.next_probe = now + self.settings.probe_period_ms;
             self.probe_next(now, &mut actions);
             self.probe_quiet_domains(now, &mut actions);
+            self.ask_for_answers(now, &mut actions);
         }
         if now >= self.schedule.next_rejoin {
             self.schedule.next_rejoin = now + self.settings.rejoin_period_ms;
@@ -277,10 +288,11 @@
         for (sequence, probe) in unanswered {
             let helpers = self.choose_helpers(&probe.node);
             let address = probe.address;
-            self.send_to(address, Body::Ping { sequence }, now, actions);
+            let receiver = self.receiver(&probe.node, address);
+            self.send_to(receiver, Body::Ping { sequence }, now, actions);
             for helper in helpers {
                 let body = Body::PingRequest { sequence, address };
-                self.send_to(helper, body, now, actions);
+                self.send_to(Receiver::far(helper), body, now, actions);
             }
         }
     }
@@ -297,14 +309,12 @@
             }
         }
         let mut domains: Vec<Name> = by_domain.keys().cloned().collect();
-        domains.sort_unstable();
         self.rng.shuffle(&mut domains);
         let mut helpers = Vec::new();
         while helpers.len() < HELPERS && !domains.is_empty() {
             domains.retain(|domain| !by_domain[domain].is_empty());
             for domain in &domains {
                 let addresses = by_domain.get_mut(domain).expect("the domain is a key");
-                addresses.sort_unstable();
                 let chosen = self.rng.usize(0..addresses.len());
                 helpers.push(addresses.swap_remove(chosen));
             }
@@ -323,7 +333,7 @@
 
     fn suspect_failed(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
         let failed = self.probes.take_failed(now, self.settings.probe_timeout_ms);
-        for probe in failed {
+        for probe in failed.into_iter().filter(|probe| probe.judges) {
             let Some(member) = self.table.get(&probe.node).cloned() else {
                 continue;
             };
@@ -353,7 +363,7 @@
     fn bury_suspects(&mut self, now: TimeMs) {
         let due: Vec<Member> = self
             .table
-            .iter()
+            .suspects()
             .filter(|member| self.is_overdue(member, now))
             .cloned()
             .collect();
@@ -370,8 +380,8 @@
         let Standing::Suspected { since } = member.standing else {
             return false;
         };
-        let heard = self.watch.last_heard(&member.own.domain);
-        now.since(since) >= self.settings.suspicion_ms && heard.is_some_and(|heard| heard > since)
+        let answered = self.watch.last_answer(&member.own.domain);
+        now.since(since) >= self.settings.suspicion_ms && answered > Some(since)
     }
 
     /// Finds the failure domains that fell silent. Suspicions of their members are dropped: it is
@@ -383,11 +393,24 @@
         }
         log::info!("gossip: silent failure domains changed domains={silent:?}");
         self.silent = silent;
+        for domain in self.silent.clone() {
+            self.drop_suspicions(&domain, now);
+        }
+    }
+
+    /// Notes that a failure domain answers after it did not for a while. Suspicions from that time
+    /// prove nothing, and the own domain hears of it at once.
+    pub(super) fn hear_again(&mut self, domain: &Name, now: TimeMs) {
+        log::debug!("gossip: failure domain answers again domain={domain}");
+        self.drop_suspicions(domain, now);
+        self.answers_are_urgent |= self.is_silent(domain);
+    }
+
+    fn drop_suspicions(&mut self, domain: &Name, now: TimeMs) {
         let cleared: Vec<Member> = self
             .table
-            .iter()
-            .filter(|member| matches!(member.standing, Standing::Suspected { .. }))
-            .filter(|member| self.is_silent(&member.own.domain))
+            .suspects()
+            .filter(|member| member.own.domain == *domain)
             .cloned()
             .collect();
         for member in cleared {
@@ -395,8 +418,9 @@
         }
     }
 
-    /// Silent domains as others should see them: the own one can be reached from within.
-    fn cut_off_domains(&self) -> Vec<Name> {
+    /// Failure domains that cannot be reached from here. The own one is never among them: it can
+    /// be reached from within.
+    pub fn cut_off_domains(&self) -> Vec<Name> {
         let not_own = |domain: &&Name| **domain != self.own.domain;
         self.silent.iter().filter(not_own).cloned().collect()
     }
@@ -437,11 +461,15 @@
     /// Probes failure domains that were not heard of lately. Each node does so with a chance that
     /// makes about two probes of the whole domain, however many nodes it has.
     fn probe_quiet_domains(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
+        let quiet = self.watch.silent(now, QUIET_DOMAIN_MS);
+        if quiet.is_empty() {
+            return;
+        }
         let own = &self.own;
         let near = self.table.iter().filter(|member| is_near(member, own));
         let near = near.filter(|member| !member.is_tombstone()).count();
         let chance = QUIET_DOMAIN_PROBES / near.max(1) as f64;
-        for domain in self.watch.silent(now, QUIET_DOMAIN_MS) {
+        for domain in quiet {
             if domain == self.own.domain || self.rng.f64() >= chance {
                 continue;
             }
@@ -455,6 +483,18 @@
         }
     }
 
+    /// Pings one more member of the own domain while some domain's last answer is old here:
+    /// usually others heard a newer one, and the header of the answer brings it.
+    fn ask_for_answers(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
+        let old = self.watch.silent(now, STALE_ANSWER_MS);
+        if old.iter().any(|domain| *domain != self.own.domain) {
+            let next = self.next_own();
+            if let Some(node) = next {
+                self.probe(&node, now, actions);
+            }
+        }
+    }
+
     fn probe(&mut self, node: &Name, now: TimeMs, actions: &mut Vec<Action>) {
         let Some(member) = self.table.get(node) else {
             return;
@@ -465,7 +505,9 @@
         let address = member.own.control_address;
         let standing = member.standing;
         let incarnation = member.own.incarnation;
-        let Some(sequence) = self.probes.start(node.clone(), address, now) else {
+        let member_is_near = is_near(member, &self.own);
+        let judges = !self.is_silent(&member.own.domain);
+        let Some(sequence) = self.probes.start(node.clone(), address, judges, now) else {
             return;
         };
         let node = node.clone();
@@ -473,25 +515,23 @@
             Standing::Suspected { .. } => vec![Update::Suspect { node, incarnation }],
             _ => Vec::new(),
         };
-        let is_near = self.is_near_node(address);
-        let datagram = self.datagram(Body::Ping { sequence }, told, is_near, now);
-        actions.push(Action::Send {
-            to: address,
-            datagram,
-        });
+        let receiver = Receiver {
+            address,
+            is_near: member_is_near,
+        };
+        self.send_telling(receiver, Body::Ping { sequence }, told, now, actions);
     }
 
     /// Tries one dead member and one seed that no member alive uses. They may have come back
     /// unheard, and two parts that know nothing of each other find together only this way.
     fn try_lost(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
         let dead = |member: &&Member| member.standing == Standing::Dead;
-        let mut lost: Vec<SocketAddr> = self
+        let lost: Vec<SocketAddr> = self
             .table
             .iter()
             .filter(dead)
             .map(|member| member.own.control_address)
             .collect();
-        lost.sort_unstable();
         let chosen = self.rng.choice(&lost).copied();
         let unknown: Vec<SocketAddr> = self
             .seeds
@@ -499,10 +539,13 @@
             .filter(|seed| !self.is_address_alive(**seed))
             .copied()
             .collect();
-        let seed = self.rng.choice(&unknown).copied();
+        let chance = SEED_TRIES / self.table.alive().max(1) as f64;
+        let tries_seed = self.rng.f64() < chance;
+        let seed = self.rng.choice(&unknown).copied().filter(|_| tries_seed);
         for address in chosen.into_iter().chain(seed) {
             // Nobody waits for the answer; that it comes is what counts.
-            self.send_to(address, Body::Ping { sequence: 0 }, now, actions);
+            let receiver = Receiver::far(address);
+            self.send_to(receiver, Body::Ping { sequence: 0 }, now, actions);
         }
     }
 
@@ -532,13 +575,10 @@
     member.own.domain == own.domain
 }
 
-/// Names of the members wanted, in order, so that the same seed gives the same run.
 fn names_of(table: &MemberTable, wanted: impl Fn(&Member) -> bool) -> Vec<Name> {
-    let mut names: Vec<Name> = table
+    table
         .iter()
         .filter(|member| wanted(member))
         .map(|member| Arc::clone(&member.own.node))
-        .collect();
-    names.sort_unstable();
-    names
+        .collect()
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -44,5 +44,6 @@
 use probe_ring::ProbeRing;
 use probes::Probes;
 use slot_map_versions::SlotMapVersions;
+use spread::Receiver;
 use update_queue::UpdateQueue;
 use view_builder::ViewBuilder;
--- a/src/membership/probes.rs
+++ b/src/membership/probes.rs
@@ -20,6 +20,9 @@
     pub node: Name,
     pub address: SocketAddr,
     pub sent: TimeMs,
+    /// Whether silence counts against the member. It does not when its failure domain was cut off
+    /// at the time: on healing, all such probes would fail at once and raise suspicions.
+    pub judges: bool,
     /// Whether others were already asked to probe as well.
     pub indirect: bool,
 }
@@ -42,7 +45,13 @@
 
 impl Probes {
     /// Starts a probe; `None` when too many are under way.
-    pub fn start(&mut self, node: Name, address: SocketAddr, now: TimeMs) -> Option<u32> {
+    pub fn start(
+        &mut self,
+        node: Name,
+        address: SocketAddr,
+        judges: bool,
+        now: TimeMs,
+    ) -> Option<u32> {
         if self.own.len() >= MAX_PROBES || self.own.values().any(|probe| probe.node == node) {
             return None;
         }
@@ -51,6 +60,7 @@
             node,
             address,
             sent: now,
+            judges,
             indirect: false,
         };
         self.own.insert(sequence, probe);
@@ -90,7 +100,9 @@
     pub fn take_unanswered(&mut self, now: TimeMs, timeout_ms: u64) -> Vec<(u32, Probe)> {
         self.own
             .iter_mut()
-            .filter(|(_, probe)| !probe.indirect && now.since(probe.sent) >= timeout_ms)
+            .filter(|(_, probe)| {
+                probe.judges && !probe.indirect && now.since(probe.sent) >= timeout_ms
+            })
             .map(|(sequence, probe)| {
                 probe.indirect = true;
                 (*sequence, probe.clone())
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -9,6 +9,7 @@
 use super::FixedDigest;
 use super::Header;
 use super::Membership;
+use super::Receiver;
 use super::Standing;
 use super::Update;
 use super::digest::BUCKETS;
@@ -28,7 +29,7 @@
 /// still come in.
 const PATIENT_PERIODS: u64 = 5;
 /// The least time between two full exchanges that this node starts.
-const EXCHANGE_PERIOD_MS: u64 = 5_000;
+const EXCHANGE_PERIOD_MS: u64 = 2_000;
 /// More new members than this from one exchange are not passed on one by one: others get them
 /// by exchanges too.
 const MAX_PASSED_ON: usize = 32;
@@ -52,9 +53,9 @@
         let told = self.news_about_sender(&header);
         if let Body::Ping { sequence } = datagram.body {
             let told = told.into_iter().collect();
-            let is_near = self.is_near_node(from);
-            let datagram = self.datagram(Body::Ack { sequence }, told, is_near, now);
-            actions.push(Action::Send { to: from, datagram });
+            let receiver = self.receiver(&header.from, from);
+            let body = Body::Ack { sequence };
+            self.send_telling(receiver, body, told, now, &mut actions);
         } else if let Some(update) = told {
             self.send_updates(from, vec![update], now, &mut actions);
         }
@@ -84,6 +85,26 @@
             .collect()
     }
 
+    /// Answers a full exchange: takes in what the asker knows, and returns what it lacks or holds
+    /// older.
+    pub fn answer_exchange(
+        &mut self,
+        now: TimeMs,
+        from: SocketAddr,
+        members: &[Target],
+    ) -> (Vec<Target>, Vec<Action>) {
+        let theirs: FastMap<&Name, (u64, bool)> = members
+            .iter()
+            .map(|target| (&target.node, order_of_target(target)))
+            .collect();
+        let mut answer = self.all_members();
+        answer.retain(|ours| {
+            let held = theirs.get(&ours.node);
+            held.is_none_or(|held| order_of_target(ours) > *held)
+        });
+        (answer, self.merge(now, from, members))
+    }
+
     /// Takes in what a full exchange brought from `from`.
     pub fn merge(&mut self, now: TimeMs, from: SocketAddr, members: &[Target]) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -218,7 +239,10 @@
         actions: &mut Vec<Action>,
     ) {
         if !header.heard.is_empty() {
-            self.watch.merge(&header.heard, now);
+            let quiet_ms = self.settings.quiet_ms;
+            for domain in self.watch.merge(&header.heard, now, quiet_ms) {
+                self.hear_again(&domain, now);
+            }
         }
         let news_age_ms = now.since(self.schedule.last_config_news);
         if header.config_version > self.config_version && news_age_ms >= CONFIG_NEWS_PERIOD_MS {
@@ -282,7 +306,12 @@
             }
             Body::PingRequest { sequence, address } => {
                 if let Some(sequence) = self.probes.start_relay(from, sequence, now) {
-                    self.send_to(address, Body::Ping { sequence }, now, actions);
+                    self.send_to(
+                        Receiver::far(address),
+                        Body::Ping { sequence },
+                        now,
+                        actions,
+                    );
                 }
             }
             Body::RelayedAck { sequence } => {
@@ -306,7 +335,12 @@
     /// the member lives.
     fn handle_ack(&mut self, sequence: u32, now: TimeMs, actions: &mut Vec<Action>) {
         if let Some((asker, sequence)) = self.probes.finish_relay(sequence) {
-            self.send_to(asker, Body::RelayedAck { sequence }, now, actions);
+            self.send_to(
+                Receiver::far(asker),
+                Body::RelayedAck { sequence },
+                now,
+                actions,
+            );
             return;
         }
         let Some(probe) = self.probes.finish(sequence) else {
@@ -315,7 +349,10 @@
         let Some(member) = self.table.get(&probe.node) else {
             return;
         };
-        self.watch.note(&member.own.domain, now);
+        let domain = member.own.domain.clone();
+        if self.watch.note(&domain, now) > self.settings.quiet_ms {
+            self.hear_again(&domain, now);
+        }
     }
 
     /// Asks who the sender is when it is unknown here, or known by an older incarnation only.
@@ -331,11 +368,10 @@
         if is_known {
             return;
         }
-        if !self.has_joined() && now >= self.schedule.next_exchange {
-            self.schedule.next_exchange = now + EXCHANGE_PERIOD_MS;
-            actions.push(Action::Exchange { with: from });
+        if !self.has_joined() {
+            self.start_exchange(from, now, actions);
         }
-        self.send_to(from, Body::WhoAreYou, now, actions);
+        self.send_to(Receiver::far(from), Body::WhoAreYou, now, actions);
     }
 
     /// Starts a comparison when the digests differ for long: just after a change they differ
@@ -351,6 +387,10 @@
             self.schedule.last_equal = now;
             return;
         }
+        if self.lacks_many(header.members) {
+            self.start_exchange(from, now, actions);
+            return;
+        }
         let period_ms = self.settings.compare_period_ms;
         let is_settled = now.since(self.table.last_change()) >= period_ms;
         let is_overdue = now.since(self.schedule.last_equal) >= PATIENT_PERIODS * period_ms;
@@ -359,7 +399,21 @@
         }
         self.schedule.next_compare = now + period_ms + self.rng.u64(0..period_ms.max(1));
         let digests = self.table.buckets().map(FixedDigest).to_vec();
-        self.send_to(from, Body::Buckets { digests }, now, actions);
+        self.send_to(Receiver::far(from), Body::Buckets { digests }, now, actions);
+    }
+
+    /// Whether a peer knows so many more members that comparing bucket by bucket is too slow; it
+    /// is so when everything starts at once.
+    fn lacks_many(&self, their_members: u32) -> bool {
+        let ours = self.table.alive();
+        their_members as usize > ours + ours / 8 + MAX_PASSED_ON / 4
+    }
+
+    fn start_exchange(&mut self, with: SocketAddr, now: TimeMs, actions: &mut Vec<Action>) {
+        if now >= self.schedule.next_exchange {
+            self.schedule.next_exchange = now + EXCHANGE_PERIOD_MS;
+            actions.push(Action::Exchange { with });
+        }
     }
 
     fn answer_buckets(
@@ -377,10 +431,7 @@
             .filter(|bucket| ours[*bucket] != theirs[*bucket].0)
             .collect();
         if differing.len() > MAX_DIFFERING_BUCKETS {
-            if now >= self.schedule.next_exchange {
-                self.schedule.next_exchange = now + EXCHANGE_PERIOD_MS;
-                actions.push(Action::Exchange { with: from });
-            }
+            self.start_exchange(from, now, actions);
             return;
         }
         self.rng.shuffle(&mut differing);
@@ -462,6 +513,10 @@
     }
 }
 
+fn order_of_target(target: &Target) -> (u64, bool) {
+    (target.incarnation, target.state == TargetState::Dead)
+}
+
 /// Cuts updates into parts of at most `max_bytes`; an empty list is one empty part.
 fn split(updates: Vec<Update>, max_bytes: usize) -> Vec<Vec<Update>> {
     let mut parts = vec![Vec::new()];
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -13,7 +13,9 @@
     pub probe_timeout_ms: u64,
     /// How long a suspect has to refute before it is taken to be dead.
     pub suspicion_ms: u64,
-    /// Age of the last answer from a failure domain above which it counts as cut off.
+    /// Silence of a whole failure domain after which suspicions of its members prove nothing.
+    pub quiet_ms: u64,
+    /// Silence of a whole failure domain after which it counts as cut off.
     pub cut_off_ms: u64,
     /// How often one dead member or one unknown seed is tried, so that parts that were separated
     /// find each other again.
@@ -43,7 +45,8 @@
             direct_timeout_ms: 400,
             probe_timeout_ms: 1_000,
             suspicion_ms: 4_000,
-            cut_off_ms: 6_000,
+            quiet_ms: 3_000,
+            cut_off_ms: 8_000,
             rejoin_period_ms: 5_000,
             tombstone_ms: 2 * 3_600_000,
             max_tombstones: 1_000,
@@ -51,7 +54,7 @@
             compare_period_ms: 3_000,
             max_datagram_bytes: 1_200,
             news_bytes_per_s: 1_000,
-            news_burst_bytes: 6_000,
+            news_burst_bytes: 4_000,
             rumor_fan_out: 4,
         }
     }
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -18,6 +18,24 @@
 /// IP and UDP headers, which count as control traffic too.
 pub(super) const PACKET_OVERHEAD_BYTES: u64 = 28;
 
+/// Whom a datagram goes to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Receiver {
+    pub address: SocketAddr,
+    /// Of the own failure domain: it gets what the domain knows of the others.
+    pub is_near: bool,
+}
+
+impl Receiver {
+    /// Somebody of whom only the address matters.
+    pub fn far(address: SocketAddr) -> Self {
+        Self {
+            address,
+            is_near: false,
+        }
+    }
+}
+
 impl Membership {
     /// How often an update is sent before it is dropped.
     pub(super) fn max_sends(&self) -> u32 {
@@ -25,24 +43,23 @@
         SENDS_PER_DIGIT * (members.ilog10() + 1)
     }
 
-    /// Whether the address belongs to a member of the own failure domain.
-    pub(super) fn is_near_node(&self, address: SocketAddr) -> bool {
-        let mut near = self
-            .table
-            .iter()
-            .filter(|member| member.own.domain == self.own.domain);
-        near.any(|member| member.own.control_address == address)
+    /// The node of this name at this address, as somebody to send to.
+    pub(super) fn receiver(&self, node: &str, address: SocketAddr) -> Receiver {
+        let member = self.table.get(node);
+        let is_near = member.is_some_and(|member| member.own.domain == self.own.domain);
+        Receiver { address, is_near }
     }
 
-    /// Builds a datagram: `told` first, then as many waiting updates as size and budget allow.
-    pub(super) fn datagram(
+    /// Sends a message: `told` first, then as many waiting updates as size and budget allow.
+    pub(super) fn send_telling(
         &mut self,
+        to: Receiver,
         body: Body,
         told: Vec<Update>,
-        is_near: bool,
         now: TimeMs,
-    ) -> Datagram {
-        let header = self.header(is_near, now);
+        actions: &mut Vec<Action>,
+    ) {
+        let header = self.header(to.is_near, now);
         let fixed_bytes = encoded_bytes(&header) + encoded_bytes(&body) + 1;
         let told_bytes: usize = told.iter().map(encoded_bytes).sum();
         let room = self
@@ -56,24 +73,26 @@
             .spend(taken.iter().map(encoded_bytes).sum::<usize>() as u64);
         let mut updates = told;
         updates.extend(taken);
-        Datagram {
+        let datagram = Datagram {
             header,
             body,
             updates,
-        }
+        };
+        actions.push(Action::Send {
+            to: to.address,
+            datagram,
+        });
     }
 
     /// Sends a message with piggybacked updates.
     pub(super) fn send_to(
         &mut self,
-        to: SocketAddr,
+        to: Receiver,
         body: Body,
         now: TimeMs,
         actions: &mut Vec<Action>,
     ) {
-        let is_near = self.is_near_node(to);
-        let datagram = self.datagram(body, Vec::new(), is_near, now);
-        actions.push(Action::Send { to, datagram });
+        self.send_telling(to, body, Vec::new(), now, actions);
     }
 
     /// Sends just these updates.
@@ -95,14 +114,18 @@
     /// Pushes urgent news to a few members, who push it on when it is new to them: everybody has
     /// it after a handful of steps. What the budget holds back goes in a later tick.
     pub(super) fn push_rumors(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
-        if !self.queue.has_urgent() && !self.header_is_urgent {
+        let is_for_all = self.queue.has_urgent() || self.header_is_urgent;
+        if !is_for_all && !self.answers_are_urgent {
             return;
         }
-        let receivers = self.choose_receivers();
+        let mut receivers = self.choose_receivers();
+        if !is_for_all {
+            receivers.retain(|receiver| receiver.is_near);
+        }
         if receivers.is_empty() {
             return;
         }
-        let header = self.header(false, now);
+        let header = self.header(true, now);
         let copies = receivers.len() as u64;
         let fixed_bytes = encoded_bytes(&header) as u64 + 2 + PACKET_OVERHEAD_BYTES;
         let share_bytes = self.budget.available_bytes(now) / copies;
@@ -114,25 +137,30 @@
         let updates = self
             .queue
             .take_urgent(room as usize, max_sends, copies as u32);
-        if updates.is_empty() && !self.header_is_urgent {
+        let has_news = self.header_is_urgent || self.answers_are_urgent;
+        if updates.is_empty() && !has_news {
             return;
         }
         self.header_is_urgent = false;
+        self.answers_are_urgent = false;
         let update_bytes: usize = updates.iter().map(encoded_bytes).sum();
         self.budget
             .spend((fixed_bytes + update_bytes as u64) * copies);
         for to in receivers {
             let datagram = Datagram {
-                header: header.clone(),
+                header: self.header(to.is_near, now),
                 body: Body::Rumor,
                 updates: updates.clone(),
             };
-            actions.push(Action::Send { to, datagram });
+            actions.push(Action::Send {
+                to: to.address,
+                datagram,
+            });
         }
     }
 
     /// Half of the receivers are of the own failure domain and half of others, where there are.
-    fn choose_receivers(&mut self) -> Vec<SocketAddr> {
+    fn choose_receivers(&mut self) -> Vec<Receiver> {
         let fan_out = self.settings.rumor_fan_out;
         let own_domain = self.own.domain.clone();
         let near = self.usable_addresses(|member| member.own.domain == own_domain);
@@ -140,20 +168,21 @@
         let far_count = far.len().min(fan_out.div_ceil(2));
         let near_count = near.len().min(fan_out - far_count);
         let far_count = far.len().min(fan_out - near_count);
-        let mut receivers = self.rng.choose_multiple(near, near_count);
-        receivers.extend(self.rng.choose_multiple(far, far_count));
-        receivers
+        let near = self.rng.choose_multiple(near, near_count).into_iter();
+        let far = self.rng.choose_multiple(far, far_count).into_iter();
+        let near = near.map(|address| Receiver {
+            address,
+            is_near: true,
+        });
+        near.chain(far.map(Receiver::far)).collect()
     }
 
     fn usable_addresses(&self, wanted: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
-        let mut addresses: Vec<SocketAddr> = self
-            .table
+        self.table
             .iter()
             .filter(|member| self.is_usable(member) && wanted(member))
             .map(|member| member.own.control_address)
-            .collect();
-        addresses.sort_unstable();
-        addresses
+            .collect()
     }
 
     pub(super) fn header(&self, is_near: bool, now: TimeMs) -> Header {
@@ -165,6 +194,7 @@
             from: self.own.node.clone(),
             incarnation: self.own.incarnation,
             members_digest: self.table.digest(),
+            members: self.table.alive() as u32,
             config_version: self.config_version,
             slot_maps_digest: self.slot_maps.digest(),
             heard,
--- a/src/membership/update_queue.rs
+++ b/src/membership/update_queue.rs
@@ -5,6 +5,10 @@
 use crate::core::FastMap;
 use crate::core::Name;
 
+/// Suspicions are sent this much less often than other news: the suspect is told directly, and
+/// soon either its refutation or its death goes round.
+const SUSPICION_SHARE: u32 = 3;
+
 /// What an update is about. A newer update about the same replaces the older one, so the queue
 /// holds at most one entry for each member and each slot map.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -94,6 +98,11 @@
             self.urgent -= 1;
         }
         waiting.sends += copies;
+        let is_suspicion = matches!(waiting.update, Update::Suspect { .. });
+        let max_sends = match is_suspicion {
+            true => max_sends.div_ceil(SUSPICION_SHARE),
+            false => max_sends,
+        };
         if waiting.sends < max_sends {
             return Some(waiting.update.clone());
         }
--- /dev/null
+++ b/tests/membership_fleet.rs
@@ -0,0 +1,98 @@
+//! 720 members in virtual time: how fast news goes round, and what it costs in bytes.
+//!
+//! The bounds are those of docs/MEMBERSHIP.md; run with `--nocapture` to see the figures.
+
+mod membership_net;
+
+use rstest::rstest;
+
+use membership_net::Net;
+use membership_net::Shape;
+use sassafrasgap::core::TargetState;
+
+/// Membership's part of the 3 KB/s that a node may spend on all control.
+const REST_BYTES_PER_S: u64 = 1_500;
+/// All of it.
+const BUDGET_BYTES_PER_S: u64 = 3_000;
+/// Members in a rack: a third of a failure domain.
+const RACK: usize = 27;
+
+/// A cold start is played at this size; all tables grow with the square of it.
+const COLD: Shape = Shape {
+    regions: 3,
+    domains_per_region: 3,
+    nodes_per_domain: 20,
+};
+
+#[rstest]
+fn a_fleet_at_rest_stays_within_its_bytes_and_doubts_nobody() {
+    let mut net = Net::joined(Shape::FLEET, 1);
+    net.loss = 0.01;
+    net.run_ms(15_000);
+    let (mean, most) = net.bytes_per_s(15_000);
+    println!("rest with 1% loss: {mean} B/s mean, {most} B/s at the busiest node");
+    assert!(mean <= REST_BYTES_PER_S, "{mean} B/s");
+    assert!(most <= BUDGET_BYTES_PER_S, "{most} B/s");
+    for node in &net.nodes {
+        assert_eq!(node.count(TargetState::Dead), 0);
+        assert!(node.member.cut_off_domains().is_empty());
+    }
+}
+
+#[rstest]
+fn single_changes_reach_a_fleet_within_seconds() {
+    let mut net = Net::joined(Shape::FLEET, 2);
+    let name = net.name_of(100);
+    let seen_as = |state| {
+        let name = name.clone();
+        move |node: &membership_net::Node| node.sees(&name) == Some(state)
+    };
+    net.set_state(100, TargetState::Draining);
+    let drain_ms = net.ms_until(10_000, seen_as(TargetState::Draining));
+    net.run_ms(2_000);
+    net.set_state(100, TargetState::Left);
+    net.run_ms(300);
+    net.kill(100);
+    let left_ms = net.ms_until(10_000, seen_as(TargetState::Left));
+    net.run_ms(2_000);
+    net.restart(100);
+    let restart_ms = net.ms_until(10_000, seen_as(TargetState::Up));
+    net.run_ms(2_000);
+    net.kill(100);
+    let death_ms = net.ms_until(30_000, seen_as(TargetState::Dead));
+    println!("drain {drain_ms:?} left {left_ms:?} restart {restart_ms:?} death {death_ms:?} ms");
+    assert!(drain_ms.is_some_and(|ms| ms <= 3_000), "drain {drain_ms:?}");
+    assert!(left_ms.is_some_and(|ms| ms <= 3_000), "left {left_ms:?}");
+    assert!(restart_ms.is_some_and(|ms| ms <= 5_000), "{restart_ms:?}");
+    assert!(death_ms.is_some_and(|ms| ms <= 12_000), "{death_ms:?}");
+}
+
+#[rstest]
+fn a_rack_lost_at_once_is_known_within_the_byte_budget() {
+    // A third of a failure domain loses power. Calls to it fail until it is known; the news of
+    // 27 deaths must not crowd out everything else on the control network.
+    let mut net = Net::joined(Shape::FLEET, 3);
+    for index in net.members_of(3).take(RACK) {
+        net.kill(index);
+    }
+    let all_known = |node: &membership_net::Node| node.count(TargetState::Dead) == RACK;
+    let known_ms = net.ms_until(30_000, all_known);
+    let elapsed_ms = known_ms.unwrap_or(30_000);
+    let (mean, most) = net.bytes_per_s(elapsed_ms);
+    println!("rack {known_ms:?} ms, {mean} B/s mean, {most} B/s at the busiest node");
+    assert!(known_ms.is_some_and(|ms| ms <= 20_000), "{known_ms:?}");
+    assert!(mean <= BUDGET_BYTES_PER_S, "{mean} B/s");
+}
+
+#[rstest]
+fn everything_started_at_once_finds_together() {
+    // All VMs are replaced after a power cut: nobody knows anybody but three seeds.
+    let mut net = Net::cold(COLD, 4);
+    let nodes = net.nodes.len();
+    let all_up = |node: &membership_net::Node| node.count(TargetState::Up) == nodes;
+    let joined_ms = net.ms_until(60_000, all_up);
+    let elapsed_ms = joined_ms.unwrap_or(60_000);
+    let (mean, most) = net.bytes_per_s(elapsed_ms);
+    println!("cold start {joined_ms:?} ms, {mean} B/s mean, {most} B/s at the busiest node");
+    assert!(joined_ms.is_some_and(|ms| ms <= 30_000), "{joined_ms:?}");
+}
--- /dev/null
+++ b/tests/membership_net/mod.rs
@@ -0,0 +1,488 @@
+//! A network of pure members in memory: virtual time, latency, seeded loss, cuts and pauses.
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use fastrand::Rng;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+
+use sassafrasgap::core::FastSet;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Target;
+use sassafrasgap::core::TargetState;
+use sassafrasgap::core::TimeMs;
+use sassafrasgap::membership::Action;
+use sassafrasgap::membership::Datagram;
+use sassafrasgap::membership::Membership;
+use sassafrasgap::membership::MembershipSettings;
+use sassafrasgap::membership::encode_datagram;
+
+const TICK_MS: u64 = 100;
+const SERVICES: usize = 130;
+const PACKET_OVERHEAD_BYTES: u64 = 28;
+const CONTROL_PORT: u16 = 7_000;
+const SEEDS: usize = 3;
+
+/// How many regions, failure domains and nodes there are.
+#[derive(Clone, Copy)]
+pub struct Shape {
+    pub regions: usize,
+    pub domains_per_region: usize,
+    pub nodes_per_domain: usize,
+}
+
+impl Shape {
+    /// The size that docs/CAPACITY.md plans for: 720 nodes in 9 failure domains of 3 regions.
+    pub const FLEET: Self = Self {
+        regions: 3,
+        domains_per_region: 3,
+        nodes_per_domain: 80,
+    };
+    /// A mesh of a dozen nodes, as at the users today.
+    pub const TODAY: Self = Self {
+        regions: 1,
+        domains_per_region: 3,
+        nodes_per_domain: 4,
+    };
+
+    pub fn domains(self) -> usize {
+        self.regions * self.domains_per_region
+    }
+
+    pub fn nodes(self) -> usize {
+        self.domains() * self.nodes_per_domain
+    }
+}
+
+/// Bytes of one node, both directions, with IP and UDP headers.
+#[derive(Clone, Copy, Default)]
+pub struct Traffic {
+    pub datagram_bytes: u64,
+    pub call_bytes: u64,
+    pub messages: u64,
+}
+
+pub struct Node {
+    pub member: Membership,
+    pub runs: bool,
+    paused_until: TimeMs,
+    pub traffic: Traffic,
+    pub config_news: Vec<(SocketAddr, u64)>,
+    pub slot_map_news: Vec<(Name, u64)>,
+}
+
+enum Event {
+    Tick(usize),
+    Deliver(usize, SocketAddr, Box<Datagram>),
+    AskExchange(usize, SocketAddr, Vec<Target>),
+    AnswerExchange(usize, SocketAddr, Vec<Target>),
+}
+
+pub struct Net {
+    pub shape: Shape,
+    pub now: TimeMs,
+    pub nodes: Vec<Node>,
+    pub settings: MembershipSettings,
+    /// Share of datagrams that are lost.
+    pub loss: f64,
+    /// Pairs of failure domains (from, to) between which nothing arrives.
+    cuts: FastSet<(usize, usize)>,
+    rng: Rng,
+    due: BinaryHeap<Reverse<(TimeMs, usize)>>,
+    events: Vec<Option<Event>>,
+    free: Vec<usize>,
+}
+
+impl Net {
+    /// All nodes start at once and know only a few seeds.
+    pub fn cold(shape: Shape, seed: u64) -> Self {
+        let settings = MembershipSettings::default();
+        let mut net = Self {
+            shape,
+            now: TimeMs(1_000),
+            nodes: Vec::new(),
+            settings,
+            loss: 0.0,
+            cuts: FastSet::default(),
+            rng: Rng::with_seed(seed),
+            due: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
+        };
+        for index in 0..shape.nodes() {
+            let member = net.new_member(index);
+            net.nodes.push(Node::new(member));
+            let phase = net.rng.u64(0..TICK_MS);
+            net.schedule(phase, Event::Tick(index));
+        }
+        for index in 0..shape.nodes() {
+            net.announce(index);
+        }
+        net
+    }
+
+    /// All nodes know each other already and have nothing to tell.
+    pub fn joined(shape: Shape, seed: u64) -> Self {
+        let mut net = Self::cold(shape, seed);
+        let targets: Vec<Target> = net
+            .nodes
+            .iter()
+            .map(|node| node.member.own().clone())
+            .collect();
+        let now = net.now;
+        for node in &mut net.nodes {
+            node.member.merge(now, address_of(0), &targets);
+        }
+        // Lets the first rumors die away.
+        net.run_ms(12_000);
+        net.reset_traffic();
+        net
+    }
+
+    fn new_member(&mut self, index: usize) -> Membership {
+        let seeds = (0..SEEDS).map(|seed| address_of(seed * self.shape.nodes() / SEEDS));
+        let rng = self.rng.fork();
+        Membership::new(
+            self.target(index),
+            seeds.collect(),
+            self.settings,
+            rng,
+            self.now,
+        )
+    }
+
+    fn target(&self, index: usize) -> Target {
+        let domain = self.domain_of(index);
+        let region = domain / self.shape.domains_per_region;
+        let address = address_of(index);
+        Target {
+            node: self.name_of(index),
+            service: Name::from(""),
+            region: Name::from(format!("region-{region}")),
+            domain: self.domain_name(domain),
+            peer_address: address,
+            control_address: address,
+            incarnation: 0,
+            state: TargetState::Starting,
+            slots: 0,
+        }
+    }
+
+    pub fn domain_of(&self, index: usize) -> usize {
+        index / self.shape.nodes_per_domain
+    }
+
+    pub fn domain_name(&self, domain: usize) -> Name {
+        Name::from(format!(
+            "region-{}-{domain}",
+            domain / self.shape.domains_per_region
+        ))
+    }
+
+    pub fn name_of(&self, index: usize) -> Name {
+        Name::from(format!(
+            "vm-{}-{index:03}",
+            self.domain_name(self.domain_of(index))
+        ))
+    }
+
+    /// The nodes of a failure domain.
+    pub fn members_of(&self, domain: usize) -> std::ops::Range<usize> {
+        let size = self.shape.nodes_per_domain;
+        domain * size..(domain + 1) * size
+    }
+
+    /// The backend server beside a node announces itself.
+    pub fn announce(&mut self, index: usize) {
+        let service = Name::from(format!("service-{:03}", index % SERVICES));
+        self.set_own(index, &service, TargetState::Up, 100);
+    }
+
+    pub fn set_own(&mut self, index: usize, service: &Name, state: TargetState, slots: u32) {
+        let now = self.now;
+        self.nodes[index].member.set_own(service, state, slots, now);
+    }
+
+    pub fn set_state(&mut self, index: usize, state: TargetState) {
+        let own = self.nodes[index].member.own().clone();
+        self.set_own(index, &own.service, state, own.slots);
+    }
+
+    /// The process dies without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].runs = false;
+    }
+
+    /// A new process under the old name, which forgot everything.
+    pub fn restart(&mut self, index: usize) {
+        let member = self.new_member(index);
+        let node = &mut self.nodes[index];
+        node.member = member;
+        node.runs = true;
+        self.announce(index);
+    }
+
+    pub fn pause(&mut self, index: usize, pause_ms: u64) {
+        self.nodes[index].paused_until = self.now + pause_ms;
+    }
+
+    /// Cuts two groups of failure domains off from each other.
+    pub fn cut(&mut self, one: &[usize], other: &[usize]) {
+        for a in one {
+            for b in other {
+                self.cuts.insert((*a, *b));
+                self.cuts.insert((*b, *a));
+            }
+        }
+    }
+
+    /// Nothing gets from `from` to `to`; the other way works.
+    pub fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub fn reset_traffic(&mut self) {
+        for node in &mut self.nodes {
+            node.traffic = Traffic::default();
+        }
+    }
+
+    /// Bytes per second of the mean and of the busiest node over the last `elapsed_ms`.
+    pub fn bytes_per_s(&self, elapsed_ms: u64) -> (u64, u64) {
+        let bytes = |node: &Node| node.traffic.datagram_bytes + node.traffic.call_bytes;
+        let sum: u64 = self.nodes.iter().map(bytes).sum();
+        let most = self.nodes.iter().map(bytes).max().unwrap_or(0);
+        let mean = sum / self.nodes.len() as u64;
+        (mean * 1_000 / elapsed_ms, most * 1_000 / elapsed_ms)
+    }
+
+    /// Runs until `condition` holds for every running node; the time it took.
+    pub fn ms_until(&mut self, limit_ms: u64, condition: impl Fn(&Node) -> bool) -> Option<u64> {
+        let start = self.now;
+        loop {
+            let mut running = self.nodes.iter().filter(|node| node.runs);
+            if running.all(&condition) {
+                return Some(self.now.since(start));
+            }
+            if self.now.since(start) >= limit_ms {
+                return None;
+            }
+            self.run_ms(50);
+        }
+    }
+
+    pub fn run_ms(&mut self, for_ms: u64) {
+        let end = self.now + for_ms;
+        while let Some(Reverse((at, slot))) = self.due.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.due.pop();
+            self.now = at;
+            let event = self.events[slot].take().expect("an event is due once");
+            self.free.push(slot);
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    fn schedule(&mut self, after_ms: u64, event: Event) {
+        let at = self.now + after_ms;
+        self.schedule_at(at, event);
+    }
+
+    fn schedule_at(&mut self, at: TimeMs, event: Event) {
+        let slot = match self.free.pop() {
+            Some(slot) => slot,
+            None => {
+                self.events.push(None);
+                self.events.len() - 1
+            }
+        };
+        self.events[slot] = Some(event);
+        self.due.push(Reverse((at, slot)));
+    }
+
+    fn happen(&mut self, event: Event) {
+        let index = match &event {
+            Event::Tick(index)
+            | Event::Deliver(index, ..)
+            | Event::AskExchange(index, ..)
+            | Event::AnswerExchange(index, ..) => *index,
+        };
+        let resume = self.nodes[index].paused_until;
+        if resume > self.now {
+            // A paused process finds everything in its sockets when it resumes.
+            self.schedule_at(resume, event);
+            return;
+        }
+        let runs = self.nodes[index].runs;
+        let now = self.now;
+        match event {
+            Event::Tick(index) => {
+                self.schedule(TICK_MS, Event::Tick(index));
+                if runs {
+                    let actions = self.nodes[index].member.tick(now);
+                    self.act(index, actions);
+                }
+            }
+            _ if !runs => {}
+            Event::Deliver(index, from, datagram) => {
+                let actions = self.nodes[index].member.handle(now, from, *datagram);
+                self.act(index, actions);
+            }
+            Event::AskExchange(index, from, members) => {
+                let member = &mut self.nodes[index].member;
+                let (answer, actions) = member.answer_exchange(now, from, &members);
+                self.act(index, actions);
+                self.send_call(index, from, answer, Event::AnswerExchange);
+            }
+            Event::AnswerExchange(index, from, members) => {
+                let actions = self.nodes[index].member.merge(now, from, &members);
+                self.act(index, actions);
+            }
+        }
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, datagram } => self.send(index, to, datagram),
+                Action::Publish => {
+                    self.nodes[index].member.view();
+                }
+                Action::Exchange { with } => {
+                    let members = self.nodes[index].member.all_members();
+                    self.send_call(index, with, members, Event::AskExchange);
+                }
+                Action::ConfigNews { from, version } => {
+                    self.nodes[index].config_news.push((from, version));
+                    // Fetching the configuration is a call that succeeds.
+                    self.nodes[index].member.set_config_version(version);
+                }
+                Action::SlotMapNews {
+                    service, version, ..
+                } => {
+                    let node = &mut self.nodes[index];
+                    node.slot_map_news.push((service.clone(), version));
+                    node.member.set_slot_map_version(&service, version);
+                }
+                Action::CompareSlotMaps { .. } => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, datagram: Datagram) {
+        let bytes = encode_datagram(&datagram).len() as u64 + PACKET_OVERHEAD_BYTES;
+        self.nodes[from].traffic.datagram_bytes += bytes;
+        self.nodes[from].traffic.messages += 1;
+        let Some(to) = self.index_at(to) else {
+            return;
+        };
+        if self.is_cut(from, to) || self.rng.f64() < self.loss {
+            return;
+        }
+        if self.nodes[to].runs {
+            self.nodes[to].traffic.datagram_bytes += bytes;
+            self.nodes[to].traffic.messages += 1;
+        }
+        let latency_ms = self.latency_ms(from, to);
+        let event = Event::Deliver(to, address_of(from), Box::new(datagram));
+        self.schedule(latency_ms, event);
+    }
+
+    fn send_call(
+        &mut self,
+        from: usize,
+        to: SocketAddr,
+        members: Vec<Target>,
+        event: fn(usize, SocketAddr, Vec<Target>) -> Event,
+    ) {
+        let Some(to) = self.index_at(to) else {
+            return;
+        };
+        let is_cut = self.is_cut(from, to) || self.is_cut(to, from);
+        if is_cut || !self.nodes[to].runs {
+            return;
+        }
+        let bytes = call_bytes(&members);
+        self.nodes[from].traffic.call_bytes += bytes;
+        self.nodes[to].traffic.call_bytes += bytes;
+        let latency_ms = 2 * self.latency_ms(from, to);
+        self.schedule(latency_ms, event(to, address_of(from), members));
+    }
+
+    fn index_at(&self, address: SocketAddr) -> Option<usize> {
+        let SocketAddr::V4(address) = address else {
+            return None;
+        };
+        let [_, high, low, _] = address.ip().octets();
+        let index = usize::from(high) * 256 + usize::from(low);
+        (index < self.nodes.len()).then_some(index)
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let domains = (self.domain_of(from), self.domain_of(to));
+        self.cuts.contains(&domains)
+    }
+
+    fn latency_ms(&self, from: usize, to: usize) -> u64 {
+        let (a, b) = (self.domain_of(from), self.domain_of(to));
+        let per_region = self.shape.domains_per_region;
+        match (a == b, a / per_region == b / per_region) {
+            (true, _) => 1,
+            (_, true) => 2,
+            _ => 20,
+        }
+    }
+}
+
+impl Node {
+    fn new(member: Membership) -> Self {
+        Self {
+            member,
+            runs: true,
+            paused_until: TimeMs::default(),
+            traffic: Traffic::default(),
+            config_news: Vec::new(),
+            slot_map_news: Vec::new(),
+        }
+    }
+
+    /// The state of a member as this node holds it.
+    pub fn sees(&self, name: &str) -> Option<TargetState> {
+        let member = self.member.table().get(name);
+        member.map(|member| member.published.state)
+    }
+
+    /// How many members this node holds in a state.
+    pub fn count(&self, state: TargetState) -> usize {
+        let members = self.member.table().iter();
+        members
+            .filter(|member| member.published.state == state)
+            .count()
+    }
+}
+
+pub fn address_of(index: usize) -> SocketAddr {
+    let ip = Ipv4Addr::new(10, (index / 256) as u8, (index % 256) as u8, 1);
+    SocketAddr::from((ip, CONTROL_PORT))
+}
+
+/// What the members take in a control call, which tarpc sends with bincode.
+fn call_bytes(members: &Vec<Target>) -> u64 {
+    let mut codec = Bincode::<(), Vec<Target>>::default();
+    let bytes = Pin::new(&mut codec)
+        .serialize(members)
+        .expect("plain structs always encode");
+    bytes.len() as u64
+}
--- /dev/null
+++ b/tests/membership_order.rs
@@ -0,0 +1,227 @@
+//! Which news overrides which, and what becomes of datagrams that cannot be used.
+
+use std::net::SocketAddr;
+
+use fastrand::Rng;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Target;
+use sassafrasgap::core::TargetState;
+use sassafrasgap::core::TimeMs;
+use sassafrasgap::errors::GossipError;
+use sassafrasgap::membership::Action;
+use sassafrasgap::membership::Body;
+use sassafrasgap::membership::Datagram;
+use sassafrasgap::membership::Header;
+use sassafrasgap::membership::Membership;
+use sassafrasgap::membership::MembershipSettings;
+use sassafrasgap::membership::Update;
+use sassafrasgap::membership::decode_datagram;
+use sassafrasgap::membership::encode_datagram;
+use sassafrasgap::membership::encoded_bytes;
+
+const NOW: TimeMs = TimeMs(5_000);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn target(node: &str, incarnation: u64, state: TargetState) -> Target {
+    Target {
+        node: Name::from(node),
+        service: Name::from("scheduler"),
+        region: Name::from("tw-north"),
+        domain: Name::from("tw-north-2"),
+        peer_address: address(8_000),
+        control_address: address(7_000),
+        incarnation,
+        state,
+        slots: 140,
+    }
+}
+
+fn member() -> Membership {
+    let mut own = target("node-own", 0, TargetState::Starting);
+    own.control_address = address(7_001);
+    let settings = MembershipSettings::default();
+    Membership::new(own, Vec::new(), settings, Rng::with_seed(1), NOW)
+}
+
+fn header(from: &str, incarnation: u64) -> Header {
+    Header {
+        from: Name::from(from),
+        incarnation,
+        members_digest: 0,
+        members: 0,
+        config_version: 0,
+        slot_maps_digest: 0,
+        heard: Vec::new(),
+    }
+}
+
+fn rumor(updates: Vec<Update>) -> Datagram {
+    Datagram {
+        header: header("node-b", 1),
+        body: Body::Rumor,
+        updates,
+    }
+}
+
+/// What a node may say of itself in one incarnation; each is said only once.
+fn own_word(incarnation: u64) -> Update {
+    let state = match incarnation % 3 {
+        0 => TargetState::Up,
+        1 => TargetState::Draining,
+        _ => TargetState::Starting,
+    };
+    Update::Own(target("node-x", incarnation, state))
+}
+
+fn any_update() -> impl Strategy<Value = Update> {
+    let node = Name::from("node-x");
+    let suspect = node.clone();
+    prop_oneof![
+        (0..6u64).prop_map(own_word),
+        (0..6u64).prop_map(move |incarnation| Update::Suspect {
+            node: suspect.clone(),
+            incarnation
+        }),
+        (0..6u64).prop_map(move |incarnation| Update::Dead {
+            node: node.clone(),
+            incarnation
+        }),
+    ]
+}
+
+/// The place of what is held of `node-x` in the order of news.
+fn held(member: &Membership) -> Option<(u64, bool)> {
+    let held = member.table().get("node-x")?;
+    let is_dead = held.published.state == TargetState::Dead;
+    Some((held.own.incarnation, is_dead))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Datagrams arrive late, twice and in any order. A target that drains must not look up again
+    /// because an old datagram came after the newer one.
+    #[test]
+    fn news_in_any_order_never_goes_back(updates in prop::collection::vec(any_update(), 1..40)) {
+        let mut member = member();
+        let mut last = None;
+        for update in updates {
+            member.handle(NOW, address(7_002), rumor(vec![update]));
+            let now_held = held(&member);
+            prop_assert!(now_held >= last, "{:?} after {:?}", now_held, last);
+            last = now_held;
+        }
+    }
+
+    /// Two nodes that got the same news in different orders hold the same in the end.
+    #[test]
+    fn the_order_of_arrival_does_not_matter(
+        updates in prop::collection::vec(any_update(), 1..20),
+        seed in any::<u64>(),
+    ) {
+        let mut shuffled = updates.clone();
+        Rng::with_seed(seed).shuffle(&mut shuffled);
+        let mut one = member();
+        let mut other = member();
+        // What is said of an incarnation not heard of yet is not kept; a second round stands for
+        // the copies that others send.
+        for _ in 0..2 {
+            for (a, b) in updates.iter().zip(&shuffled) {
+                one.handle(NOW, address(7_002), rumor(vec![a.clone()]));
+                other.handle(NOW, address(7_002), rumor(vec![b.clone()]));
+            }
+        }
+        prop_assert_eq!(held(&one), held(&other));
+        prop_assert_eq!(one.table().digest(), other.table().digest());
+    }
+
+    /// Whatever arrives on the port, the node goes on.
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        if let Ok(datagram) = decode_datagram(&bytes) {
+            member().handle(NOW, address(7_002), datagram);
+        }
+    }
+
+    #[test]
+    fn datagrams_survive_the_wire(updates in prop::collection::vec(any_update(), 0..12)) {
+        let datagram = rumor(updates);
+        let decoded = decode_datagram(&encode_datagram(&datagram));
+        prop_assert_eq!(decoded.ok(), Some(datagram));
+    }
+}
+
+#[rstest]
+fn a_datagram_of_another_version_is_refused_by_name() {
+    let mut bytes = encode_datagram(&rumor(Vec::new()));
+    bytes[0] += 1;
+    let refused = decode_datagram(&bytes);
+    assert!(matches!(
+        refused,
+        Err(GossipError::Version { theirs: 2, ours: 1 })
+    ));
+    assert!(matches!(decode_datagram(&[]), Err(GossipError::Empty)));
+}
+
+#[rstest]
+fn a_datagram_cut_short_is_refused_as_a_whole() {
+    let bytes = encode_datagram(&rumor(vec![own_word(3)]));
+    let decoded = decode_datagram(&bytes[..bytes.len() - 1]);
+    assert!(matches!(decoded, Err(GossipError::Decode(_))));
+}
+
+#[rstest]
+#[case::suspected(Update::Suspect { node: Name::from("node-own"), incarnation: 1 << 20 })]
+#[case::dead(Update::Dead { node: Name::from("node-own"), incarnation: 1 << 20 })]
+#[case::of_an_earlier_process(Update::Own(target("node-own", 1 << 20, TargetState::Draining)))]
+fn what_peers_hold_about_this_node_is_overridden(#[case] update: Update) {
+    // A node restarts with a low incarnation, or was suspected while it was paused. Until it
+    // overrides what the others hold, they would never send it work again.
+    let mut member = member();
+    member.handle(NOW, address(7_002), rumor(vec![update]));
+    assert!(member.own().incarnation > 1 << 20);
+    assert_eq!(member.own().state, TargetState::Starting);
+}
+
+#[rstest]
+fn a_sender_whose_record_is_newer_here_is_told() {
+    // A node restarts and pings before it learnt anything. The answer must carry what is held
+    // about it, or it would go on with an incarnation that everybody ignores.
+    let mut member = member();
+    let held = Update::Own(target("node-x", 1 << 20, TargetState::Up));
+    member.handle(NOW, address(7_002), rumor(vec![held.clone()]));
+    let ping = Datagram {
+        header: header("node-x", 1 << 16),
+        body: Body::Ping { sequence: 9 },
+        updates: Vec::new(),
+    };
+    let actions = member.handle(NOW, address(7_000), ping);
+    let told = actions.iter().any(|action| match action {
+        Action::Send { to, datagram } => *to == address(7_000) && datagram.updates.contains(&held),
+        _ => false,
+    });
+    assert!(told, "{actions:?}");
+}
+
+#[rstest]
+fn sizes_on_the_wire_are_those_that_capacity_is_planned_with() {
+    // docs/CAPACITY.md works out bytes a second from these; a larger entry has to be planned for.
+    let mut long = target("vm-region-2-8-719", 99 << 16, TargetState::Up);
+    long.service = Name::from("service-129");
+    long.region = Name::from("region-2");
+    long.domain = Name::from("region-2-8");
+    let dead = Update::Dead {
+        node: long.node.clone(),
+        incarnation: long.incarnation,
+    };
+    let header_bytes = encoded_bytes(&header(&long.node, long.incarnation));
+    assert!(encoded_bytes(&Update::Own(long)) <= 80);
+    assert!(encoded_bytes(&dead) <= 24);
+    assert!(header_bytes <= 40);
+}
