--- a/src/errors.rs
+++ b/src/errors.rs
@@ -68,7 +68,11 @@
         path: PathBuf,
         source: serde_json::Error,
     },
-    #[error("no entry to send to: give --entry at least once")]
+    #[error("{}", joined(errors))]
+    Deployment { errors: Vec<SettingsError> },
+    #[error(transparent)]
+    Mesh(#[from] MeshError),
+    #[error("no entry to send to: give --entry or --deployment")]
     NoEntries,
     #[error("threads cannot be started: {source}")]
     Runtime { source: io::Error },
@@ -122,13 +126,14 @@
                 | Self::Plan { .. }
                 | Self::TraceLine { .. }
                 | Self::ReportJson { .. }
+                | Self::Deployment { .. }
                 | Self::NoEntries
         )
     }
 }
 
-fn joined(problems: &[PlanProblem]) -> String {
-    let texts: Vec<String> = problems.iter().map(PlanProblem::to_string).collect();
+fn joined<T: ToString>(problems: &[T]) -> String {
+    let texts: Vec<String> = problems.iter().map(T::to_string).collect();
     texts.join("; ")
 }
 
--- a/src/load/commands/calibrate.rs
+++ b/src/load/commands/calibrate.rs
@@ -15,16 +15,17 @@
 use crate::errors::LoadError;
 use crate::load::AnswerCheck;
 use crate::load::CallKind;
-use crate::load::DriveOptions;
 use crate::load::Phase;
 use crate::load::PhaseRole;
 use crate::load::PhaseSpan;
 use crate::load::Plan;
 use crate::load::ResendPolicy;
+use crate::load::SiteOptions;
 use crate::load::Trace;
 use crate::load::commands::finish::finish;
 use crate::load::commands::sending::Sending;
 use crate::load::commands::sending::send_and_report;
+use crate::load::experiment::Variant;
 use crate::load::load_runtime;
 use crate::load::path_at_backend;
 
@@ -68,13 +69,15 @@
         trace: Trace::generate(&plan),
         phases: PhaseSpan::of_plan(&plan),
         classes: plan.classes(),
-        options: DriveOptions {
+        resend: plan.resend,
+        show_progress: true,
+        site: SiteOptions {
             entries: vec![entry],
-            resend: plan.resend,
-            show_progress: true,
+            backends: Vec::new(),
+            run_logs: Vec::new(),
+            deployment: None,
+            variant: Variant::controlled(),
         },
-        backends: Vec::new(),
-        run_logs: Vec::new(),
         threads: args.threads,
     })?;
     let code = finish(&sent.report, None, None, None)?;
--- a/src/load/commands/replay.rs
+++ b/src/load/commands/replay.rs
@@ -5,20 +5,22 @@
 
 use argh::FromArgs;
 
-use crate::load::DriveOptions;
 use crate::load::Outcomes;
 use crate::load::PhaseSpan;
 use crate::load::Plan;
 use crate::load::ResendPolicy;
+use crate::load::SiteOptions;
 use crate::load::Trace;
 use crate::load::commands::finish::finish;
 use crate::load::commands::sending::Sending;
 use crate::load::commands::sending::send_and_report;
+use crate::load::experiment::Variant;
 
 /// Sends a recorded trace with the same timing, and checks stated outcomes.
 ///
 /// Example: sassafrasgap-load replay --trace examples/cantinas/trace.jsonl
-/// --expect examples/cantinas/outcomes.yaml --entry 127.0.0.1:7100 --backend 127.0.0.1:7900
+/// --plan examples/cantinas/plan.yaml --expect examples/cantinas/outcomes.yaml
+/// --deployment examples/cantinas/deployment.yaml
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "replay")]
 pub struct ReplayArgs {
@@ -31,10 +33,17 @@
     /// callers' address of a node; repeat it for several
     #[argh(option)]
     pub entry: Vec<SocketAddr>,
-    /// backend stand-in to ask what it ran; repeat it for several
+    /// stand-in backend server to ask what it ran; repeat it for several
     #[argh(option)]
     pub backend: Vec<SocketAddr>,
-    /// run log of a backend stand-in; repeat it for several
+    /// starts a mesh of this deployment on loopback and sends to its nodes; its backend servers are
+    /// described in backends.yaml beside it
+    #[argh(option)]
+    pub deployment: Option<PathBuf>,
+    /// settings of the nodes of that mesh, as name:key=value, such as baseline:control_enabled=false
+    #[argh(option, default = "Variant::controlled()")]
+    pub variant: Variant,
+    /// run log of a stand-in backend server; repeat it for several
     #[argh(option)]
     pub run_log: Vec<PathBuf>,
     /// check the outcomes stated in a file; 1 is returned when one is not met
@@ -81,13 +90,15 @@
         trace,
         phases,
         classes,
-        options: DriveOptions {
+        resend,
+        show_progress: !args.quiet,
+        site: SiteOptions {
             entries: args.entry,
-            resend,
-            show_progress: !args.quiet,
+            backends: args.backend,
+            run_logs: args.run_log,
+            deployment: args.deployment,
+            variant: args.variant,
         },
-        backends: args.backend,
-        run_logs: args.run_log,
         threads: args.threads,
     })?;
     let code = finish(
--- a/src/load/commands/run.rs
+++ b/src/load/commands/run.rs
@@ -6,14 +6,15 @@
 use argh::FromArgs;
 
 use crate::load::CallRecord;
-use crate::load::DriveOptions;
 use crate::load::Outcomes;
 use crate::load::PhaseSpan;
 use crate::load::Plan;
+use crate::load::SiteOptions;
 use crate::load::Trace;
 use crate::load::commands::finish::finish;
 use crate::load::commands::sending::Sending;
 use crate::load::commands::sending::send_and_report;
+use crate::load::experiment::Variant;
 
 /// Sends the load of a plan, open-loop, and reports.
 ///
@@ -28,10 +29,17 @@
     /// callers' address of a node; repeat it for several
     #[argh(option)]
     pub entry: Vec<SocketAddr>,
-    /// backend stand-in to ask what it ran; repeat it for several
+    /// stand-in backend server to ask what it ran; repeat it for several
     #[argh(option)]
     pub backend: Vec<SocketAddr>,
-    /// run log of a backend stand-in; repeat it for several
+    /// starts a mesh of this deployment on loopback and sends to its nodes; its backend servers are
+    /// described in backends.yaml beside it
+    #[argh(option)]
+    pub deployment: Option<PathBuf>,
+    /// settings of the nodes of that mesh, as name:key=value, such as baseline:control_enabled=false
+    #[argh(option, default = "Variant::controlled()")]
+    pub variant: Variant,
+    /// run log of a stand-in backend server; repeat it for several
     #[argh(option)]
     pub run_log: Vec<PathBuf>,
     /// write what was sent, for `replay`
@@ -68,13 +76,15 @@
         trace,
         phases: PhaseSpan::of_plan(&plan),
         classes: plan.classes(),
-        options: DriveOptions {
+        resend: plan.resend,
+        show_progress: !args.quiet,
+        site: SiteOptions {
             entries: args.entry,
-            resend: plan.resend,
-            show_progress: !args.quiet,
+            backends: args.backend,
+            run_logs: args.run_log,
+            deployment: args.deployment,
+            variant: args.variant,
         },
-        backends: args.backend,
-        run_logs: args.run_log,
         threads: args.threads,
     })?;
     if let (Some(path), Some(trace)) = (&args.record, sent_trace) {
