Run calls with a key by the ledger of their slot's owner

Calls with a key went to any target, and a resend ran again. Now the entry sends them to the owner of the key's slot, learnt from answers, and the guard asks its ledger before anything is queued. Refusals that no ledger backs say unknown.

--- a/src/claims/driver.rs
+++ b/src/claims/driver.rs
@@ -69,6 +69,8 @@
     pub service: Name,
     /// It takes work.
     pub serving: bool,
+    /// It said itself that it takes no more.
+    pub draining: bool,
 }
 
 /// What the driver needs of the rest of the node.
@@ -115,6 +117,17 @@
         })
     }
 
+    /// Claims over a ledger whose holding somebody else decides, for nodes without a control thread.
+    pub fn with_ledger(
+        settings: ClaimsSettings,
+        clock: Clock,
+        ledger: Arc<SharedLedger>,
+    ) -> Arc<Self> {
+        let claims = Self::new(settings, clock);
+        claims.ledger.store(Some(ledger));
+        claims
+    }
+
     /// The ledger, once the backend server has announced itself and a preset is known.
     pub fn ledger(&self) -> Option<Arc<SharedLedger>> {
         self.ledger.load_full()
@@ -230,6 +243,7 @@
         alive.insert(self.settings.node.clone());
         Situation {
             serving: local.serving,
+            draining: local.draining,
             stopping: self.stopping.load(Ordering::Acquire),
             alive,
         }
--- a/src/claims/keeper_action.rs
+++ b/src/claims/keeper_action.rs
@@ -54,6 +54,8 @@
 pub struct Situation {
     /// The backend server takes work.
     pub serving: bool,
+    /// It said itself that it takes no more work, which is no passing trouble.
+    pub draining: bool,
     /// The node is about to stop: it gives everything away and leaves.
     pub stopping: bool,
     /// Names of the nodes of this service that membership does not take to be gone.
--- a/src/claims/lease_keeper.rs
+++ b/src/claims/lease_keeper.rs
@@ -503,7 +503,8 @@
         let since = self.not_serving_since;
         let lately = since.is_some_and(|since| now.since(since) < self.conf.not_serving_ms);
         let listed = |row: &Row| row.map.member(self.me.instance).is_some();
-        self.situation.serving || (lately && self.row.as_ref().is_some_and(listed))
+        let passing = lately && !self.situation.draining;
+        self.situation.serving || (passing && self.row.as_ref().is_some_and(listed))
     }
 
     fn advance(&mut self, now: TimeMs) -> Vec<Action> {
--- a/src/conf/defaults.rs
+++ b/src/conf/defaults.rs
@@ -18,5 +18,7 @@
 pub const PLATFORM_TIMEOUT_MS: u64 = 1_000;
 /// Keeps a change under 2 s, see docs/CONFIGURATION.md.
 pub const CONFIG_POLL_MS: u64 = 500;
+/// See docs/AT_MOST_ONCE.md, "The cost at the table".
+pub const LEASE_MS: u64 = 15_000;
 /// Bounds the memory of the ledger; beyond it new keys are refused.
 pub const MAX_LEDGER_KEYS: u64 = 100_000;
--- a/src/conf/node_document.rs
+++ b/src/conf/node_document.rs
@@ -104,6 +104,7 @@
             defaults::PLATFORM_TIMEOUT_MS,
         ),
         config_poll_ms: section.number_or("config_poll_ms", 50..=5_000, defaults::CONFIG_POLL_MS),
+        lease_ms: section.number_or("lease_ms", 1_000..=300_000, defaults::LEASE_MS),
         max_ledger_keys: section.number_or(
             "max_ledger_keys",
             100..=10_000_000,
--- a/src/conf/node_settings.rs
+++ b/src/conf/node_settings.rs
@@ -52,6 +52,8 @@
     pub platform_timeout_ms: u64,
     /// How often a polling node reads the row of the configuration in force.
     pub config_poll_ms: u64,
+    /// How long an owner of slots relies on one sign that nobody takes them over.
+    pub lease_ms: u64,
     /// How many idempotency keys a guard remembers at most.
     pub max_ledger_keys: usize,
 }
@@ -91,6 +93,7 @@
             drain_timeout_ms: defaults::DRAIN_TIMEOUT_MS,
             platform_timeout_ms: defaults::PLATFORM_TIMEOUT_MS,
             config_poll_ms: defaults::CONFIG_POLL_MS,
+            lease_ms: defaults::LEASE_MS,
             max_ledger_keys: defaults::MAX_LEDGER_KEYS as usize,
         }
     }
--- a/src/conf/node_writer.rs
+++ b/src/conf/node_writer.rs
@@ -36,6 +36,7 @@
             ("drain_timeout_ms", &self.drain_timeout_ms),
             ("platform_timeout_ms", &self.platform_timeout_ms),
             ("config_poll_ms", &self.config_poll_ms),
+            ("lease_ms", &self.lease_ms),
             ("max_ledger_keys", &self.max_ledger_keys),
         ];
         let mut text = String::new();
--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -67,9 +67,7 @@
     let (tell, told) = oneshot::channel();
     let task_node = node.clone();
     tokio::spawn(async move {
-        let longest = left + Duration::from_millis(RUN_ON_MS);
-        let end = tokio::time::timeout(longest, run(task_node, call, permit)).await;
-        let end = end.unwrap_or_else(|_| Err(unknown(RefusalReason::DeadlineExceeded)));
+        let end = run_on(&task_node, call, permit).await;
         // Nobody waits any more when the deadline has passed.
         let _ = tell.send(end);
     });
@@ -80,6 +78,19 @@
     }
 }
 
+/// Runs a call and waits for its end, for a while beyond the deadline. The future must not be
+/// dropped before.
+pub(super) async fn run_on(
+    node: &Arc<Node>,
+    call: GuardedCall,
+    permit: Permit,
+) -> Result<Answer, Refusal> {
+    let left_ms = call.deadline.since(node.inputs.clock.now());
+    let longest = Duration::from_millis(left_ms + RUN_ON_MS);
+    let end = tokio::time::timeout(longest, run(node.clone(), call, permit)).await;
+    end.unwrap_or_else(|_| Err(unknown(RefusalReason::DeadlineExceeded)))
+}
+
 async fn run(node: Arc<Node>, mut call: GuardedCall, permit: Permit) -> Result<Answer, Refusal> {
     let mut running = Running::new(&node, call.live.clone(), permit);
     match exchange(&node, &mut call, running.context).await {
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -30,6 +30,10 @@
     pub(super) wait_ms: u32,
     pub(super) non_idempotent: bool,
     pub(super) key: Option<Name>,
+    /// The stamp to send, heard from the owner of the key's slot.
+    pub(super) owner_stamp: u64,
+    /// When the entry read the head of the call.
+    pub(super) arrived_at: TimeMs,
     pub(super) config_version: u64,
     /// Holds the allotment: the call itself for a root, else the live call on whose behalf the
     /// backend server makes this one.
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -12,10 +12,13 @@
 use crate::node::answer::Answer;
 use crate::node::call::Call;
 use crate::node::forward::forward;
+use crate::node::keyed_forward::without_word;
 use crate::node::live_calls::LiveCall;
 use crate::node::refusal_response::refusal_response;
 use crate::node::refusal_response::set_outcome;
+use crate::node::take_call::split_path;
 use crate::node::take_call::take_call;
+use crate::wire::headers;
 
 /// Where a call comes from.
 pub(super) enum Origin {
@@ -33,8 +36,10 @@
 ) -> Response<Body> {
     let started_us = node.inputs.clock.now_us();
     node.metrics.entry_calls.inc();
+    let is_keyed = may_be_keyed(node, &request);
     let response = match take_call(node, request, origin).await {
         Ok(mut call) => answer_call(node, &mut call).await,
+        Err(refusal) if is_keyed => refused(node, without_word(refusal), None),
         Err(refusal) => refused(node, refusal, None),
     };
     let took_us = node.inputs.clock.now_us() - started_us;
@@ -42,6 +47,22 @@
     response
 }
 
+/// Whether the call has a key under which it may have run before: then a refusal of this entry
+/// alone must not say that it was not run.
+fn may_be_keyed(node: &Node, request: &Request<Body>) -> bool {
+    if !request.headers().contains_key(headers::IDEMPOTENCY_KEY) {
+        return false;
+    }
+    let in_force = node.inputs.in_force.load();
+    in_force.as_ref().as_ref().is_none_or(|known| {
+        let (service, rest) = split_path(request.uri().path());
+        let policy = known
+            .preset
+            .classify(service, request.method().as_str(), rest);
+        policy.non_idempotent
+    })
+}
+
 async fn answer_call(node: &Arc<Node>, call: &mut Call) -> Response<Body> {
     let _child = ChildSpan::begin(node, call);
     match forward(node, call).await {
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::node::answer::Answer;
 use crate::node::call::Call;
+use crate::node::keyed_forward::forward_keyed;
 use crate::node::peer_call::AttemptEnd;
 use crate::node::peer_call::call_peer;
 use crate::retry::Failure;
@@ -25,6 +26,9 @@
 /// # Errors
 /// The refusal to give to the caller.
 pub(super) async fn forward(node: &Arc<Node>, call: &mut Call) -> Result<Answer, Refusal> {
+    if let Some(key) = call.key.clone().filter(|_| is_keyed(node, call)) {
+        return forward_keyed(node, call, key).await;
+    }
     let mut tried: Vec<Name> = Vec::new();
     let mut last: Option<Refusal> = None;
     node.targets.first_attempt(&call.service);
@@ -51,7 +55,12 @@
     }
 }
 
-fn choose(node: &Node, call: &Call, tried: &[Name]) -> Option<Arc<Target>> {
+/// Whether the call runs at most once by its key. The baseline does without.
+fn is_keyed(node: &Node, call: &Call) -> bool {
+    call.non_idempotent && node.settings.control_enabled
+}
+
+pub(super) fn choose(node: &Node, call: &Call, tried: &[Name]) -> Option<Arc<Target>> {
     let view = node.inputs.view.load();
     let now = node.inputs.clock.now();
     let domain = &node.settings.domain;
@@ -62,7 +71,7 @@
 }
 
 /// One attempt with a share of the allotment; what the share's holders left over comes back.
-async fn attempt(node: &Arc<Node>, call: &mut Call, target: &Target) -> AttemptEnd {
+pub(super) async fn attempt(node: &Arc<Node>, call: &mut Call, target: &Target) -> AttemptEnd {
     let share = call.holder.hand_out();
     let end = call_peer(node, call, target, share).await;
     let header = match &end {
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -24,6 +24,9 @@
 use crate::node::guard_answer::refuse;
 use crate::node::guard_answer::refuse_unread;
 use crate::node::guarded_call::GuardedCall;
+use crate::node::keyed_guard::key_of;
+use crate::node::keyed_guard::run_keyed;
+use crate::node::keyed_guard::without_ledger;
 use crate::node::live_calls::LiveCall;
 use crate::node::take_call::split_path;
 use crate::wire::CallHeader;
@@ -42,13 +45,24 @@
         attempt: header.attempt,
         route: Name::from(""),
         allotment_unused: header.allotment,
+        key: key_of(&header).cloned(),
     };
     let call = match take_call(node, header, request).await {
         Ok(call) => call,
-        Err(refusal) => return refuse(node, &answered, refusal),
+        Err(refusal) => {
+            let refusal = without_ledger(answered.key.as_ref(), refusal);
+            return refuse(node, &answered, refusal);
+        }
     };
     let live = call.live.clone();
-    let end = run(node, call).await;
+    let end = match answered
+        .key
+        .clone()
+        .filter(|_| node.settings.control_enabled)
+    {
+        Some(key) => run_keyed(node, call, key).await,
+        None => admit_and_run(node, call).await,
+    };
     answered.allotment_unused = live.close_allotment();
     answered.route = live.route.clone();
     match end {
@@ -112,8 +126,15 @@
     }
 }
 
-fn takes_work(node: &Node) -> Result<(), Refusal> {
-    match node.inputs.local.borrow().state() {
+/// Whether the call may start here. During a planned stop of the node, the owner of a key goes on
+/// until the slot is handed over: nobody else may run it.
+fn takes_work(node: &Node, call: &GuardedCall) -> Result<(), Refusal> {
+    let local = node.inputs.local.borrow();
+    let state = match (&local.announced, key_of(&call.header)) {
+        (Some(announced), Some(_)) => announced.state,
+        _ => local.state(),
+    };
+    match state {
         TargetState::Up | TargetState::Suspect => Ok(()),
         TargetState::Starting => Err(not_run(RefusalReason::BackendDown)),
         TargetState::Draining | TargetState::Dead | TargetState::Left => {
@@ -122,11 +143,15 @@
     }
 }
 
-async fn run(node: &Arc<Node>, call: GuardedCall) -> Result<Answer, Refusal> {
+/// Waits for admission and runs the call.
+///
+/// # Errors
+/// The refusal; `not_run` only if the call was certainly not started.
+pub(super) async fn admit_and_run(node: &Arc<Node>, call: GuardedCall) -> Result<Answer, Refusal> {
     if call.deadline <= node.inputs.clock.now() {
         return Err(not_run(RefusalReason::DeadlineExceeded));
     }
-    takes_work(node)?;
+    takes_work(node, &call)?;
     passes_deeper(node, &call)?;
     let queued = QueuedCall {
         ticket: 0,
@@ -139,7 +164,9 @@
     let permit = node.gate.admit(queued).await?;
     let waited_us = permit.since_us.saturating_sub(arrived_us);
     node.metrics.guard_wait.observe(waited_us as f64 / 1e6);
-    if call.header.non_idempotent {
+    if key_of(&call.header).is_some() && node.settings.control_enabled {
+        backend_call::run_on(node, call, permit).await
+    } else if call.header.non_idempotent {
         backend_call::run_to_end(node, call, permit).await
     } else {
         backend_call::run_until_dropped(node, call, permit).await
--- a/src/node/guard_answer.rs
+++ b/src/node/guard_answer.rs
@@ -14,6 +14,7 @@
 use crate::errors::WireError;
 use crate::node::Node;
 use crate::node::answer::Answer;
+use crate::node::keyed_guard::owner_hint;
 use crate::node::refusal_response::set_outcome;
 use crate::wire::AnswerHeader;
 use crate::wire::headers;
@@ -23,6 +24,8 @@
     pub(super) attempt: AttemptId,
     pub(super) route: Name,
     pub(super) allotment_unused: u16,
+    /// The key under which the call runs at most once.
+    pub(super) key: Option<Name>,
 }
 
 /// The answer of the backend server with the guard's news.
@@ -73,6 +76,7 @@
         attempt: AttemptId(0),
         route: Name::from(""),
         allotment_unused: 0,
+        key: None,
     };
     let mut response = refuse(node, &answered, refusal);
     *response.status_mut() = StatusCode::BAD_REQUEST;
@@ -95,7 +99,7 @@
         load: node.gate.load(),
         config_version: in_force.as_ref().as_ref().map_or(0, |known| known.version),
         body_len: None,
-        owner: None,
+        owner: owner_hint(node, answered.key.as_ref()),
     }
 }
 
--- /dev/null
+++ b/src/node/keyed_guard.rs
@@ -0,0 +1,183 @@
+//! Non-idempotent calls with a key at the guard: the ledger decides before anything is queued.
+//!
+//! Whatever is refused here speaks of the key and not only of this attempt: `not_run` is said only
+//! when the ledger says so (docs/AT_MOST_ONCE.md, "What refusals say").
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use tokio::sync::oneshot;
+
+use crate::claims::Admitted;
+use crate::claims::KeyedCall;
+use crate::claims::RunTicket;
+use crate::claims::Settled;
+use crate::claims::SharedLedger;
+use crate::control::KeptAnswer;
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RunState;
+use crate::core::fingerprint_of;
+use crate::node::Node;
+use crate::node::answer::Answer;
+use crate::node::body::NodeBody;
+use crate::node::guard::admit_and_run;
+use crate::node::guarded_call::GuardedCall;
+use crate::wire::CallHeader;
+use crate::wire::OwnerHint;
+
+/// The largest answer that is kept for resends, in bytes. Of a larger one they hear that it ran.
+const MAX_KEPT_BODY_BYTES: usize = 64 * 1024;
+/// When to come back to a guard that has no ledger yet, in milliseconds.
+const NO_LEDGER_RETRY_MS: u64 = 1_000;
+
+/// The key under which a call runs at most once, if it is such a call.
+pub(super) fn key_of(header: &CallHeader) -> Option<&Name> {
+    header.key.as_ref().filter(|_| header.non_idempotent)
+}
+
+/// Speaks of a refusal that was decided before the ledger was asked: an earlier sending of the
+/// same key may have run.
+pub(super) fn without_ledger(header_key: Option<&Name>, refusal: Refusal) -> Refusal {
+    match (header_key, refusal.run_state) {
+        (Some(_), RunState::NotRun) => Refusal {
+            run_state: RunState::Unknown,
+            ..refusal
+        },
+        _ => refusal,
+    }
+}
+
+/// The owner of the key's slot as this guard knows it.
+pub(super) fn owner_hint(node: &Node, key: Option<&Name>) -> Option<OwnerHint> {
+    let key = key?;
+    let ledger = node.inputs.claims.as_ref()?.ledger()?;
+    ledger.with(|ledger, now| ledger.owner_hint(now, &node.settings.node, key))
+}
+
+/// Runs a keyed call unless it ran before, runs already, or may have run elsewhere.
+///
+/// # Errors
+/// The refusal to send back.
+pub(super) async fn run_keyed(
+    node: &Arc<Node>,
+    call: GuardedCall,
+    key: Name,
+) -> Result<Answer, Refusal> {
+    let left_ms = call.deadline.since(node.inputs.clock.now());
+    let left = Duration::from_millis(left_ms);
+    match admitted(node, &call, &key) {
+        Admitted::Run(ticket) => {
+            let told = start(node, call, ticket);
+            within(left, told).await?
+        }
+        Admitted::Join(told) => answer_of(within(left, told).await?),
+        Admitted::Answer(kept) => Ok(from_kept(&kept)),
+        Admitted::Refuse(refusal) => Err(refusal),
+    }
+}
+
+fn admitted(node: &Node, call: &GuardedCall, key: &Name) -> Admitted {
+    let Some(ledger) = ledger(node) else {
+        let reason = RefusalReason::NotOwner;
+        return Admitted::Refuse(Refusal::unknown(reason, NO_LEDGER_RETRY_MS));
+    };
+    ledger.begin(&KeyedCall {
+        key,
+        fingerprint: fingerprint(call),
+        stamp: call.header.owner_stamp,
+    })
+}
+
+fn ledger(node: &Node) -> Option<Arc<SharedLedger>> {
+    node.inputs.claims.as_ref()?.ledger()
+}
+
+/// Of a body too large to hold, the length has to do.
+fn fingerprint(call: &GuardedCall) -> u64 {
+    let len = call.body.len().unwrap_or(0).to_le_bytes();
+    let content = call.body.held().map_or(&len[..], |bytes| bytes);
+    fingerprint_of("", call.method.as_str(), &call.path_and_query, content)
+}
+
+/// Runs the call in a task of its own: whoever sent it may go away, and a resend then joins it.
+fn start(
+    node: &Arc<Node>,
+    call: GuardedCall,
+    ticket: RunTicket,
+) -> oneshot::Receiver<Result<Answer, Refusal>> {
+    let (tell, told) = oneshot::channel();
+    let node = node.clone();
+    tokio::spawn(async move {
+        let end = admit_and_run(&node, call).await;
+        ticket.settle(settled(&end));
+        // The sender may have gone away; the ledger knows the outcome.
+        let _ = tell.send(end);
+    });
+    told
+}
+
+fn settled(end: &Result<Answer, Refusal>) -> Settled {
+    match end {
+        Ok(answer) => Settled::Ran(to_kept(answer).map(Arc::new)),
+        Err(refusal) => match refusal.run_state {
+            RunState::NotRun => Settled::NotStarted(*refusal),
+            RunState::Ran => Settled::Ran(None),
+            RunState::Unknown => Settled::MayHaveRun,
+        },
+    }
+}
+
+async fn within<T>(left: Duration, told: oneshot::Receiver<T>) -> Result<T, Refusal> {
+    match tokio::time::timeout(left, told).await {
+        Ok(Ok(word)) => Ok(word),
+        Ok(Err(_)) => Err(Refusal::unknown(RefusalReason::BackendBroke, 0)),
+        Err(_) => Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0)),
+    }
+}
+
+fn answer_of(settled: Settled) -> Result<Answer, Refusal> {
+    match settled {
+        Settled::Ran(Some(kept)) => Ok(from_kept(&kept)),
+        Settled::Ran(None) => Err(Refusal {
+            reason: RefusalReason::AlreadyRan,
+            run_state: RunState::Ran,
+            retry_after_ms: 0,
+        }),
+        Settled::MayHaveRun => Err(Refusal::unknown(RefusalReason::AlreadyRan, 0)),
+        Settled::NotStarted(refusal) => Err(refusal),
+    }
+}
+
+fn to_kept(answer: &Answer) -> Option<KeptAnswer> {
+    let body = answer.body.held()?;
+    if body.len() > MAX_KEPT_BODY_BYTES {
+        return None;
+    }
+    let headers = answer.headers.iter();
+    Some(KeptAnswer {
+        status: answer.status.as_u16(),
+        headers: headers
+            .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+            .collect(),
+        body: body.to_vec(),
+    })
+}
+
+fn from_kept(kept: &KeptAnswer) -> Answer {
+    let pair = |(name, value): &(String, Vec<u8>)| {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(value).ok()?))
+    };
+    let headers: HeaderMap = kept.headers.iter().filter_map(pair).collect();
+    Answer {
+        status: StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK),
+        headers,
+        body: NodeBody::Held(kept.body.clone().into()),
+    }
+}
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -2,11 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
 use crate::adapters::HttpClient;
 use crate::adapters::http_client;
+use crate::claims::SlotRouter;
 use crate::conf::NodeSettings;
 use crate::metrics::Metrics;
 use crate::node::Announcement;
@@ -35,6 +39,7 @@
     pub(super) targets: Targets,
     pub(super) gate: Arc<Gate>,
     pub(super) levels: LearntLevels,
+    slot_router: Mutex<SlotRouter>,
     draining: AtomicBool,
 }
 
@@ -52,6 +57,7 @@
             live_calls: LiveCalls::new(),
             targets: Targets::new(),
             levels: LearntLevels::default(),
+            slot_router: Mutex::new(SlotRouter::default()),
             draining: AtomicBool::new(false),
         }
     }
@@ -67,6 +73,14 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// What is known of the owners of keys. A poisoned lock does no harm: what is known is checked
+    /// by the owners.
+    pub(super) fn slot_router(&self) -> MutexGuard<'_, SlotRouter> {
+        self.slot_router
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Calls that run at the local backend server or that this node has forwarded.
     pub fn calls_in_flight(&self) -> u64 {
         let forwarded = self.metrics.entry_in_flight.get().max(0) as u64;
--- a/src/node/node_inputs.rs
+++ b/src/node/node_inputs.rs
@@ -8,6 +8,7 @@
 use futures::future::ready;
 use tokio::sync::watch;
 
+use crate::claims::Claims;
 use crate::control::AttemptStatus;
 use crate::core::AttemptId;
 use crate::core::Clock;
@@ -42,6 +43,8 @@
     pub local: watch::Sender<LocalBackend>,
     /// The attempts of this guard, of which other nodes ask.
     pub attempts: Arc<Attempts>,
+    /// The slots and the ledger of this guard; without them no call with a key is run.
+    pub claims: Option<Arc<Claims>>,
     pub ask_attempt: AskAttempt,
     pub note_config: NoteConfig,
     pub operations: PeerOperations,
@@ -59,6 +62,7 @@
             attempts: Arc::new(Attempts::default()),
             note_config: Arc::new(|_, _| {}),
             operations: PeerOperations::none(),
+            claims: None,
             ask_attempt: Arc::new(|_, _| ready(Err(PeerCallError::Stopped)).boxed()),
         }
     }
--- a/src/node/node_process.rs
+++ b/src/node/node_process.rs
@@ -26,7 +26,10 @@
 use crate::node::PeerOperations;
 use crate::node::RunningNode;
 use crate::node::Status;
+use crate::node::join_claims::new_claims;
+use crate::node::join_claims::start_claims;
 use crate::node::join_configuration::JoinedConfiguration;
+use crate::platform::PlatformClient;
 
 /// How long one question about an attempt may take, in milliseconds.
 const ASK_ATTEMPT_MS: u64 = 400;
@@ -51,11 +54,22 @@
         let served = Arc::new(OnceLock::new());
         let mut handlers = handlers(&inputs, &configuration.shared);
         add_operator_handlers(&mut handlers, &served);
+        let claims = new_claims(&settings, &inputs, listeners.peers.address);
+        claims.attach(&mut handlers);
         let control = control::start(control_settings, handlers, metrics)?;
         let control = Arc::new(control);
         inputs.note_config = note_config(&configuration.shared);
         configuration.start(&settings, &inputs, &control);
         inputs.operations = PeerOperations::over(&control.clients);
+        if settings.control_enabled {
+            let platform = PlatformClient::new(
+                settings.platform_address,
+                settings.domain.clone(),
+                settings.platform_timeout_ms,
+            );
+            start_claims(claims.clone(), &inputs, &control, platform);
+            inputs.claims = Some(claims);
+        }
         inputs.view = control.view.clone();
         inputs.ask_attempt = ask_attempt(&control);
         control
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -101,7 +101,7 @@
         allotment: share,
         non_idempotent: call.non_idempotent,
         key: call.key.clone(),
-        owner_stamp: 0,
+        owner_stamp: call.owner_stamp,
         config_version: call.config_version,
         body_len: call.body.len(),
         from_node: node.settings.node.clone(),
--- a/src/node/planned_stop.rs
+++ b/src/node/planned_stop.rs
@@ -15,6 +15,10 @@
 /// How long nothing must have been in flight, so that the last answers have left the sockets.
 const QUIET: Duration = Duration::from_millis(300);
 
+/// How long handing over keys may take at most, in milliseconds. Without the table it cannot be
+/// done at all, and the others take over after the lease.
+const LONGEST_LEAVE_MS: u64 = 5_000;
+
 impl NodeProcess {
     /// Stops as planned: refuses new work at the guard, tells the others, finishes what is in
     /// flight within the drain time-out of the settings, and leaves.
@@ -25,7 +29,14 @@
         let node = self.running.node.clone();
         node.drain();
         log::info!("node: drains, state=draining");
-        finish(&node).await;
+        let leave = async {
+            if let Some(claims) = &node.inputs.claims {
+                let wait_ms = LONGEST_LEAVE_MS.min(node.settings.drain_timeout_ms);
+                claims.leave(wait_ms).await;
+            }
+        };
+        // Keys are handed over first: what arrives for them meanwhile still counts as in flight.
+        tokio::join!(finish(&node), leave);
         log::info!("node: leaves, in_flight={}", node.calls_in_flight());
         let control = self.control.clone();
         if tokio::task::spawn_blocking(move || control.leave())
--- a/src/node/take_call.rs
+++ b/src/node/take_call.rs
@@ -72,6 +72,8 @@
         wait_ms: policy.wait_ms,
         non_idempotent: policy.non_idempotent,
         key,
+        owner_stamp: 0,
+        arrived_at: now,
         config_version: in_force.version,
         holder: heritage.holder,
     })
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -68,6 +68,11 @@
         picked
     }
 
+    /// Counts a call as in flight at a target that was not chosen here.
+    pub(super) fn enter(&self, node: &Name, now: TimeMs) {
+        self.lock().stats_of(node, now).in_flight += 1;
+    }
+
     /// Whether a target that was not tried has room, as far as is known.
     pub(super) fn has_room(&self, view: &View, service: &str, tried: &[Name], now: TimeMs) -> bool {
         let known = self.lock();
--- /dev/null
+++ b/tests/claims_keeper.rs
@@ -0,0 +1,351 @@
+//! The lease keeper alone: which rows it writes, when it relies on its slots, what it promises.
+
+use sassafrasgap::claims::Action;
+use sassafrasgap::claims::Identity;
+use sassafrasgap::claims::Intent;
+use sassafrasgap::claims::LeaseConf;
+use sassafrasgap::claims::LeaseKeeper;
+use sassafrasgap::claims::Member;
+use sassafrasgap::claims::ReadResult;
+use sassafrasgap::claims::ResendLimits;
+use sassafrasgap::claims::SLOTS;
+use sassafrasgap::claims::Situation;
+use sassafrasgap::claims::SlotMap;
+use sassafrasgap::claims::WriteResult;
+use sassafrasgap::control::Promise;
+use sassafrasgap::control::PromiseAsk;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::TimeMs;
+
+const LEASE_MS: u64 = 3_000;
+const ME: u64 = 1;
+const OTHER: u64 = 2;
+const THIRD: u64 = 3;
+
+fn conf() -> LeaseConf {
+    LeaseConf::for_lease(LEASE_MS)
+}
+
+fn keeper() -> LeaseKeeper {
+    let me = Identity {
+        node: Name::from("node-1"),
+        region: Name::from("region"),
+        service: Name::from("jobs"),
+        instance: ME,
+        boot: 10 + ME,
+    };
+    let limits = ResendLimits::new(16_000);
+    LeaseKeeper::new(me, conf(), limits, fastrand::Rng::with_seed(1))
+}
+
+fn member(instance: u64) -> Member {
+    Member {
+        node: Name::from(format!("node-{instance}")),
+        instance,
+        region: Name::from("region"),
+        boot: 10 + instance,
+        terms: conf().terms,
+        serving: true,
+        added: 0,
+        knows: 0,
+    }
+}
+
+/// A row in which the members have joined, know each other, and own the slots in turn.
+fn row_of(members: &[u64]) -> SlotMap {
+    let mut map = SlotMap::empty();
+    for instance in members {
+        map.join(member(*instance));
+    }
+    let joins = map.joins;
+    for member in &mut map.members {
+        member.knows = joins;
+    }
+    for slot in 0..SLOTS {
+        map.assign(slot, Some(members[slot % members.len()]), 0);
+    }
+    map
+}
+
+fn situation(alive: &[u64]) -> Situation {
+    let names = alive.iter().map(|it| Name::from(format!("node-{it}")));
+    Situation {
+        serving: true,
+        draining: false,
+        stopping: false,
+        alive: names.collect(),
+    }
+}
+
+fn read_op(actions: &[Action]) -> u64 {
+    let op = actions.iter().find_map(|action| match action {
+        Action::ReadRow { op } => Some(*op),
+        _ => None,
+    });
+    op.expect("a read")
+}
+
+fn written(actions: &[Action]) -> Option<(u64, SlotMap)> {
+    actions.iter().find_map(|action| match action {
+        Action::WriteRow { op, map, .. } => Some((*op, map.clone())),
+        _ => None,
+    })
+}
+
+/// Lets the keeper read a row at a moment, with the answer at the same moment.
+fn read(
+    keeper: &mut LeaseKeeper,
+    now: u64,
+    alive: &[u64],
+    version: u64,
+    map: &SlotMap,
+) -> Vec<Action> {
+    let now = TimeMs(now);
+    let op = read_op(&keeper.tick(now, situation(alive)));
+    let found = Some((version, map.clone()));
+    keeper.on_read(now, op, ReadResult::Row(found))
+}
+
+fn ask(owner: u64, member: u64) -> PromiseAsk {
+    PromiseAsk {
+        service: Name::from("jobs"),
+        owner,
+        member,
+    }
+}
+
+fn is_granted(promise: &Promise) -> bool {
+    matches!(promise, Promise::Granted { .. })
+}
+
+/// Brings a keeper to the moment at which it writes that it takes over from `OTHER`.
+fn taking_over(keeper: &mut LeaseKeeper) -> (u64, u64, SlotMap) {
+    let map = row_of(&[ME, OTHER]);
+    read(keeper, 1_000, &[ME], 1, &map);
+    let mut now = 1_000;
+    let (op, announced) = loop {
+        now += 1_000;
+        let op = read_op(&keeper.tick(TimeMs(now), situation(&[ME])));
+        let found = Some((1, map.clone()));
+        if let Some(write) = written(&keeper.on_read(TimeMs(now), op, ReadResult::Row(found))) {
+            break write;
+        }
+    };
+    assert!(announced.is_threatened(OTHER), "announced first");
+    assert_eq!(announced.slots_of(OTHER).len(), SLOTS / 2);
+    let mut actions = keeper.on_write(TimeMs(now), op, WriteResult::Applied { version: 2 });
+    let announced_at = now;
+    let (op, taken) = loop {
+        if let Some(write) = written(&actions) {
+            break write;
+        }
+        now += 100;
+        actions = keeper.tick(TimeMs(now), situation(&[ME]));
+        if actions
+            .iter()
+            .any(|action| matches!(action, Action::ReadRow { .. }))
+        {
+            let op = read_op(&actions);
+            let found = Some((2, announced.clone()));
+            actions = keeper.on_read(TimeMs(now), op, ReadResult::Row(found));
+        }
+    };
+    assert!(taken.slots_of(OTHER).is_empty());
+    let waited_ms = now - announced_at;
+    // An owner whose clock runs 1% slow and a taker whose clock runs 1% fast.
+    assert!(waited_ms * 100 >= LEASE_MS * 102, "waited {waited_ms} ms");
+    (now, op, announced)
+}
+
+#[test]
+fn a_take_over_is_announced_and_outlasts_the_lease_on_a_slower_clock() {
+    let mut keeper = keeper();
+    let (now, op, mut map) = taking_over(&mut keeper);
+    for slot in map.slots_of(OTHER) {
+        map.assign(slot, Some(ME), 0);
+    }
+    map.remove(OTHER);
+    keeper.on_write(TimeMs(now), op, WriteResult::Applied { version: 3 });
+    let holding = keeper.holding();
+    assert_eq!(holding.count(), SLOTS);
+    let taken = holding.held.iter().flatten().filter(|held| held.epoch == 2);
+    let grace_ms = ResendLimits::new(16_000).grace_ms();
+    assert!(
+        taken
+            .clone()
+            .all(|held| held.grace_until == TimeMs(now + grace_ms))
+    );
+    assert_eq!(taken.count(), SLOTS / 2);
+}
+
+/// A member writes that it takes slots over, and the answer is lost. Their owner was only slow;
+/// the table goes down and the owner asks for promises. Were the member to promise, its write
+/// could still take effect, and both would run calls of the slots. It may promise again once the
+/// row has moved on, because then the lost write fails for good.
+#[test]
+fn no_promise_while_a_lost_take_over_may_still_take_effect() {
+    let mut keeper = keeper();
+    let (now, op, announced) = taking_over(&mut keeper);
+    let now = TimeMs(now);
+    assert!(!is_granted(&keeper.promise_asked(now, &ask(OTHER, ME))));
+    keeper.on_write(now, op, WriteResult::Unknown);
+    assert!(!is_granted(&keeper.promise_asked(now, &ask(OTHER, ME))));
+    let mut later = now;
+    let op = loop {
+        later = later + 50;
+        let actions = keeper.tick(later, situation(&[ME, OTHER]));
+        if !actions.is_empty() {
+            break read_op(&actions);
+        }
+    };
+    // The owner has removed the intent meanwhile, so the row has another version.
+    let mut removed = announced;
+    removed.intents.clear();
+    let found = Some((3, removed));
+    keeper.on_read(later, op, ReadResult::Row(found));
+    assert!(is_granted(&keeper.promise_asked(later, &ask(OTHER, ME))));
+}
+
+/// The row is unchanged after a write was lost: the write may be on its way still. A further
+/// write, whatever it changes, makes the lost one fail.
+#[test]
+fn a_lost_write_is_made_certain_by_a_further_one() {
+    let mut keeper = keeper();
+    let (now, op, announced) = taking_over(&mut keeper);
+    keeper.on_write(TimeMs(now), op, WriteResult::Unknown);
+    let mut later = TimeMs(now);
+    let actions = loop {
+        later = later + 50;
+        let actions = keeper.tick(later, situation(&[ME, OTHER]));
+        if !actions.is_empty() {
+            break actions;
+        }
+    };
+    let found = Some((2, announced));
+    let actions = keeper.on_read(later, read_op(&actions), ReadResult::Row(found));
+    assert!(written(&actions).is_some(), "a write on the same version");
+    assert!(!is_granted(&keeper.promise_asked(later, &ask(OTHER, ME))));
+}
+
+#[test]
+fn promises_are_refused_to_strangers_and_for_predecessors() {
+    let mut keeper = keeper();
+    let now = TimeMs(1_000);
+    assert!(
+        !is_granted(&keeper.promise_asked(now, &ask(OTHER, ME))),
+        "no row read"
+    );
+    read(&mut keeper, 1_000, &[ME, OTHER], 1, &row_of(&[ME, OTHER]));
+    assert!(is_granted(&keeper.promise_asked(now, &ask(OTHER, ME))));
+    assert!(
+        !is_granted(&keeper.promise_asked(now, &ask(OTHER, 99))),
+        "for a predecessor"
+    );
+    assert!(
+        !is_granted(&keeper.promise_asked(now, &ask(THIRD, ME))),
+        "to an unlisted owner"
+    );
+}
+
+/// The table goes down. The owner goes on while every member that it knows promises not to take
+/// over; one that does not answer could be taking over, so then the lease runs out.
+#[test]
+fn a_lease_without_the_table_needs_the_promise_of_every_member() {
+    let mut keeper = keeper();
+    let alive = [ME, OTHER, THIRD];
+    read(&mut keeper, 1_000, &alive, 1, &row_of(&alive));
+    assert_eq!(keeper.holding().lease_until, TimeMs(1_000 + LEASE_MS));
+    let mut now = 1_000;
+    let round = loop {
+        now += 100;
+        let actions = keeper.tick(TimeMs(now), situation(&alive));
+        let asked: Vec<(u64, u64)> = actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::AskPromise { round, member, .. } => Some((*round, *member)),
+                _ => None,
+            })
+            .collect();
+        if !asked.is_empty() {
+            assert_eq!(asked.len(), 2, "every other member: {asked:?}");
+            break asked[0].0;
+        }
+    };
+    let granted = Promise::Granted { hold_ms: LEASE_MS };
+    let answered_at = TimeMs(now + 500);
+    keeper.on_promise(answered_at, round, OTHER, &granted);
+    assert_eq!(keeper.holding().lease_until, TimeMs(1_000 + LEASE_MS));
+    keeper.on_promise(answered_at, round, THIRD, &granted);
+    // From the moment of the question on: the promises began at some moment after it.
+    assert_eq!(keeper.holding().lease_until, TimeMs(now + LEASE_MS));
+}
+
+/// A member has announced that it takes over from an owner that was slow. The owner reads the
+/// row: to rely on this reading would be to rely on slots that are about to be taken. It removes
+/// the intent, and relies on that write.
+#[test]
+fn an_owner_that_reads_an_intent_relies_on_its_removal_only() {
+    let mut keeper = keeper();
+    let mut map = row_of(&[ME, OTHER]);
+    map.intents.push(Intent {
+        id: 5,
+        by: OTHER,
+        victim: ME,
+    });
+    let actions = read(&mut keeper, 1_000, &[ME, OTHER], 1, &map);
+    assert_eq!(keeper.holding().lease_until, TimeMs(0));
+    let (op, map) = written(&actions).expect("a write");
+    assert!(!map.is_threatened(ME));
+    keeper.on_write(TimeMs(1_800), op, WriteResult::Applied { version: 2 });
+    assert_eq!(keeper.holding().lease_until, TimeMs(1_000 + LEASE_MS));
+}
+
+/// A promise outlasts what is built on it: whoever promised takes nothing over until the owner's
+/// lease is over, even when everything else is ready.
+#[test]
+fn who_promised_does_not_take_over_before_the_promise_is_over() {
+    let mut keeper = keeper();
+    let (now, op, announced) = taking_over(&mut keeper);
+    keeper.on_write(TimeMs(now), op, WriteResult::Conflict);
+    let granted = keeper.promise_asked(TimeMs(now), &ask(OTHER, ME));
+    assert!(is_granted(&granted));
+    let mut later = now;
+    let taken_at = loop {
+        later += 50;
+        assert!(later < now + 10 * LEASE_MS, "never taken over");
+        let actions = keeper.tick(TimeMs(later), situation(&[ME]));
+        if actions.is_empty() {
+            continue;
+        }
+        let found = Some((3, announced.clone()));
+        let actions = keeper.on_read(TimeMs(later), read_op(&actions), ReadResult::Row(found));
+        if let Some((_, map)) = written(&actions)
+            && map.slots_of(OTHER).is_empty()
+        {
+            break later;
+        }
+    };
+    assert!((taken_at - now) * 100 >= LEASE_MS * 102);
+}
+
+/// A VM is taken for lost and replaced by one of the same name, while the old one runs on, cut
+/// off. Were the new one to take its namesake's slots at once, both would run calls of them. Only
+/// a process that bound the same addresses in the same run of the VM knows that the old one ended.
+#[test]
+fn only_a_successor_on_the_same_vm_takes_slots_at_once() {
+    for (boot, at_once) in [(10 + ME, true), (77, false)] {
+        let mut map = row_of(&[OTHER, 9]);
+        let namesake = map.member_mut(9).expect("listed");
+        namesake.node = Name::from("node-1");
+        namesake.boot = boot;
+        let mut keeper = keeper();
+        let actions = read(&mut keeper, 1_000, &[ME, OTHER], 1, &map);
+        let (op, map) = written(&actions).expect("it joins");
+        assert_eq!(map.slots_of(9).is_empty(), at_once);
+        keeper.on_write(TimeMs(1_000), op, WriteResult::Applied { version: 2 });
+        let grace_until = TimeMs(1_000 + ResendLimits::new(16_000).grace_ms());
+        let held: Vec<_> = keeper.holding().held.iter().flatten().collect();
+        assert_eq!(!held.is_empty(), at_once);
+        assert!(held.iter().all(|held| held.grace_until == grace_until));
+    }
+}
--- a/tests/claims_world/mod.rs
+++ b/tests/claims_world/mod.rs
@@ -394,6 +394,7 @@
         let process = &mut self.processes[index];
         let situation = Situation {
             serving: process.serving,
+            draining: false,
             stopping: process.stopping,
             alive: process.alive.clone(),
         };
--- a/tests/support/test_mesh.rs
+++ b/tests/support/test_mesh.rs
@@ -16,11 +16,24 @@
 use sassafrasgap::adapters::full_body;
 use sassafrasgap::adapters::http_client;
 use sassafrasgap::adapters::serve;
+use sassafrasgap::claims::Claims;
+use sassafrasgap::claims::ClaimsSettings;
+use sassafrasgap::claims::HeldSlot;
+use sassafrasgap::claims::Holding;
+use sassafrasgap::claims::LeaseConf;
+use sassafrasgap::claims::Ledger;
+use sassafrasgap::claims::LedgerBounds;
+use sassafrasgap::claims::OtherOwner;
+use sassafrasgap::claims::ResendLimits;
+use sassafrasgap::claims::SLOTS;
+use sassafrasgap::claims::SharedLedger;
 use sassafrasgap::conf::NodeSettings;
+use sassafrasgap::core::Clock;
 use sassafrasgap::core::FastMap;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Target;
 use sassafrasgap::core::TargetState;
+use sassafrasgap::core::TimeMs;
 use sassafrasgap::core::View;
 use sassafrasgap::node::Announcement;
 use sassafrasgap::node::NodeInputs;
@@ -82,6 +95,7 @@
         drain_timeout_ms: 5_000,
         platform_timeout_ms: 500,
         config_poll_ms: 200,
+        lease_ms: 3_000,
         max_ledger_keys: 1_000,
     }
 }
@@ -151,7 +165,11 @@
         service: &str,
         address: SocketAddr,
     ) -> usize {
-        let inputs = NodeInputs::empty();
+        let mut inputs = NodeInputs::empty();
+        let same_service = |target: &&Target| &*target.service == service;
+        let owner = self.targets.iter().find(same_service);
+        let owner = owner.map(|target| target.node.clone());
+        inputs.claims = Some(fixed_claims(&settings, service, owner, inputs.clock));
         let in_force = InForce {
             version: 1,
             preset: Arc::new(preset),
@@ -234,6 +252,44 @@
     }
 }
 
+/// The first target of a service owns all its slots for good.
+fn fixed_claims(
+    settings: &NodeSettings,
+    service: &str,
+    owner: Option<Name>,
+    clock: Clock,
+) -> Arc<Claims> {
+    let mut holding = Holding::nothing();
+    holding.lease_until = TimeMs(u64::MAX);
+    for slot in 0..SLOTS {
+        match &owner {
+            Some(node) => {
+                let node = node.clone();
+                holding.others[slot] = Some(OtherOwner { node, epoch: 1 });
+            }
+            None => {
+                holding.held[slot] = Some(HeldSlot {
+                    epoch: 1,
+                    grace_until: TimeMs(0),
+                    giving: false,
+                });
+            }
+        }
+    }
+    let bounds = LedgerBounds::default();
+    let limits = ResendLimits::new(10_000);
+    let mut ledger = Ledger::new(Name::from(service), fastrand::u64(..), bounds, limits);
+    ledger.set_holding(holding);
+    let claims = ClaimsSettings {
+        node: settings.node.clone(),
+        region: settings.region.clone(),
+        boot: 0,
+        lease: LeaseConf::default(),
+        bounds,
+    };
+    Claims::with_ledger(claims, clock, SharedLedger::new(clock, ledger))
+}
+
 fn target_of(running: &RunningNode, service: &str) -> Target {
     let settings = &running.node.settings;
     Target {
