--- a/src/mesh/ready.rs
+++ b/src/mesh/ready.rs
@@ -5,7 +5,9 @@
 
 use serde::Deserialize;
 
+use crate::claims::SLOTS;
 use crate::core::Clock;
+use crate::core::FastMap;
 use crate::core::Name;
 use crate::core::Target;
 use crate::core::TargetState;
@@ -45,42 +47,57 @@
 #[derive(Debug, Deserialize)]
 struct NodeStatus {
     preset: Option<Name>,
+    service: Option<Name>,
+    slots_open: usize,
     members: Vec<Target>,
 }
 
-/// Waits until every node that runs has a preset in force and knows every target that runs.
+/// Waits until every node that runs has a preset in force and knows every target that runs, and
+/// every slot of every service has an owner.
 pub(super) async fn wait_ready(mesh: &Mesh, wait_ms: u64) -> Result<(), MeshError> {
     let clock = Clock::new();
-    for target in mesh
-        .targets
-        .iter()
-        .filter(|target| target.node.is_running())
-    {
-        loop {
-            let Some(last) = what_is_missing(mesh, target).await else {
-                break;
-            };
-            if clock.now().0 > wait_ms {
-                let name = target.name.clone();
-                return Err(MeshError::NotReady {
-                    name,
-                    wait_ms,
-                    last,
-                });
-            }
-            tokio::time::sleep(POLL).await;
+    loop {
+        let Some((name, last)) = what_is_missing_anywhere(mesh).await else {
+            return Ok(());
+        };
+        if clock.now().0 > wait_ms {
+            return Err(MeshError::NotReady {
+                name,
+                wait_ms,
+                last,
+            });
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn what_is_missing_anywhere(mesh: &Mesh) -> Option<(Name, String)> {
+    let mut open_slots: FastMap<Name, usize> = FastMap::default();
+    for target in mesh.targets.iter().filter(|it| it.node.is_running()) {
+        let status = match node_status(mesh, target).await {
+            Ok(status) => status,
+            Err(error) => return Some((target.name.clone(), error.to_string())),
+        };
+        if let Some(last) = what_is_missing(mesh, &status) {
+            return Some((target.name.clone(), last));
+        }
+        if let Some(service) = status.service {
+            *open_slots.entry(service).or_default() += status.slots_open;
         }
     }
-    Ok(())
+    let without_preset = mesh.plan.presets.is_empty();
+    let lacking = open_slots
+        .into_iter()
+        .find(|(_, open)| !without_preset && *open < SLOTS);
+    lacking.map(|(service, open)| (service, format!("{open} of {SLOTS} slots have an owner")))
+}
+
+async fn node_status(mesh: &Mesh, target: &MeshTarget) -> Result<NodeStatus, MeshError> {
+    mesh.web.get_json(&target.operator_uri("/status")).await
 }
 
 /// What a node still lacks, or nothing when it is ready.
-async fn what_is_missing(mesh: &Mesh, target: &MeshTarget) -> Option<String> {
-    let uri = target.operator_uri("/status");
-    let status: NodeStatus = match mesh.web.get_json(&uri).await {
-        Ok(status) => status,
-        Err(error) => return Some(error.to_string()),
-    };
+fn what_is_missing(mesh: &Mesh, status: &NodeStatus) -> Option<String> {
     if status.preset.is_none() && !mesh.plan.presets.is_empty() {
         return Some("no preset is in force".to_string());
     }
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -32,6 +32,10 @@
     pub guard_calls: IntCounter,
     pub forged_headers: IntCounter,
     pub roots_without_context: IntCounter,
+    pub joined_calls: IntCounter,
+    pub repeated_answers: IntCounter,
+    pub attempt_questions: IntCounter,
+    pub silent_connections: IntCounter,
     pub wrong_answers: IntCounter,
     pub broken_answers: IntCounter,
     pub invariant_violations: IntCounter,
@@ -41,6 +45,10 @@
     /// Attempts that this node as entry awaits the end of.
     pub entry_in_flight: IntGauge,
     pub config_version: IntGauge,
+    pub slots_owned: IntGauge,
+    pub slots_open: IntGauge,
+    pub ledger_keys: IntGauge,
+    pub ledger_answer_bytes: IntGauge,
     pub entry_latency: Histogram,
     pub guard_wait: Histogram,
     pub backend_latency: Histogram,
@@ -88,6 +96,22 @@
                 "sassafrasgap_roots_without_context_total",
                 "Calls of the local backend server that named no live call; they get no retries.",
             ),
+            joined_calls: counter(
+                "sassafrasgap_joined_calls_total",
+                "Resends with the key of a call that ran already and got its answer.",
+            ),
+            repeated_answers: counter(
+                "sassafrasgap_repeated_answers_total",
+                "Resends that got the kept answer of a call that had run.",
+            ),
+            attempt_questions: counter(
+                "sassafrasgap_attempt_questions_total",
+                "Questions to guards about attempts whose answers were overdue.",
+            ),
+            silent_connections: counter(
+                "sassafrasgap_silent_connections_total",
+                "Connections to other nodes given up because they had gone silent.",
+            ),
             wrong_answers: counter(
                 "sassafrasgap_wrong_answers_total",
                 "Answers of another attempt, or of another length than announced, not passed on.",
@@ -117,6 +141,22 @@
                 "sassafrasgap_config_version",
                 "The version of the configuration in force here.",
             ),
+            slots_owned: gauge(
+                "sassafrasgap_slots_owned",
+                "Slots of idempotency keys that this node owns.",
+            ),
+            slots_open: gauge(
+                "sassafrasgap_slots_open",
+                "Owned slots in which keys that were not seen yet may run at present.",
+            ),
+            ledger_keys: gauge(
+                "sassafrasgap_ledger_keys",
+                "Idempotency keys that the ledger remembers.",
+            ),
+            ledger_answer_bytes: gauge(
+                "sassafrasgap_ledger_answer_bytes",
+                "Bytes of answers kept for resends.",
+            ),
             entry_latency: histogram(
                 "sassafrasgap_entry_latency_seconds",
                 "From the arrival of a call at the entry to the head of its answer.",
--- a/src/node/attempts.rs
+++ b/src/node/attempts.rs
@@ -18,6 +18,7 @@
 use crate::core::AttemptId;
 use crate::core::FastMap;
 use crate::core::TimeMs;
+use crate::node::kept_answer::kept_parts;
 
 /// How long an ended attempt is remembered, in milliseconds.
 const KEEP_ENDED_MS: u64 = 10_000;
@@ -41,14 +42,7 @@
 impl EndedAnswer {
     /// The answer as it travels in a control call.
     pub fn kept(&self) -> KeptAnswer {
-        let headers = self.headers.iter();
-        KeptAnswer {
-            status: self.status.as_u16(),
-            headers: headers
-                .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-                .collect(),
-            body: self.body.to_vec(),
-        }
+        kept_parts(self.status, &self.headers, &self.body)
     }
 }
 
--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -14,7 +14,7 @@
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::adapters::Body;
 use crate::admission::Completion;
@@ -31,6 +31,7 @@
 use crate::node::guarded_call::GuardedCall;
 use crate::node::live_calls::LiveCall;
 use crate::node::permit::Permit;
+use crate::node::poison_guard::backend_broke;
 use crate::node::watched_body::BodyEnd;
 use crate::node::watched_body::watched;
 use crate::wire::headers;
@@ -41,64 +42,33 @@
 /// When to come back after the backend server failed, in milliseconds.
 const FAILED_RETRY_AFTER_MS: u64 = 500;
 
-/// Runs a call that may be cancelled: when the future is dropped, because whoever sent the call
-/// went away, the connection to the backend server is closed and with it the work.
-pub(super) async fn run_until_dropped(
+/// Runs a call until its deadline. A non-idempotent one runs on for a while: it is not broken off
+/// once it may have started.
+pub(super) async fn run(
     node: &Arc<Node>,
-    call: GuardedCall,
+    mut call: GuardedCall,
     permit: Permit,
 ) -> Result<Answer, Refusal> {
-    let deadline = call.deadline;
-    let left = Duration::from_millis(deadline.since(node.inputs.clock.now()));
-    match tokio::time::timeout(left, run(node.clone(), call, permit)).await {
-        Ok(end) => end,
-        Err(_) => Err(unknown(RefusalReason::DeadlineExceeded)),
-    }
-}
-
-/// Runs a call that must not be broken off once it may have started. It goes on in a task of its
-/// own, whoever goes away; an answer is waited for until the deadline only.
-pub(super) async fn run_to_end(
-    node: &Arc<Node>,
-    call: GuardedCall,
-    permit: Permit,
-) -> Result<Answer, Refusal> {
-    let left = Duration::from_millis(call.deadline.since(node.inputs.clock.now()));
-    let (tell, told) = oneshot::channel();
-    let task_node = node.clone();
-    tokio::spawn(async move {
-        let end = run_on(&task_node, call, permit).await;
-        // Nobody waits any more when the deadline has passed.
-        let _ = tell.send(end);
-    });
-    match tokio::time::timeout(left, told).await {
-        Ok(Ok(end)) => end,
-        Ok(Err(_)) => Err(unknown(RefusalReason::BackendBroke)),
-        Err(_) => Err(unknown(RefusalReason::DeadlineExceeded)),
-    }
-}
-
-/// Runs a call and waits for its end, for a while beyond the deadline. The future must not be
-/// dropped before.
-pub(super) async fn run_on(
-    node: &Arc<Node>,
-    call: GuardedCall,
-    permit: Permit,
-) -> Result<Answer, Refusal> {
-    let left_ms = call.deadline.since(node.inputs.clock.now());
-    let longest = Duration::from_millis(left_ms + RUN_ON_MS);
-    let end = tokio::time::timeout(longest, run(node.clone(), call, permit)).await;
-    end.unwrap_or_else(|_| Err(unknown(RefusalReason::DeadlineExceeded)))
-}
-
-async fn run(node: Arc<Node>, mut call: GuardedCall, permit: Permit) -> Result<Answer, Refusal> {
-    let mut running = Running::new(&node, call.live.clone(), permit);
-    match exchange(&node, &mut call, running.context).await {
-        Ok(answer) => Ok(holding(answer, running)),
-        Err(refusal) => {
+    let run_on_ms = if call.header.non_idempotent {
+        RUN_ON_MS
+    } else {
+        0
+    };
+    let left_ms = call.deadline.since(node.inputs.clock.now()) + run_on_ms;
+    let mut running = Running::new(node, call.live.clone(), permit);
+    let exchange = exchange(node, &mut call, running.context);
+    match timeout(Duration::from_millis(left_ms), exchange).await {
+        Ok(Ok(answer)) => Ok(holding(answer, running)),
+        Ok(Err(refusal)) => {
             running.failed(refusal);
+            if let (RefusalReason::BackendBroke, Some(address)) =
+                (refusal.reason, node.backend_address())
+            {
+                backend_broke(node, address, &running.live).await;
+            }
             Err(refusal)
         }
+        Err(_) => Err(unknown(RefusalReason::DeadlineExceeded)),
     }
 }
 
@@ -141,6 +111,11 @@
         self.note(verdict);
     }
 
+    fn succeeded(&mut self) {
+        self.node.inputs.poison.note_success(&self.live);
+        self.note(Verdict::Ok);
+    }
+
     fn note(&mut self, verdict: Verdict) {
         let now_us = self.node.inputs.clock.now_us();
         let service_us = now_us.saturating_sub(self.permit.since_us);
@@ -155,7 +130,7 @@
 
     fn body_ended(&mut self, end: BodyEnd) {
         match end {
-            BodyEnd::Whole => self.note(Verdict::Ok),
+            BodyEnd::Whole => self.succeeded(),
             BodyEnd::Broken => {
                 self.node.metrics.broken_answers.inc();
                 self.note(Verdict::Failed);
@@ -242,7 +217,7 @@
 /// Keeps a streamed answer counted as running until its end.
 fn holding(mut answer: Answer, mut running: Running) -> Answer {
     match answer.body {
-        NodeBody::Held(_) => running.note(Verdict::Ok),
+        NodeBody::Held(_) => running.succeeded(),
         NodeBody::Streamed { body, len } => {
             let body = watched(body, len, move |end| running.body_ended(end));
             answer.body = NodeBody::Streamed { body, len };
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -9,6 +9,7 @@
 use crate::core::Target;
 use crate::node::Node;
 use crate::node::answer::Answer;
+use crate::node::baseline;
 use crate::node::call::Call;
 use crate::node::keyed_forward::forward_keyed;
 use crate::node::peer_call::AttemptEnd;
@@ -20,13 +21,15 @@
 
 /// When to come back when no target takes work, in milliseconds.
 const NO_TARGET_RETRY_AFTER_MS: u64 = 500;
-
 /// Forwards a call until it is answered or given up.
 ///
 /// # Errors
 /// The refusal to give to the caller.
 pub(super) async fn forward(node: &Arc<Node>, call: &mut Call) -> Result<Answer, Refusal> {
-    if let Some(key) = call.key.clone().filter(|_| is_keyed(node, call)) {
+    if !node.settings.control_enabled {
+        return baseline::forward(node, call).await;
+    }
+    if let Some(key) = call.key.clone().filter(|_| call.non_idempotent) {
         return forward_keyed(node, call, key).await;
     }
     let mut tried: Vec<Name> = Vec::new();
@@ -40,7 +43,10 @@
             AttemptEnd::Answered(answer, _) => return Ok(answer),
             AttemptEnd::Refused(refusal, _) => refusal,
         };
-        tried.push(target.node.clone());
+        // A revoked attempt was lost with its connection; the target is as good as before.
+        if refusal.reason != RefusalReason::Revoked {
+            tried.push(target.node.clone());
+        }
         let Some(reason) = next_attempt(node, call, refusal, &tried) else {
             return Err(refusal);
         };
@@ -55,11 +61,7 @@
     }
 }
 
-/// Whether the call runs at most once by its key. The baseline does without.
-fn is_keyed(node: &Node, call: &Call) -> bool {
-    call.non_idempotent && node.settings.control_enabled
-}
-
+/// The least loaded target of those that were not tried.
 pub(super) fn choose(node: &Node, call: &Call, tried: &[Name]) -> Option<Arc<Target>> {
     let view = node.inputs.view.load();
     let now = node.inputs.clock.now();
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -1,31 +1,33 @@
 //! The guard: the only way to the local backend server.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
 
 use crate::adapters::Body;
-use crate::admission::QueuedCall;
 use crate::admission::route_of;
+use crate::core::AttemptId;
 use crate::core::Name;
-use crate::core::Priority;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
-use crate::core::TargetState;
+use crate::core::fingerprint_of;
 use crate::node::Announcement;
+use crate::node::Arrival;
+use crate::node::EndedAnswer;
 use crate::node::Node;
-use crate::node::answer::Answer;
-use crate::node::backend_call;
+use crate::node::body::NodeBody;
 use crate::node::body::read_body;
 use crate::node::caller_headers;
 use crate::node::guard_answer::Answered;
 use crate::node::guard_answer::answer;
 use crate::node::guard_answer::refuse;
 use crate::node::guard_answer::refuse_unread;
+use crate::node::guard_run;
 use crate::node::guarded_call::GuardedCall;
-use crate::node::keyed_guard::key_of;
-use crate::node::keyed_guard::run_keyed;
 use crate::node::keyed_guard::without_ledger;
 use crate::node::live_calls::LiveCall;
 use crate::node::take_call::split_path;
@@ -41,33 +43,107 @@
         Ok(header) => header,
         Err(error) => return refuse_unread(node, &error, later_ms()),
     };
-    let mut answered = Answered {
-        attempt: header.attempt,
-        route: Name::from(""),
-        allotment_unused: header.allotment,
-        key: key_of(&header).cloned(),
-    };
+    let mut answered = Answered::new(&header);
     let call = match take_call(node, header, request).await {
         Ok(call) => call,
-        Err(refusal) => {
-            let refusal = without_ledger(answered.key.as_ref(), refusal);
-            return refuse(node, &answered, refusal);
-        }
+        Err(refusal) => return refuse_early(node, &answered, refusal),
     };
+    let now = node.inputs.clock.now();
+    match node.inputs.attempts.arrive(now, answered.attempt) {
+        Arrival::Fresh => {}
+        Arrival::Revoked => {
+            return refuse(node, &answered, not_run(RefusalReason::Revoked));
+        }
+        Arrival::Repeated => {
+            let repeated = Refusal::unknown(RefusalReason::BadRequest, later_ms());
+            return refuse(node, &answered, repeated);
+        }
+    }
+    answered.route = call.live.route.clone();
+    let entered = EnteredAttempt::new(node, answered.attempt);
+    if call.header.non_idempotent {
+        finish_whoever_waits(node, call, answered, entered).await
+    } else {
+        finish(node.clone(), call, answered, entered).await
+    }
+}
+
+fn refuse_early(node: &Node, answered: &Answered, refusal: Refusal) -> Response<Body> {
+    let refusal = without_ledger(answered.key.as_ref(), refusal);
+    refuse(node, answered, refusal)
+}
+
+/// Brings a call to its end and its answer into shape. When the future is dropped, because
+/// whoever sent the call went away, the call is cancelled at the backend server.
+async fn finish(
+    node: Arc<Node>,
+    call: GuardedCall,
+    mut answered: Answered,
+    entered: EnteredAttempt,
+) -> Response<Body> {
     let live = call.live.clone();
-    let end = match answered
-        .key
-        .clone()
-        .filter(|_| node.settings.control_enabled)
-    {
-        Some(key) => run_keyed(node, call, key).await,
-        None => admit_and_run(node, call).await,
-    };
+    let end = guard_run::run(&node, call).await;
     answered.allotment_unused = live.close_allotment();
-    answered.route = live.route.clone();
-    match end {
-        Ok(whole) => answer(node, &answered, whole),
-        Err(refusal) => refuse(node, &answered, refusal),
+    let (response, held) = match end {
+        Ok(whole) => {
+            let held = whole.body.held().cloned();
+            (answer(&node, &answered, whole), held)
+        }
+        Err(refusal) => (refuse(&node, &answered, refusal), Some(Bytes::new())),
+    };
+    entered.ended(&response, held);
+    response
+}
+
+/// Does the same for a call that must not be broken off once it may have started. It goes on in a
+/// task of its own, whoever goes away; an answer is waited for until the deadline only.
+async fn finish_whoever_waits(
+    node: &Arc<Node>,
+    call: GuardedCall,
+    answered: Answered,
+    entered: EnteredAttempt,
+) -> Response<Body> {
+    let late = answered.clone();
+    let left = Duration::from_millis(call.deadline.since(node.inputs.clock.now()));
+    let task = tokio::spawn(finish(node.clone(), call, answered, entered));
+    let reason = match tokio::time::timeout(left, task).await {
+        Ok(Ok(response)) => return response,
+        Ok(Err(_)) => RefusalReason::BackendBroke,
+        Err(_) => RefusalReason::DeadlineExceeded,
+    };
+    refuse(node, &late, Refusal::unknown(reason, later_ms()))
+}
+
+/// An attempt that is in progress until it is dropped, however it ends.
+struct EnteredAttempt {
+    node: Arc<Node>,
+    attempt: AttemptId,
+}
+
+impl EnteredAttempt {
+    fn new(node: &Arc<Node>, attempt: AttemptId) -> Self {
+        Self {
+            node: node.clone(),
+            attempt,
+        }
+    }
+
+    /// Keeps the answer, if it is held whole, for a sender that asks.
+    fn ended(self, response: &Response<Body>, held: Option<Bytes>) {
+        let answer = held.map(|body| EndedAnswer {
+            status: response.status(),
+            headers: response.headers().clone(),
+            body,
+        });
+        let now = self.node.inputs.clock.now();
+        self.node.inputs.attempts.end(now, self.attempt, answer);
+    }
+}
+
+impl Drop for EnteredAttempt {
+    fn drop(&mut self) {
+        let now = self.node.inputs.clock.now();
+        self.node.inputs.attempts.end(now, self.attempt, None);
     }
 }
 
@@ -88,12 +164,14 @@
     if differs(header.body_len, body.len()) {
         return Err(not_run(RefusalReason::BodyCutShort));
     }
+    let fingerprint = fingerprint(parts.uri.path(), &parts.method, &path_and_query, &body);
     let live = LiveCall::new(
         header.request,
         header.priority,
         header.depth,
         deadline,
         Name::from(route_of(&path_and_query)),
+        fingerprint,
         header.allotment,
     );
     Ok(GuardedCall {
@@ -107,6 +185,14 @@
     })
 }
 
+/// A body that is streamed is not in the fingerprint; its length is.
+fn fingerprint(path: &str, method: &Method, path_and_query: &str, body: &NodeBody) -> u64 {
+    let (service, _) = split_path(path);
+    let len = body.len().unwrap_or(0).to_le_bytes();
+    let content = body.held().map_or(&len[..], |bytes| bytes);
+    fingerprint_of(service, method.as_str(), path_and_query, content)
+}
+
 fn differs(announced: Option<u64>, actual: Option<u64>) -> bool {
     matches!((announced, actual), (Some(announced), Some(actual)) if announced != actual)
 }
@@ -126,66 +212,6 @@
     }
 }
 
-/// Whether the call may start here. During a planned stop of the node, the owner of a key goes on
-/// until the slot is handed over: nobody else may run it.
-fn takes_work(node: &Node, call: &GuardedCall) -> Result<(), Refusal> {
-    let local = node.inputs.local.borrow();
-    let state = match (&local.announced, key_of(&call.header)) {
-        (Some(announced), Some(_)) => announced.state,
-        _ => local.state(),
-    };
-    match state {
-        TargetState::Up | TargetState::Suspect => Ok(()),
-        TargetState::Starting => Err(not_run(RefusalReason::BackendDown)),
-        TargetState::Draining | TargetState::Dead | TargetState::Left => {
-            Err(not_run(RefusalReason::Draining))
-        }
-    }
-}
-
-/// Waits for admission and runs the call.
-///
-/// # Errors
-/// The refusal; `not_run` only if the call was certainly not started.
-pub(super) async fn admit_and_run(node: &Arc<Node>, call: GuardedCall) -> Result<Answer, Refusal> {
-    if call.deadline <= node.inputs.clock.now() {
-        return Err(not_run(RefusalReason::DeadlineExceeded));
-    }
-    takes_work(node, &call)?;
-    passes_deeper(node, &call)?;
-    let queued = QueuedCall {
-        ticket: 0,
-        priority: call.header.priority,
-        depth: call.header.depth,
-        wait_ms: call.header.wait_ms,
-        deadline: call.deadline,
-    };
-    let arrived_us = node.inputs.clock.now_us();
-    let permit = node.gate.admit(queued).await?;
-    let waited_us = permit.since_us.saturating_sub(arrived_us);
-    node.metrics.guard_wait.observe(waited_us as f64 / 1e6);
-    if key_of(&call.header).is_some() && node.settings.control_enabled {
-        backend_call::run_on(node, call, permit).await
-    } else if call.header.non_idempotent {
-        backend_call::run_to_end(node, call, permit).await
-    } else {
-        backend_call::run_until_dropped(node, call, permit).await
-    }
-}
-
-/// Refuses a call that a service behind this one would shed, before it takes a slot here. It passed
-/// its sender with an older level than the one known here.
-fn passes_deeper(node: &Node, call: &GuardedCall) -> Result<(), Refusal> {
-    let now = node.inputs.clock.now();
-    let level = node
-        .levels
-        .level_on(now, &call.live.route, Priority::LOWEST);
-    if call.header.priority > level {
-        return Err(not_run(RefusalReason::ShedAtEntry));
-    }
-    Ok(())
-}
-
 fn not_run(reason: RefusalReason) -> Refusal {
     Refusal::not_run(reason, later_ms())
 }
--- a/src/node/guard_answer.rs
+++ b/src/node/guard_answer.rs
@@ -14,20 +14,34 @@
 use crate::errors::WireError;
 use crate::node::Node;
 use crate::node::answer::Answer;
+use crate::node::keyed_guard::key_of;
 use crate::node::keyed_guard::owner_hint;
 use crate::node::refusal_response::set_outcome;
 use crate::wire::AnswerHeader;
+use crate::wire::CallHeader;
 use crate::wire::headers;
 
-/// What an answer header has to repeat of its call.
+/// What an answer header has to say of its call.
+#[derive(Clone, Debug)]
 pub(super) struct Answered {
     pub(super) attempt: AttemptId,
     pub(super) route: Name,
     pub(super) allotment_unused: u16,
-    /// The key under which the call runs at most once.
+    /// The key of a non-idempotent call, whose owner is named to the sender.
     pub(super) key: Option<Name>,
 }
 
+impl Answered {
+    pub(super) fn new(header: &CallHeader) -> Self {
+        Self {
+            attempt: header.attempt,
+            route: Name::from(""),
+            allotment_unused: header.allotment,
+            key: key_of(header).cloned(),
+        }
+    }
+}
+
 /// The answer of the backend server with the guard's news.
 pub(super) fn answer(node: &Node, answered: &Answered, mut answer: Answer) -> Response<Body> {
     let header = AnswerHeader {
--- a/src/node/heritage.rs
+++ b/src/node/heritage.rs
@@ -61,7 +61,7 @@
     let priority = Priority::new(policy.class, request.rank());
     let deadline = now + u64::from(policy.deadline_ms);
     let route = Name::from("");
-    let holder = LiveCall::new(request, priority, 0, deadline, route, allotment);
+    let holder = LiveCall::new(request, priority, 0, deadline, route, 0, allotment);
     Heritage {
         holder: Arc::new(holder),
         priority,
--- a/src/node/keyed_forward.rs
+++ b/src/node/keyed_forward.rs
@@ -169,6 +169,11 @@
     refusal: Refusal,
     progress: &mut Progress,
 ) -> Option<RetryReason> {
+    // Never seen and revoked: it is not under way any more, and the owner is as good as before.
+    if refusal.reason == RefusalReason::Revoked && refusal.run_state == RunState::NotRun {
+        let paid = call.holder.spend() && node.targets.try_retry(&call.service);
+        return paid.then_some(RetryReason::SilentConnection);
+    }
     let first_loss = !progress.may_be_under_way;
     progress.may_be_under_way |= refusal.run_state != RunState::NotRun;
     if refusal.reason != RefusalReason::PeerLost {
--- a/src/node/keyed_guard.rs
+++ b/src/node/keyed_guard.rs
@@ -6,10 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderMap;
-use http::HeaderName;
-use http::HeaderValue;
-use http::StatusCode;
 use tokio::sync::oneshot;
 
 use crate::claims::Admitted;
@@ -22,12 +18,12 @@
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::RunState;
-use crate::core::fingerprint_of;
 use crate::node::Node;
 use crate::node::answer::Answer;
-use crate::node::body::NodeBody;
-use crate::node::guard::admit_and_run;
+use crate::node::guard_run::admit_and_run;
 use crate::node::guarded_call::GuardedCall;
+use crate::node::kept_answer;
+use crate::node::kept_answer::kept;
 use crate::wire::CallHeader;
 use crate::wire::OwnerHint;
 
@@ -76,8 +72,14 @@
             let told = start(node, call, ticket);
             within(left, told).await?
         }
-        Admitted::Join(told) => answer_of(within(left, told).await?),
-        Admitted::Answer(kept) => Ok(from_kept(&kept)),
+        Admitted::Join(told) => {
+            node.metrics.joined_calls.inc();
+            answer_of(within(left, told).await?)
+        }
+        Admitted::Answer(kept) => {
+            node.metrics.repeated_answers.inc();
+            Ok(kept_answer::answer_of(&kept))
+        }
         Admitted::Refuse(refusal) => Err(refusal),
     }
 }
@@ -89,7 +91,7 @@
     };
     ledger.begin(&KeyedCall {
         key,
-        fingerprint: fingerprint(call),
+        fingerprint: call.live.fingerprint,
         stamp: call.header.owner_stamp,
     })
 }
@@ -98,13 +100,6 @@
     node.inputs.claims.as_ref()?.ledger()
 }
 
-/// Of a body too large to hold, the length has to do.
-fn fingerprint(call: &GuardedCall) -> u64 {
-    let len = call.body.len().unwrap_or(0).to_le_bytes();
-    let content = call.body.held().map_or(&len[..], |bytes| bytes);
-    fingerprint_of("", call.method.as_str(), &call.path_and_query, content)
-}
-
 /// Runs the call in a task of its own: whoever sent it may go away, and a resend then joins it.
 fn start(
     node: &Arc<Node>,
@@ -143,7 +138,7 @@
 
 fn answer_of(settled: Settled) -> Result<Answer, Refusal> {
     match settled {
-        Settled::Ran(Some(kept)) => Ok(from_kept(&kept)),
+        Settled::Ran(Some(kept)) => Ok(kept_answer::answer_of(&kept)),
         Settled::Ran(None) => Err(Refusal {
             reason: RefusalReason::AlreadyRan,
             run_state: RunState::Ran,
@@ -155,29 +150,5 @@
 }
 
 fn to_kept(answer: &Answer) -> Option<KeptAnswer> {
-    let body = answer.body.held()?;
-    if body.len() > MAX_KEPT_BODY_BYTES {
-        return None;
-    }
-    let headers = answer.headers.iter();
-    Some(KeptAnswer {
-        status: answer.status.as_u16(),
-        headers: headers
-            .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-            .collect(),
-        body: body.to_vec(),
-    })
-}
-
-fn from_kept(kept: &KeptAnswer) -> Answer {
-    let pair = |(name, value): &(String, Vec<u8>)| {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        Some((name, HeaderValue::from_bytes(value).ok()?))
-    };
-    let headers: HeaderMap = kept.headers.iter().filter_map(pair).collect();
-    Answer {
-        status: StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK),
-        headers,
-        body: NodeBody::Held(kept.body.clone().into()),
-    }
+    kept(answer).filter(|kept| kept.body.len() <= MAX_KEPT_BODY_BYTES)
 }
--- a/src/node/live_calls.rs
+++ b/src/node/live_calls.rs
@@ -10,6 +10,7 @@
 use crate::core::RequestId;
 use crate::core::TimeMs;
 use crate::node::child_clock::ChildClock;
+use crate::poison::Running;
 use crate::retry::Allotment;
 
 /// What a child call inherits. A caller's own call has one at its entry as well, for the allotment.
@@ -20,6 +21,8 @@
     pub(super) deadline: TimeMs,
     /// The route by which levels of services are told apart.
     pub(super) route: Name,
+    /// The hash of the content, by which a request that crashes backend servers is recognised.
+    pub(super) fingerprint: u64,
     allotment: Mutex<Allotment>,
     children: Mutex<ChildClock>,
 }
@@ -31,6 +34,7 @@
         depth: u8,
         deadline: TimeMs,
         route: Name,
+        fingerprint: u64,
         allotment: u16,
     ) -> Self {
         Self {
@@ -39,11 +43,20 @@
             depth,
             deadline,
             route,
+            fingerprint,
             allotment: Mutex::new(Allotment::new(allotment)),
             children: Mutex::new(ChildClock::default()),
         }
     }
 
+    /// The call as a suspect, should the backend server crash.
+    pub(super) fn running(&self) -> Running {
+        Running {
+            request: self.request,
+            fingerprint: self.fingerprint,
+        }
+    }
+
     /// Takes a share for a child call out of the allotment.
     pub(super) fn hand_out(&self) -> u16 {
         self.allotment().hand_out()
@@ -118,6 +131,11 @@
         self.lock().get(&context).cloned()
     }
 
+    /// Everything that runs at present.
+    pub(super) fn running(&self) -> Vec<Running> {
+        self.lock().values().map(|call| call.running()).collect()
+    }
+
     /// Removes a call that has ended.
     pub(super) fn leave(&self, context: u128) {
         self.lock().remove(&context);
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use arc_swap::ArcSwap;
+
 use crate::adapters::HttpClient;
 use crate::adapters::http_client;
 use crate::claims::SlotRouter;
@@ -19,21 +21,18 @@
 use crate::node::gate::Gate;
 use crate::node::learnt_levels::LearntLevels;
 use crate::node::live_calls::LiveCalls;
+use crate::node::status::LedgerFigures;
 use crate::node::targets::Targets;
 
-/// How long an unused connection between nodes is kept, in milliseconds.
-const PEER_IDLE_MS: u64 = 15_000;
 /// How long an unused connection towards the backend server is kept, in milliseconds.
 const BACKEND_IDLE_MS: u64 = 1_000;
-/// The longest wait for a new connection, in milliseconds.
-const CONNECT_MS: u64 = 500;
 
 /// The state shared by the four listeners.
 pub struct Node {
     pub settings: NodeSettings,
     pub inputs: NodeInputs,
     pub metrics: Arc<Metrics>,
-    pub(super) peer_client: HttpClient,
+    pub(super) peer_client: ArcSwap<HttpClient>,
     pub(super) backend_client: HttpClient,
     pub(super) live_calls: LiveCalls,
     pub(super) targets: Targets,
@@ -50,15 +49,25 @@
         Self {
             gate,
             metrics: inputs.metrics.clone(),
-            settings,
             inputs,
-            peer_client: http_client(PEER_IDLE_MS, CONNECT_MS),
-            backend_client: http_client(BACKEND_IDLE_MS, CONNECT_MS),
+            peer_client: ArcSwap::from_pointee(peer_client(&settings)),
+            backend_client: http_client(BACKEND_IDLE_MS, settings.connect_timeout_ms),
             live_calls: LiveCalls::new(),
             targets: Targets::new(),
             levels: LearntLevels::default(),
             slot_router: Mutex::new(SlotRouter::default()),
             draining: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Gives up all idle connections to other nodes: whatever lost track of one has probably lost
+    /// track of others. `used` is the client whose connection went silent; one renewal is enough
+    /// for all calls that used it.
+    pub(super) fn renew_peer_client(&self, used: &Arc<HttpClient>) {
+        if Arc::ptr_eq(&self.peer_client.load(), used) {
+            let renewed = Arc::new(peer_client(&self.settings));
+            self.peer_client.compare_and_swap(used, renewed);
         }
     }
 
@@ -122,8 +131,18 @@
         let load = self.gate.load();
         self.metrics.guard_in_flight.set(i64::from(load.in_flight));
         self.metrics.guard_limit.set(i64::from(load.limit));
+        let ledger = LedgerFigures::of(self);
+        self.metrics.slots_owned.set(ledger.slots_owned as i64);
+        self.metrics.slots_open.set(ledger.slots_open as i64);
+        self.metrics.ledger_keys.set(ledger.keys as i64);
+        let answer_bytes = ledger.answer_bytes as i64;
+        self.metrics.ledger_answer_bytes.set(answer_bytes);
         let in_force = self.inputs.in_force.load();
         let version = in_force.as_ref().as_ref().map_or(0, |known| known.version);
         self.metrics.config_version.set(version as i64);
     }
 }
+
+fn peer_client(settings: &NodeSettings) -> HttpClient {
+    http_client(settings.idle_connection_ms, settings.connect_timeout_ms)
+}
--- a/src/node/node_inputs.rs
+++ b/src/node/node_inputs.rs
@@ -10,6 +10,7 @@
 
 use crate::claims::Claims;
 use crate::control::AttemptStatus;
+use crate::control::Suspects;
 use crate::core::AttemptId;
 use crate::core::Clock;
 use crate::core::Published;
@@ -19,6 +20,7 @@
 use crate::node::Attempts;
 use crate::node::LocalBackend;
 use crate::node::PeerOperations;
+use crate::node::PoisonGuard;
 use crate::preset::InForce;
 
 /// Asks the node with this control address what became of an attempt.
@@ -31,6 +33,10 @@
 /// Takes the news that the node with this control address has a version in force.
 pub type NoteConfig = Arc<dyn Fn(SocketAddr, u64) + Send + Sync>;
 
+/// Tells the node with this control address what was running at a crash.
+pub type ReportSuspects =
+    Arc<dyn Fn(SocketAddr, &Suspects) -> BoxFuture<'static, ()> + Send + Sync>;
+
 /// What the control thread publishes, what it reads, and what both sides use.
 #[derive(Clone)]
 pub struct NodeInputs {
@@ -45,6 +51,9 @@
     pub attempts: Arc<Attempts>,
     /// The slots and the ledger of this guard; without them no call with a key is run.
     pub claims: Option<Arc<Claims>>,
+    /// Suspects of having crashed backend servers of the local service.
+    pub poison: Arc<PoisonGuard>,
+    pub report_suspects: ReportSuspects,
     pub ask_attempt: AskAttempt,
     pub note_config: NoteConfig,
     pub operations: PeerOperations,
@@ -60,6 +69,8 @@
             in_force: Arc::new(Published::from_pointee(None)),
             local: watch::Sender::new(LocalBackend::default()),
             attempts: Arc::new(Attempts::default()),
+            poison: Arc::new(PoisonGuard::new()),
+            report_suspects: Arc::new(|_, _| ready(()).boxed()),
             note_config: Arc::new(|_, _| {}),
             operations: PeerOperations::none(),
             claims: None,
--- a/src/node/node_process.rs
+++ b/src/node/node_process.rs
@@ -16,7 +16,10 @@
 use crate::control::ControlHandlers;
 use crate::control::ControlMetrics;
 use crate::control::ControlSettings;
+use crate::control::Suspects;
+use crate::core::TimeMs;
 use crate::errors::NodeError;
+use crate::node::Announcement;
 use crate::node::AskAttempt;
 use crate::node::Listeners;
 use crate::node::LocalBackend;
@@ -24,6 +27,8 @@
 use crate::node::NodeInputs;
 use crate::node::NoteConfig;
 use crate::node::PeerOperations;
+use crate::node::PoisonGuard;
+use crate::node::ReportSuspects;
 use crate::node::RunningNode;
 use crate::node::Status;
 use crate::node::join_claims::new_claims;
@@ -72,6 +77,7 @@
         }
         inputs.view = control.view.clone();
         inputs.ask_attempt = ask_attempt(&control);
+        inputs.report_suspects = report_suspects(&control);
         control
             .runtime
             .spawn(announce(control.clone(), inputs.local.subscribe()));
@@ -92,9 +98,12 @@
 fn handlers(inputs: &NodeInputs, configuration: &Arc<ConfigShared>) -> ControlHandlers {
     let attempts = inputs.attempts.clone();
     let clock = inputs.clock;
+    let poison = inputs.poison.clone();
+    let local = inputs.local.clone();
     let asked = configuration.clone();
     let told = configuration.clone();
     ControlHandlers {
+        report_suspects: Arc::new(move |news| take_suspects(&poison, &local, clock.now(), &news)),
         config_above: Arc::new(move |above| asked.document_above(above)),
         config_news: Arc::new(move |from, version| told.note_news(from, version)),
         attempt_status: Arc::new(move |attempt| {
@@ -105,6 +114,20 @@
     }
 }
 
+fn report_suspects(control: &ControlHandle) -> ReportSuspects {
+    let clients = control.clients.clone();
+    Arc::new(move |address, news| {
+        let clients = clients.clone();
+        let news = news.clone();
+        let report = async move {
+            if let Err(error) = clients.report_suspects(address, news).await {
+                log::warn!("poison: a report was not taken in, peer={address} error={error}");
+            }
+        };
+        report.boxed()
+    })
+}
+
 fn note_config(configuration: &Arc<ConfigShared>) -> NoteConfig {
     let configuration = configuration.clone();
     Arc::new(move |from, version| configuration.note_news(from, version))
@@ -141,6 +164,20 @@
     })
 }
 
+/// Reports of other services say nothing about the local one.
+fn take_suspects(
+    poison: &PoisonGuard,
+    local: &watch::Sender<LocalBackend>,
+    now: TimeMs,
+    news: &Suspects,
+) {
+    let local = local.borrow();
+    let is_ours = |announced: &Announcement| announced.service == news.service;
+    if local.announced.as_ref().is_some_and(is_ours) {
+        poison.merge(now, news);
+    }
+}
+
 /// Tells all members what the local backend server says of itself, at each change.
 async fn announce(control: Arc<ControlHandle>, mut local: watch::Receiver<LocalBackend>) {
     loop {
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -3,15 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use crate::adapters::Body;
+use crate::adapters::HttpClient;
+use crate::adapters::full_body;
+use crate::control::KeptAnswer;
 use crate::core::AttemptId;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
@@ -27,6 +32,9 @@
 use crate::node::body::read_body;
 use crate::node::call::Call;
 use crate::node::caller_headers;
+use crate::node::kept_answer::headers_of;
+use crate::node::silence::Silence;
+use crate::node::silence::watch;
 use crate::node::targets::InFlightAt;
 use crate::node::watched_body::BodyEnd;
 use crate::node::watched_body::watched;
@@ -55,7 +63,7 @@
     non_idempotent: bool,
 }
 
-/// Sends the call to one target with a share of its allotment and waits for the end.
+/// Sends the call to one target and waits for the end. /// `share` of the call's allotment goes along.
 pub(super) async fn call_peer(
     node: &Arc<Node>,
     call: &mut Call,
@@ -73,9 +81,8 @@
         return lost(RefusalReason::BadRequest, RunState::NotRun);
     };
     let left_ms = call.deadline.since(node.inputs.clock.now()) + GRACE_MS;
-    let exchange = exchange(node, &sent, request, &mut in_flight);
-    let end = tokio::time::timeout(Duration::from_millis(left_ms), exchange).await;
-    match end {
+    let end = watched_exchange(node, &sent, request, target, &mut in_flight);
+    match timeout(Duration::from_millis(left_ms), end).await {
         Ok(AttemptEnd::Answered(answer, header)) => {
             AttemptEnd::Answered(holding(node, answer, in_flight), header)
         }
@@ -84,6 +91,45 @@
     }
 }
 
+/// Waits for the answer, or for the guard's word on a connection that has gone silent. The
+/// connection is then given up with the future that waits on it.
+async fn watched_exchange(
+    node: &Arc<Node>,
+    sent: &Sent,
+    request: Request<Body>,
+    target: &Target,
+    in_flight: &mut InFlightAt,
+) -> AttemptEnd {
+    let client = node.peer_client.load_full();
+    let silence = tokio::select! {
+        end = exchange(node, &client, sent, request, in_flight) => return end,
+        silence = watch(node, target, sent.attempt, sent.non_idempotent) => silence,
+    };
+    log::info!(
+        "entry: a connection went silent, peer={} attempt={}",
+        target.node,
+        sent.attempt
+    );
+    node.metrics.silent_connections.inc();
+    node.renew_peer_client(&client);
+    match silence {
+        Silence::NeverSeen => lost(RefusalReason::Revoked, RunState::NotRun),
+        Silence::Answered(kept) => receive(node, sent, response_of(&kept), in_flight).await,
+        Silence::AnswerGone => lost(RefusalReason::PeerLost, ran_if(sent.non_idempotent)),
+        Silence::NobodyThere => {
+            in_flight.lost();
+            lost(RefusalReason::PeerLost, RunState::Unknown)
+        }
+    }
+}
+
+fn response_of(kept: &KeptAnswer) -> Response<Body> {
+    let mut response = Response::new(full_body(Bytes::copy_from_slice(&kept.body)));
+    *response.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    *response.headers_mut() = headers_of(kept);
+    response
+}
+
 fn peer_request(
     node: &Node,
     call: &mut Call,
@@ -118,22 +164,36 @@
 
 async fn exchange(
     node: &Arc<Node>,
+    client: &HttpClient,
     sent: &Sent,
     request: Request<Body>,
     in_flight: &mut InFlightAt,
 ) -> AttemptEnd {
-    let response = match node.peer_client.request(request).await {
-        Ok(response) => response,
+    match client.request(request).await {
+        Ok(response) => {
+            let (parts, body) = response.into_parts();
+            let body = body.map_err(std::io::Error::other).boxed_unsync();
+            receive(node, sent, Response::from_parts(parts, body), in_flight).await
+        }
         Err(error) => {
             in_flight.lost();
             log::debug!("entry: lost a peer, request={} error={error}", sent.request);
-            return lost(RefusalReason::PeerLost, run_state_of(&error));
+            lost(RefusalReason::PeerLost, run_state_of(&error))
         }
-    };
+    }
+}
+
+/// Checks an answer, however it came, and takes it in.
+async fn receive(
+    node: &Node,
+    sent: &Sent,
+    response: Response<Body>,
+    in_flight: &mut InFlightAt,
+) -> AttemptEnd {
     let body_len = response.body().size_hint().exact();
     match check_head(response.headers(), sent.attempt, body_len) {
         Ok(header) => {
-            in_flight.reported(header.load);
+            in_flight.reported(&header);
             take_answer(node, sent, response, header).await
         }
         Err(error) if is_plain_not_run(response.headers(), &error) => {
@@ -150,6 +210,14 @@
     }
 }
 
+fn ran_if(non_idempotent: bool) -> RunState {
+    if non_idempotent {
+        RunState::Ran
+    } else {
+        RunState::Unknown
+    }
+}
+
 /// Nothing was sent when no connection could be made; after that anything may have happened.
 fn run_state_of(error: &hyper_util::client::legacy::Error) -> RunState {
     if error.is_connect() {
@@ -162,7 +230,7 @@
 async fn take_answer(
     node: &Node,
     sent: &Sent,
-    response: Response<Incoming>,
+    response: Response<Body>,
     header: AnswerHeader,
 ) -> AttemptEnd {
     if let Some(refusal) = header.refusal {
@@ -170,7 +238,6 @@
     }
     let (mut parts, body) = response.into_parts();
     caller_headers::strip_answer(&mut parts.headers, &sent.method);
-    let body = body.map_err(std::io::Error::other).boxed_unsync();
     let body = match read_body(body, node.settings.max_held_body_bytes).await {
         Ok(body) if check_len(&header, body.len()).is_ok() => body,
         _ => {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -27,6 +27,11 @@
     pub in_flight: u32,
     pub limit: u32,
     pub queued: u32,
+    /// Slots of keys that this node owns, and of those the ones in which unseen keys may run now.
+    pub slots_owned: usize,
+    pub slots_open: usize,
+    /// Keys that the ledger remembers.
+    pub ledger_keys: usize,
     /// Refusals given to callers since the start, without reasons that did not occur.
     pub entry_refusals: BTreeMap<Name, u64>,
     /// Refusals given to other nodes since the start.
@@ -55,6 +60,7 @@
         let in_force = in_force.as_ref().as_ref();
         let local = node.inputs.local.borrow().clone();
         let load = node.gate.load();
+        let ledger = LedgerFigures::of(node);
         Self {
             node: node.settings.node.clone(),
             region: node.settings.region.clone(),
@@ -67,6 +73,9 @@
             in_flight: load.in_flight,
             limit: load.limit,
             queued: load.queued,
+            slots_owned: ledger.slots_owned,
+            slots_open: ledger.slots_open,
+            ledger_keys: ledger.keys,
             entry_refusals: refusals(|reason| node.metrics.entry_refusals(reason)),
             guard_refusals: refusals(|reason| node.metrics.guard_refusals(reason)),
             retries: retries(node),
@@ -76,6 +85,30 @@
     }
 }
 
+/// What the ledger says of itself; zeros while there is none.
+#[derive(Default)]
+pub(super) struct LedgerFigures {
+    pub(super) slots_owned: usize,
+    pub(super) slots_open: usize,
+    pub(super) keys: usize,
+    pub(super) answer_bytes: usize,
+}
+
+impl LedgerFigures {
+    pub(super) fn of(node: &Node) -> Self {
+        let claims = node.inputs.claims.as_ref();
+        let Some(ledger) = claims.and_then(|claims| claims.ledger()) else {
+            return Self::default();
+        };
+        ledger.with(|ledger, now| Self {
+            slots_owned: ledger.holding().count(),
+            slots_open: ledger.open_slots(now),
+            keys: ledger.len(),
+            answer_bytes: ledger.answer_bytes(),
+        })
+    }
+}
+
 fn refusals(count_of: impl Fn(RefusalReason) -> u64) -> BTreeMap<Name, u64> {
     RefusalReason::ALL
         .iter()
--- a/src/node/take_call.rs
+++ b/src/node/take_call.rs
@@ -6,6 +6,7 @@
 
 use crate::adapters::Body;
 use crate::admission::route_of;
+use crate::claims::LONGEST_KEY_BYTES;
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
@@ -39,7 +40,7 @@
     let in_force = in_force(node)?;
     let policy = classify(&in_force, &service, parts.method.as_str(), parts.uri.path());
     let deadline_ms = announced_deadline_ms(&parts.headers)?;
-    let key = caller_headers::text(&parts.headers, headers::IDEMPOTENCY_KEY).map(Name::from);
+    let key = key_of(&parts.headers)?;
     let now = node.inputs.clock.now();
     let heritage = heritage(&in_force, policy, &service, key.as_ref(), origin, now);
     let deadline = deadline(deadline_ms, policy, heritage.deadline, now);
@@ -48,6 +49,7 @@
     }
     let route = Name::from(route_of(split_path(parts.uri.path()).1));
     if heritage.depth == 0
+        && node.settings.control_enabled
         && !node
             .levels
             .may_pass(now, &service, &route, heritage.priority)
@@ -112,6 +114,21 @@
     in_force.preset.classify(service, method, rest)
 }
 
+/// The caller's key. One that is no text, longer than a ledger takes or given twice is refused:
+/// to leave it out would let the call run twice.
+fn key_of(map: &http::HeaderMap) -> Result<Option<Name>, Refusal> {
+    let mut values = map.get_all(headers::IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok();
+    let is_fit = |text: &&str| !text.is_empty() && text.len() <= LONGEST_KEY_BYTES;
+    match (text.filter(is_fit), values.next()) {
+        (Some(text), None) => Ok(Some(Name::from(text))),
+        _ => Err(not_run(RefusalReason::BadRequest)),
+    }
+}
+
 fn announced_deadline_ms(map: &http::HeaderMap) -> Result<Option<u32>, Refusal> {
     if !map.contains_key(headers::DEADLINE_MS) {
         return Ok(None);
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -6,14 +6,17 @@
 
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::RefusalReason;
 use crate::core::TimeMs;
 use crate::core::View;
+use crate::node::Node;
 use crate::retry::RetryBudget;
 use crate::routing::Choice;
 use crate::routing::Pick;
 use crate::routing::PickerConf;
 use crate::routing::TargetStats;
 use crate::routing::pick;
+use crate::wire::AnswerHeader;
 use crate::wire::LoadReport;
 
 /// Retries in sum, in percent of first attempts.
@@ -68,11 +71,17 @@
         picked
     }
 
-    /// Counts a call as in flight at a target that was not chosen here.
+    /// Counts a call as in flight at a target that was chosen otherwise.
     pub(super) fn enter(&self, node: &Name, now: TimeMs) {
         self.lock().stats_of(node, now).in_flight += 1;
     }
 
+    /// How long answers of a target take; 0 while nothing is known.
+    pub(super) fn usual_latency_ms(&self, node: &Name) -> u64 {
+        let known = self.lock();
+        known.stats.get(node).map_or(0, TargetStats::latency_ms)
+    }
+
     /// Whether a target that was not tried has room, as far as is known.
     pub(super) fn has_room(&self, view: &View, service: &str, tried: &[Name], now: TimeMs) -> bool {
         let known = self.lock();
@@ -85,18 +94,22 @@
             })
     }
 
-    /// Takes in the end of an attempt. `lost` says that the target was not reached or fell silent.
-    pub(super) fn ended(&self, node: &Name, report: Option<LoadReport>, lost: bool, now: TimeMs) {
+    /// Takes in the end of an attempt.
+    pub(super) fn ended(&self, node: &Name, end: AttemptNews, now: TimeMs) {
         let mut known = self.lock();
         let Some(stats) = known.stats.get_mut(node) else {
             return;
         };
         stats.in_flight = stats.in_flight.saturating_sub(1);
-        if let Some(report) = report {
+        if let Some(report) = end.report {
             stats.note_report(report, now);
-            stats.note_success();
         }
-        if lost {
+        if end.is_closed {
+            stats.note_closed(now);
+        } else if end.report.is_some() {
+            stats.note_success(end.took_ms);
+        }
+        if end.is_lost {
             stats.note_failure(now);
         }
     }
@@ -140,40 +153,55 @@
     }
 }
 
+/// What an attempt showed of its target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct AttemptNews {
+    report: Option<LoadReport>,
+    took_ms: u64,
+    /// The target was not reached or fell silent.
+    is_lost: bool,
+    /// Its guard takes no work at all: it drains, or its backend server is down.
+    is_closed: bool,
+}
+
 /// An attempt counted as in flight at its target until it has ended, however it ends.
 pub(super) struct InFlightAt {
-    targets: Arc<super::Node>,
-    node: Name,
-    report: Option<LoadReport>,
-    lost: bool,
+    node: Arc<Node>,
+    target: Name,
+    since: TimeMs,
+    news: AttemptNews,
 }
 
 impl InFlightAt {
-    pub(super) fn new(targets: Arc<super::Node>, node: Name) -> Self {
-        targets.metrics.entry_in_flight.inc();
+    pub(super) fn new(node: Arc<Node>, target: Name) -> Self {
+        node.metrics.entry_in_flight.inc();
         Self {
-            targets,
+            since: node.inputs.clock.now(),
             node,
-            report: None,
-            lost: false,
+            target,
+            news: AttemptNews::default(),
         }
     }
 
-    pub(super) fn reported(&mut self, report: LoadReport) {
-        self.report = Some(report);
+    pub(super) fn reported(&mut self, header: &AnswerHeader) {
+        let reason = header.refusal.map(|refusal| refusal.reason);
+        self.news.report = Some(header.load);
+        self.news.took_ms = self.node.inputs.clock.now().since(self.since);
+        self.news.is_closed = matches!(
+            reason,
+            Some(RefusalReason::Draining | RefusalReason::BackendDown | RefusalReason::NoTarget)
+        );
     }
 
     pub(super) fn lost(&mut self) {
-        self.lost = true;
+        self.news.is_lost = true;
     }
 }
 
 impl Drop for InFlightAt {
     fn drop(&mut self) {
-        self.targets.metrics.entry_in_flight.dec();
-        let now = self.targets.inputs.clock.now();
-        self.targets
-            .targets
-            .ended(&self.node, self.report, self.lost, now);
+        self.node.metrics.entry_in_flight.dec();
+        let now = self.node.inputs.clock.now();
+        self.node.targets.ended(&self.target, self.news, now);
     }
 }
--- a/src/routing/target_stats.rs
+++ b/src/routing/target_stats.rs
@@ -9,6 +9,8 @@
 const EJECT_FIRST_MS: u64 = 500;
 /// The longest ejection.
 const EJECT_LONGEST_MS: u64 = 8_000;
+/// One part in this of each new latency goes into the smoothed one.
+const LATENCY_SHARE: u64 = 8;
 /// How old a piggybacked report may be and still count.
 const REPORT_FRESH_MS: u64 = 1_000;
 
@@ -17,6 +19,7 @@
 pub struct TargetStats {
     pub in_flight: u32,
     pub first_seen: TimeMs,
+    latency_us: u64,
     report: LoadReport,
     reported_at: TimeMs,
     failures_in_row: u32,
@@ -40,8 +43,14 @@
         self.reported_at = now;
     }
 
-    /// An answer came: the target lives.
-    pub fn note_success(&mut self) {
+    /// An answer came after `took_ms`: the target lives.
+    pub fn note_success(&mut self, took_ms: u64) {
+        let took_us = took_ms * 1_000;
+        self.latency_us = if self.latency_us == 0 {
+            took_us
+        } else {
+            self.latency_us - self.latency_us / LATENCY_SHARE + took_us / LATENCY_SHARE
+        };
         self.failures_in_row = 0;
         self.ejections = 0;
     }
@@ -58,6 +67,16 @@
         self.failures_in_row = 0;
     }
 
+    /// How long answers of the target take, smoothed.
+    pub fn latency_ms(&self) -> u64 {
+        self.latency_us / 1_000
+    }
+
+    /// The target said itself that it takes no work: it is left out for a while at once.
+    pub fn note_closed(&mut self, now: TimeMs) {
+        self.ejected_until = now + EJECT_FIRST_MS;
+    }
+
     /// Whether the target is left out of the choice for now.
     pub fn is_ejected(&self, now: TimeMs) -> bool {
         now < self.ejected_until
