--- a/src/errors.rs
+++ b/src/errors.rs
@@ -423,3 +423,24 @@
     #[error("cannot start: {source}")]
     Start { source: io::Error },
 }
+
+/// An experiment that could not be carried out.
+#[derive(Debug, Error)]
+pub enum CapacityError {
+    #[error("process {pid} is gone")]
+    ProcessGone { pid: u32 },
+    #[error("{nodes} nodes did not get there within {limit_ms} ms: {what}")]
+    Never {
+        what: &'static str,
+        nodes: usize,
+        limit_ms: u64,
+    },
+    #[error("no node is left")]
+    NoNodes,
+    #[error("{}: cannot be drawn: {reason}", path.display())]
+    Plot { path: PathBuf, reason: String },
+    #[error(transparent)]
+    Mesh(#[from] MeshError),
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod adapters;
 pub mod admission;
 pub mod backend;
+pub mod capacity;
 pub mod claims;
 pub mod conf;
 pub mod configuration;
