Test bad input and wrong answers through in-process listeners

Cause: nothing showed what callers see of forged headers, cut bodies, unfit keys, peers of other versions and answers of another call or length.

--- /dev/null
+++ b/tests/node_answers.rs
@@ -0,0 +1,222 @@
+//! Callers get the whole answer to their own call, or an error that looks like one.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures::stream;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+use sassafrasgap::adapters::Body;
+use sassafrasgap::adapters::bind;
+use sassafrasgap::adapters::full_body;
+use sassafrasgap::adapters::serve;
+use sassafrasgap::core::AttemptId;
+use sassafrasgap::core::Priority;
+use sassafrasgap::core::RetryReason;
+use sassafrasgap::core::RunState;
+use sassafrasgap::wire::AnswerHeader;
+use sassafrasgap::wire::CallHeader;
+use sassafrasgap::wire::LoadReport;
+
+use support::test_mesh::TestMesh;
+use support::test_mesh::loopback;
+use support::test_mesh::node_settings;
+use support::test_mesh::plain_preset;
+
+const LARGE_BYTES: usize = 300_000;
+
+async fn hello(_request: Request<Body>, _local: SocketAddr) -> Response<Body> {
+    Response::new(full_body("hello"))
+}
+
+async fn large(_request: Request<Body>, _local: SocketAddr) -> Response<Body> {
+    Response::new(full_body(vec![7_u8; LARGE_BYTES]))
+}
+
+async fn upload_len(request: Request<Body>, _local: SocketAddr) -> Response<Body> {
+    let body = request.into_body().collect().await;
+    let text = body.map_or("cut".to_owned(), |body| body.to_bytes().len().to_string());
+    Response::new(full_body(text))
+}
+
+/// How a peer answers in the place of a guard.
+#[derive(Clone, Copy, Debug)]
+enum Lie {
+    OtherAttempt,
+    OtherLength,
+    NoHeader,
+    OtherVersion,
+}
+
+async fn lying_peer(lie: Lie) -> SocketAddr {
+    let listener = bind(loopback()).await.expect("a port is free");
+    let address = listener.local_addr().expect("the port is bound");
+    tokio::spawn(serve(listener, move |request, _| async move {
+        let call = CallHeader::from_headers(request.headers()).expect("a node sends it");
+        let mut response = Response::new(full_body("for another caller"));
+        if let Some(value) = lying_header(lie, &call) {
+            let value = HeaderValue::from_str(&value).expect("base64");
+            response.headers_mut().insert("sassafrasgap-answer", value);
+        }
+        response
+    }));
+    address
+}
+
+fn lying_header(lie: Lie, call: &CallHeader) -> Option<String> {
+    let mut header = AnswerHeader {
+        attempt: call.attempt,
+        run_state: RunState::Ran,
+        refusal: None,
+        allotment_unused: call.allotment,
+        admit: Priority::LOWEST,
+        load: LoadReport::default(),
+        config_version: 0,
+        body_len: Some(18),
+        owner: None,
+    };
+    match lie {
+        Lie::OtherAttempt => header.attempt = AttemptId(7),
+        Lie::OtherLength => header.body_len = Some(19),
+        Lie::NoHeader => return None,
+        Lie::OtherVersion => return Some("Ag".to_owned()),
+    }
+    Some(header.encode())
+}
+
+/// Something between two nodes mixes up answers, or a peer has a fault: the answer that comes is
+/// that of another call, or not all of it. The caller must get neither. An idempotent call goes to
+/// another target; of a non-idempotent one nobody knows whether it ran.
+#[rstest]
+#[case::other_attempt(Lie::OtherAttempt)]
+#[case::other_length(Lie::OtherLength)]
+#[case::no_header(Lie::NoHeader)]
+#[case::other_version(Lie::OtherVersion)]
+#[tokio::test]
+async fn a_wrong_answer_is_never_passed_on(#[case] lie: Lie) {
+    let mut mesh = TestMesh::new();
+    let entry = mesh.add("one", "menus", hello).await;
+    mesh.add_stranger("two", "orders", lying_peer(lie).await);
+    mesh.add_stranger("three", "orders", lying_peer(lie).await);
+    let read = mesh.get(entry, "/orders/7").await;
+    assert_eq!(read.status, 503, "{read:?}");
+    assert_eq!(read.header("sassafrasgap-outcome"), "unknown");
+    let order = mesh.post(entry, "/orders/7", "two sacks").await;
+    assert_eq!(order.status, 503, "{order:?}");
+    assert_eq!(order.header("sassafrasgap-outcome"), "unknown");
+    let metrics = &mesh.nodes[entry].node.metrics;
+    assert_eq!(metrics.wrong_answers.get(), 3);
+    assert_eq!(metrics.retries(RetryReason::ConnectionLost), 1);
+}
+
+/// A backend server that answers each connection with the same bytes and closes it.
+async fn raw_backend(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.expect("a port is free");
+    let address = listener.local_addr().expect("the port is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await;
+                let _ = stream.write_all(answer.as_bytes()).await;
+                let _ = stream.shutdown().await;
+            });
+        }
+    });
+    address
+}
+
+/// A backend server breaks off in the middle of its answer, or announces no length at all, so that
+/// its end cannot be told from a break. The caller must not take the part for the whole.
+#[rstest]
+#[case::shorter("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nfour")]
+#[case::chunks_cut("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n")]
+#[case::no_end("HTTP/1.1 200 OK\r\n\r\nfour")]
+#[case::no_http("what?")]
+#[case::nothing("")]
+#[tokio::test]
+async fn an_answer_cut_short_is_an_error(#[case] answer: &'static str) {
+    let mut mesh = TestMesh::new();
+    let address = raw_backend(answer).await;
+    let entry = mesh
+        .add_at(node_settings("one"), plain_preset(), "orders", address)
+        .await;
+    let got = mesh.post(entry, "/orders/7", "two sacks").await;
+    assert_eq!(got.status, 502, "{got:?}");
+    assert_eq!(got.header("sassafrasgap-reason"), "backend_broke");
+    assert_eq!(got.header("sassafrasgap-outcome"), "unknown");
+}
+
+#[tokio::test]
+async fn nothing_beyond_the_announced_length_is_passed_on() {
+    let mut mesh = TestMesh::new();
+    let address = raw_backend("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour and more").await;
+    let entry = mesh
+        .add_at(node_settings("one"), plain_preset(), "orders", address)
+        .await;
+    let got = mesh.get(entry, "/orders/7").await;
+    assert_eq!(&got.body[..], b"four");
+}
+
+/// Nothing listens where the backend server was: no call was started, and that is said.
+#[tokio::test]
+async fn a_backend_server_that_is_down_did_not_run_it() {
+    let mut mesh = TestMesh::new();
+    let gone = bind(loopback()).await.expect("a port is free");
+    let address = gone.local_addr().expect("the port is bound");
+    drop(gone);
+    let entry = mesh
+        .add_at(node_settings("one"), plain_preset(), "orders", address)
+        .await;
+    let got = mesh.post(entry, "/orders/7", "two sacks").await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert_eq!(got.header("sassafrasgap-reason"), "backend_down");
+    assert_eq!(got.header("sassafrasgap-outcome"), "not_run");
+}
+
+#[tokio::test]
+async fn bodies_larger_than_held_are_streamed_whole_both_ways() {
+    let mut mesh = TestMesh::new();
+    let entry = mesh.add("one", "archives", large).await;
+    mesh.add("two", "uploads", upload_len).await;
+    let got = mesh.get(entry, "/archives/7").await;
+    assert_eq!(got.body.len(), LARGE_BYTES);
+    assert!(got.body.iter().all(|byte| *byte == 7));
+    let request = Request::post(mesh.uri(entry, "/uploads/photo"));
+    let request = request.body(full_body(vec![1_u8; LARGE_BYTES]));
+    let got = mesh.send(request.expect("valid")).await;
+    assert_eq!(&got.body[..], LARGE_BYTES.to_string().as_bytes());
+}
+
+async fn breaks_off(_request: Request<Body>, _local: SocketAddr) -> Response<Body> {
+    let good = (0..20).map(|_| Ok(Frame::data(Bytes::from(vec![7_u8; 16_384]))));
+    let bad = [Err(std::io::Error::other("the disk failed"))];
+    let body = StreamBody::new(stream::iter(good.chain(bad)));
+    Response::new(body.boxed_unsync())
+}
+
+/// An archive is streamed, and its backend server fails after 300 KB. The caller has the head of a
+/// success already; the break must reach it as one, or it keeps a cut archive for a whole one.
+#[tokio::test]
+async fn a_streamed_answer_that_breaks_off_breaks_the_callers_connection() {
+    let mut mesh = TestMesh::new();
+    let entry = mesh.add("one", "archives", breaks_off).await;
+    let request = Request::get(mesh.uri(entry, "/archives/7")).body(full_body(""));
+    let response = mesh.client.request(request.expect("valid")).await;
+    let response = response.expect("the head comes");
+    assert_eq!(response.status(), 200);
+    let body = response.into_body().collect().await;
+    assert!(body.is_err(), "a cut archive must not look whole");
+    assert!(mesh.nodes[entry].node.metrics.broken_answers.get() >= 1);
+}
