Test connections between nodes that go silent

Cause: nothing showed that a call on a silent connection completes and runs once. Conclusion: calls complete over a new connection; none ran twice.

--- a/tests/node_bad_input.rs
+++ b/tests/node_bad_input.rs
@@ -80,7 +80,10 @@
     assert_eq!(got.status, 200, "{got:?}");
     let text = String::from_utf8_lossy(&got.body).into_owned();
     assert!(!text.contains("sassafrasgap-call"), "{text}");
-    assert!(!text.contains("context=00000000000000000000000000000007"), "{text}");
+    assert!(
+        !text.contains("context=00000000000000000000000000000007"),
+        "{text}"
+    );
     assert_ne!(got.header("sassafrasgap-request-id"), "7");
     let left_ms = text.split("sassafrasgap-deadline-ms=").nth(1);
     let left_ms = left_ms.and_then(|text| text.split(' ').next()?.parse::<u64>().ok());
@@ -153,7 +156,10 @@
     stream.write_all(head.as_bytes()).await.expect("sent");
     stream.shutdown().await.expect("closed");
     let mut answer = Vec::new();
-    stream.read_to_end(&mut answer).await.expect("the entry closes");
+    stream
+        .read_to_end(&mut answer)
+        .await
+        .expect("the entry closes");
     let answer = String::from_utf8_lossy(&answer).into_owned();
     assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(backend.runs(), 0);
--- /dev/null
+++ b/tests/node_silence.rs
@@ -0,0 +1,175 @@
+//! Connections between nodes that go silent for good while new ones work.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use rstest::rstest;
+
+use sassafrasgap::adapters::Body;
+use sassafrasgap::adapters::full_body;
+use sassafrasgap::control::AttemptStatus;
+use sassafrasgap::core::AttemptId;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Priority;
+use sassafrasgap::core::RefusalReason;
+use sassafrasgap::core::RequestId;
+use sassafrasgap::core::RetryReason;
+use sassafrasgap::wire::CallHeader;
+
+use support::test_mesh::TestMesh;
+use support::test_relay::Lost;
+use support::test_relay::TestRelay;
+
+/// An entry, and a target of `orders` behind a relay; the runs are counted.
+struct Story {
+    mesh: TestMesh,
+    relay: TestRelay,
+    runs: Arc<AtomicU32>,
+}
+
+async fn story() -> Story {
+    let runs = Arc::new(AtomicU32::new(0));
+    let mut mesh = TestMesh::new();
+    mesh.add("one", "menus", |_, _| async {
+        Response::new(full_body("menu"))
+    })
+    .await;
+    let counted = runs.clone();
+    let target = mesh
+        .add(
+            "two",
+            "orders",
+            move |request: Request<Body>, _: SocketAddr| {
+                let run = counted.fetch_add(1, Ordering::SeqCst) + 1;
+                async move {
+                    let body = request.into_body().collect().await;
+                    let body = body.expect("the request is whole").to_bytes();
+                    let text = format!("run {run} of {}", String::from_utf8_lossy(&body));
+                    Response::new(full_body(text))
+                }
+            },
+        )
+        .await;
+    let relay = TestRelay::start(mesh.nodes[target].peer_address).await;
+    mesh.move_target("two", relay.address);
+    Story { mesh, relay, runs }
+}
+
+impl Story {
+    async fn order(&self, method: &str, key: Option<&str>) -> support::test_mesh::Got {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(self.mesh.uri(0, "/orders/7"));
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        self.mesh
+            .send(request.body(full_body("two sacks")).expect("valid"))
+            .await
+    }
+
+    fn retries(&self, reason: RetryReason) -> u64 {
+        self.mesh.nodes[0].node.metrics.retries(reason)
+    }
+}
+
+/// An order goes out on a kept connection that something in between has lost track of: the guard
+/// never sees it, and nothing is ever closed. The entry asks over another connection, learns that
+/// the order was never seen, and sends it again. It runs once.
+#[rstest]
+#[case::order("POST", None)]
+#[case::order_with_key("POST", Some("order-7"))]
+#[case::read("PUT", None)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_lost_on_its_way_is_sent_again(#[case] method: &str, #[case] key: Option<&str>) {
+    let story = story().await;
+    assert_eq!(
+        &story.order("PUT", None).await.body[..],
+        b"run 1 of two sacks"
+    );
+    story.relay.silence(Lost::Requests);
+    let got = story.order(method, key).await;
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(&got.body[..], b"run 2 of two sacks");
+    assert_eq!(story.runs.load(Ordering::SeqCst), 2);
+    assert!(story.retries(RetryReason::SilentConnection) >= 1);
+    assert!(story.relay.accepted() >= 2);
+}
+
+/// The order runs, but its answer is lost on a connection gone silent. Sent again it would run
+/// twice; given up, its caller would not know. The entry asks and gets the kept answer.
+#[rstest]
+#[case::order("POST", None)]
+#[case::order_with_key("POST", Some("order-7"))]
+#[case::read("PUT", None)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_lost_on_its_way_is_fetched(#[case] method: &str, #[case] key: Option<&str>) {
+    let story = story().await;
+    story.order("PUT", None).await;
+    if key.is_some() {
+        // The owner's stamp is known before, so that the order goes out on the kept connection.
+        story.order("POST", Some("order-6")).await;
+    }
+    let before = story.runs.load(Ordering::SeqCst);
+    story.relay.silence(Lost::Answers);
+    let got = story.order(method, key).await;
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(got.body, format!("run {} of two sacks", before + 1));
+    assert_eq!(story.runs.load(Ordering::SeqCst), before + 1);
+    let metrics = &story.mesh.nodes[0].node.metrics;
+    assert!(metrics.silent_connections.get() >= 1);
+}
+
+/// Connections go silent again and again, both ways; each call still completes and runs once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeated_silence_costs_no_call() {
+    let story = story().await;
+    for round in 1..=4 {
+        story.relay.silence(Lost::Both);
+        let got = story.order("POST", None).await;
+        assert_eq!(got.body, format!("run {round} of two sacks"));
+    }
+    assert_eq!(story.runs.load(Ordering::SeqCst), 4);
+}
+
+/// The sender was told that its attempt was never seen, and has sent the order anew. Then the
+/// silent connection delivers the first attempt after all. It must not run beside the second.
+#[tokio::test]
+async fn a_revoked_attempt_that_arrives_late_is_refused() {
+    let story = story().await;
+    let guard = &story.mesh.nodes[1];
+    let attempt = AttemptId(7);
+    let inputs = &guard.node.inputs;
+    let status = inputs.attempts.status(inputs.clock.now(), attempt);
+    assert_eq!(status, AttemptStatus::NeverSeen);
+    let header = CallHeader {
+        request: RequestId(1),
+        attempt,
+        priority: Priority::new(0, 0),
+        depth: 0,
+        deadline_left_ms: 1_000,
+        wait_ms: 100,
+        allotment: 0,
+        non_idempotent: true,
+        key: None,
+        owner_stamp: 0,
+        config_version: 1,
+        body_len: Some(0),
+        from_node: Name::from("one"),
+    };
+    let request = Request::post(format!("http://{}/orders/7", guard.peer_address))
+        .header("sassafrasgap-call", header.encode())
+        .body(full_body(""))
+        .expect("valid");
+    story.mesh.send(request).await;
+    assert_eq!(story.runs.load(Ordering::SeqCst), 0);
+    let refusals = guard.node.metrics.guard_refusals(RefusalReason::Revoked);
+    assert_eq!(refusals, 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,5 +7,6 @@
 pub mod presets;
 pub mod test_mesh;
 mod test_platform;
+pub mod test_relay;
 
 pub use test_platform::TestPlatform;
--- a/tests/support/test_mesh.rs
+++ b/tests/support/test_mesh.rs
@@ -2,8 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::ready;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -35,7 +38,10 @@
 use sassafrasgap::core::TargetState;
 use sassafrasgap::core::TimeMs;
 use sassafrasgap::core::View;
+use sassafrasgap::errors::PeerCallError;
 use sassafrasgap::node::Announcement;
+use sassafrasgap::node::AskAttempt;
+use sassafrasgap::node::Attempts;
 use sassafrasgap::node::NodeInputs;
 use sassafrasgap::node::RunningNode;
 use sassafrasgap::preset::ClassPolicy;
@@ -47,9 +53,14 @@
     pub nodes: Vec<RunningNode>,
     pub client: HttpClient,
     targets: Vec<Target>,
+    /// Stands in for the control calls between nodes.
+    attempts: AttemptsByNode,
     backends: JoinSet<()>,
 }
 
+/// The attempts of each guard by its control address.
+type AttemptsByNode = Arc<Mutex<FastMap<SocketAddr, (Arc<Attempts>, Clock)>>>;
+
 /// What a client got, whole.
 #[derive(Debug)]
 pub struct Got {
@@ -122,6 +133,7 @@
             nodes: Vec::new(),
             client: http_client(5_000, 500),
             targets: Vec::new(),
+            attempts: AttemptsByNode::default(),
             backends: JoinSet::new(),
         }
     }
@@ -170,6 +182,8 @@
         let owner = self.targets.iter().find(same_service);
         let owner = owner.map(|target| target.node.clone());
         inputs.claims = Some(fixed_claims(&settings, service, owner, inputs.clock));
+        inputs.ask_attempt = ask_attempt(&self.attempts);
+        let known = (inputs.attempts.clone(), inputs.clock);
         let in_force = InForce {
             version: 1,
             preset: Arc::new(preset),
@@ -178,6 +192,9 @@
         let running = RunningNode::start(settings, inputs)
             .await
             .expect("the node starts");
+        let mut attempts = self.attempts.lock().expect("no holder panics");
+        attempts.insert(running.peer_address, known);
+        drop(attempts);
         self.targets.push(target_of(&running, service));
         self.nodes.push(running);
         self.announce(self.nodes.len() - 1, service, address).await;
@@ -210,6 +227,14 @@
         self.publish();
     }
 
+    /// Tells every node another address of a target's listener for nodes.
+    pub fn move_target(&mut self, name: &str, peer_address: SocketAddr) {
+        let mut targets = self.targets.iter_mut();
+        let target = targets.find(|target| &*target.node == name);
+        target.expect("the target is there").peer_address = peer_address;
+        self.publish();
+    }
+
     /// Tells every node of every target.
     pub fn publish(&self) {
         let view = Arc::new(view_of(&self.targets));
@@ -252,6 +277,16 @@
     }
 }
 
+fn ask_attempt(attempts: &AttemptsByNode) -> AskAttempt {
+    let attempts = attempts.clone();
+    Arc::new(move |address, attempt| {
+        let attempts = attempts.lock().expect("no holder panics");
+        let known = attempts.get(&address);
+        let status = known.map(|(attempts, clock)| attempts.status(clock.now(), attempt));
+        ready(status.ok_or(PeerCallError::Stopped)).boxed()
+    })
+}
+
 /// The first target of a service owns all its slots for good.
 fn fixed_claims(
     settings: &NodeSettings,
@@ -298,7 +333,7 @@
         region: settings.region.clone(),
         domain: settings.domain.clone(),
         peer_address: running.peer_address,
-        control_address: settings.control_address,
+        control_address: running.peer_address,
         incarnation: 1,
         state: TargetState::Up,
         slots: 100,
