Test the bound on retries, and resends that join

Cause: the allotment was argued and not tested, and nothing showed joins, cancellation and targets that are gone. Conclusion: the bound holds for the arithmetic; the data path uses the same Allotment.

--- /dev/null
+++ b/tests/node_retries.rs
@@ -0,0 +1,254 @@
+//! Attempts of one root stay within calls plus allotment, and resends join.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::proptest;
+
+use sassafrasgap::adapters::Body;
+use sassafrasgap::adapters::empty_body;
+use sassafrasgap::adapters::full_body;
+use sassafrasgap::core::RetryReason;
+use sassafrasgap::retry::Allotment;
+
+use support::test_mesh::TestMesh;
+
+/// What a call tree did.
+#[derive(Debug, Default)]
+struct Tree {
+    calls: u64,
+    attempts: u64,
+}
+
+/// What random says of each attempt: it fails, and its answer, with the unused share, is lost.
+struct Luck {
+    random: fastrand::Rng,
+    failure_percent: u8,
+    lost_percent: u8,
+}
+
+impl Luck {
+    fn draw(&mut self, percent: u8) -> bool {
+        self.random.u8(..100) < percent
+    }
+}
+
+/// Plays a call with its children as guards and entries do: a share goes along with each attempt,
+/// what is left of it comes back unless the answer is lost, and each further attempt is paid for.
+fn play(depth: u8, fan_out: u8, holder: &mut Allotment, luck: &mut Luck, tree: &mut Tree) {
+    tree.calls += 1;
+    loop {
+        tree.attempts += 1;
+        let share = holder.hand_out();
+        let mut own = Allotment::new(share);
+        if depth > 1 {
+            for _ in 0..fan_out {
+                play(depth - 1, fan_out, &mut own, luck, tree);
+            }
+        }
+        let unused = if luck.draw(luck.lost_percent) {
+            0
+        } else {
+            own.left()
+        };
+        holder.take_back(share, unused);
+        if !luck.draw(luck.failure_percent) || !holder.spend() {
+            return;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Every hop of a deep chain fails and retries. Three retries a hop are 65,536 attempts at
+    /// depth 8. With one allotment for the whole tree, further attempts are bounded by it; calls
+    /// made anew below a repeated attempt are calls of that attempt.
+    #[test]
+    fn attempts_are_calls_plus_allotment_at_most(
+        seed: u64,
+        granted in 0_u16..40,
+        depth in 1_u8..=8,
+        fan_out in 1_u8..=3,
+        failure_percent in 0_u8..=100,
+        lost_percent in 0_u8..=100,
+    ) {
+        let random = fastrand::Rng::with_seed(seed);
+        let mut luck = Luck { random, failure_percent, lost_percent };
+        let mut root = Allotment::new(granted);
+        let mut tree = Tree::default();
+        play(depth, fan_out, &mut root, &mut luck, &mut tree);
+        let bound = tree.calls + u64::from(granted);
+        prop_assert!(tree.attempts <= bound, "{tree:?} granted={granted}");
+    }
+
+    /// A child claims to have left more than it was given. Believed, it would make allotment.
+    #[test]
+    fn allotment_is_never_made(granted in 0_u16..40, claims in proptest::collection::vec(0_u16..100, 0..20)) {
+        let mut holder = Allotment::new(granted);
+        for claim in claims {
+            let share = holder.hand_out();
+            holder.take_back(share, claim);
+            prop_assert!(holder.left() <= granted);
+        }
+    }
+}
+
+/// Every target sheds what it gets, and each hop would try again. The backend servers must see one
+/// attempt for each call plus the allotment at most, and overload is no reason for another attempt
+/// at a target without room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_chain_that_sheds_is_not_flooded() {
+    let runs = Arc::new(AtomicU32::new(0));
+    let mut mesh = TestMesh::new();
+    for name in ["one", "two", "three"] {
+        let counted = runs.clone();
+        mesh.add(name, "orders", move |_, _| {
+            counted.fetch_add(1, Ordering::SeqCst);
+            async { shed() }
+        })
+        .await;
+    }
+    let got = mesh.get(0, "/orders/7").await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert_eq!(got.header("sassafrasgap-reason"), "backend_shed");
+    assert_eq!(got.header("sassafrasgap-outcome"), "not_run");
+    assert!(runs.load(Ordering::SeqCst) <= 1 + 3);
+}
+
+fn shed() -> Response<Body> {
+    let mut response = Response::new(empty_body());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let shed = HeaderValue::from_static("1");
+    response.headers_mut().insert("sassafrasgap-shed", shed);
+    response
+}
+
+/// One target's node is gone but still known. The call must reach the other one, also when it is
+/// non-idempotent: no connection was made, so nothing was started.
+#[tokio::test]
+async fn a_target_that_cannot_be_reached_is_passed_over() {
+    let mut mesh = TestMesh::new();
+    mesh.add("one", "menus", |_, _| async {
+        Response::new(full_body(""))
+    })
+    .await;
+    mesh.add("two", "orders", |_, _| async {
+        Response::new(full_body("ran"))
+    })
+    .await;
+    let gone = SocketAddr::from(([127, 0, 0, 1], 1));
+    mesh.add_stranger("three", "orders", gone);
+    for _ in 0..8 {
+        let got = mesh.post(0, "/orders/7", "two sacks").await;
+        assert_eq!(&got.body[..], b"ran", "{got:?}");
+    }
+    assert!(mesh.nodes[0].node.metrics.retries(RetryReason::Unreachable) <= 8);
+}
+
+/// A backend server calls on without naming the call that it works for. Its call is a root of its
+/// own then, and must get no retries: they would not be bounded by the allotment of the real root.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_call_without_context_gets_no_retries() {
+    let mut mesh = TestMesh::new();
+    mesh.add("one", "kitchen", |_, _| async {
+        Response::new(full_body(""))
+    })
+    .await;
+    let gone = SocketAddr::from(([127, 0, 0, 1], 1));
+    for name in ["two", "three"] {
+        mesh.add_stranger(name, "orders", gone);
+    }
+    let uri = format!("http://{}/orders/7", mesh.nodes[0].local_address);
+    let got = mesh
+        .send(Request::get(uri).body(full_body("")).expect("valid"))
+        .await;
+    assert_eq!(got.status, 503, "{got:?}");
+    let metrics = &mesh.nodes[0].node.metrics;
+    assert_eq!(metrics.roots_without_context.get(), 1);
+    assert_eq!(metrics.retries(RetryReason::Unreachable), 0);
+}
+
+/// A caller sends an order, hears nothing for a while and sends it again, through another node and
+/// while the first still runs; later once more. It runs once, and all three get its answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn resends_with_the_key_of_a_live_call_join_it() {
+    let runs = Arc::new(AtomicU32::new(0));
+    let counted = runs.clone();
+    let mut mesh = TestMesh::new();
+    mesh.add("one", "orders", move |_, _| {
+        let run = counted.fetch_add(1, Ordering::SeqCst) + 1;
+        async move {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            Response::new(full_body(format!("run {run}")))
+        }
+    })
+    .await;
+    mesh.add("two", "menus", |_, _| async {
+        Response::new(full_body(""))
+    })
+    .await;
+    let order = |entry: usize, body: &'static str| {
+        let request = Request::post(mesh.uri(entry, "/orders/7"))
+            .header("idempotency-key", "order-7")
+            .body(full_body(body))
+            .expect("valid");
+        mesh.send(request)
+    };
+    let (first, second) = tokio::join!(order(0, "two sacks"), order(1, "two sacks"));
+    let third = order(1, "two sacks").await;
+    for got in [first, second, third] {
+        assert_eq!(&got.body[..], b"run 1", "{got:?}");
+        assert_eq!(got.header("sassafrasgap-outcome"), "ran");
+    }
+    let other = order(0, "three sacks").await;
+    assert_eq!(other.status, 422, "{other:?}");
+    assert_eq!(other.header("sassafrasgap-reason"), "key_mismatch");
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+    let metrics = &mesh.nodes[0].node.metrics;
+    assert_eq!(metrics.joined_calls.get(), 1);
+    assert_eq!(metrics.repeated_answers.get(), 1);
+}
+
+/// A caller sends an order without a key and goes away while it runs. To break it off would leave
+/// it half done; it runs to its end. A read is cancelled instead: nobody wants it any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_order_runs_to_its_end_though_its_caller_went_away() {
+    let ended = Arc::new(AtomicU32::new(0));
+    let counted = ended.clone();
+    let mut mesh = TestMesh::new();
+    mesh.add("one", "orders", move |request: Request<Body>, _| {
+        let counted = counted.clone();
+        async move {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            let weight = if request.method() == "POST" { 1 } else { 100 };
+            counted.fetch_add(weight, Ordering::SeqCst);
+            Response::new(full_body("ran"))
+        }
+    })
+    .await;
+    for method in ["POST", "GET"] {
+        let request = Request::builder()
+            .method(method)
+            .uri(mesh.uri(0, "/orders/7"))
+            .body(full_body(""))
+            .expect("valid");
+        let answer = mesh.client.request(request);
+        let gone = tokio::time::timeout(Duration::from_millis(50), answer).await;
+        assert!(gone.is_err(), "the caller goes away first");
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(ended.load(Ordering::SeqCst), 1);
+    assert_eq!(mesh.nodes[0].node.calls_in_flight(), 0);
+}
--- a/tests/support/test_mesh.rs
+++ b/tests/support/test_mesh.rs
@@ -192,9 +192,7 @@
         let running = RunningNode::start(settings, inputs)
             .await
             .expect("the node starts");
-        let mut attempts = self.attempts.lock().expect("no holder panics");
-        attempts.insert(running.peer_address, known);
-        drop(attempts);
+        self.note_attempts(running.peer_address, known);
         self.targets.push(target_of(&running, service));
         self.nodes.push(running);
         self.announce(self.nodes.len() - 1, service, address).await;
@@ -202,6 +200,11 @@
         self.nodes.len() - 1
     }
 
+    fn note_attempts(&self, address: SocketAddr, known: (Arc<Attempts>, Clock)) {
+        let mut attempts = self.attempts.lock().expect("no holder panics");
+        attempts.insert(address, known);
+    }
+
     async fn announce(&self, place: usize, service: &str, address: SocketAddr) {
         let announcement = Announcement {
             service: Name::from(service),
