Bound what membership keeps, and measure its variants

Cause: bounds of tombstones and members, the state published for a suspect and the values of the settings had no test.

--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -152,6 +152,11 @@
         &self.table
     }
 
+    /// The version of the configuration in force here, as it is told to others.
+    pub fn config_version(&self) -> u64 {
+        self.config_version
+    }
+
     /// Whether anybody else is known: before that, what peers hold about this node is unknown.
     pub fn has_joined(&self) -> bool {
         self.table.len() > 1
--- a/tests/membership_net/mod.rs
+++ b/tests/membership_net/mod.rs
@@ -101,7 +101,10 @@
 impl Net {
     /// All nodes start at once and know only a few seeds.
     pub fn cold(shape: Shape, seed: u64) -> Self {
-        let settings = MembershipSettings::default();
+        Self::cold_with(shape, seed, MembershipSettings::default())
+    }
+
+    pub fn cold_with(shape: Shape, seed: u64, settings: MembershipSettings) -> Self {
         let mut net = Self {
             shape,
             now: TimeMs(1_000),
@@ -128,7 +131,11 @@
 
     /// All nodes know each other already and have nothing to tell.
     pub fn joined(shape: Shape, seed: u64) -> Self {
-        let mut net = Self::cold(shape, seed);
+        Self::joined_with(shape, seed, MembershipSettings::default())
+    }
+
+    pub fn joined_with(shape: Shape, seed: u64, settings: MembershipSettings) -> Self {
+        let mut net = Self::cold_with(shape, seed, settings);
         let targets: Vec<Target> = net
             .nodes
             .iter()
