Bound how often a node overrides what peers hold about its name

Cause: two nodes with one name in their settings would outbid each other's incarnations as fast as the network goes, and their news goes to everybody. Conclusion: the bound costs a restarted node nothing, since its first refutation is never held back.

--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -48,6 +48,8 @@
 /// How many seeds all members that know each other try in each rejoin period. When everything
 /// starts at once, seeds would otherwise be asked by everybody for everything.
 const SEED_TRIES: f64 = 8.0;
+/// The least time between two refutations.
+const REFUTATION_PERIOD_MS: u64 = 500;
 /// How often a node that knows nobody asks a seed for all members.
 const JOIN_PERIOD_MS: u64 = 1_000;
 
@@ -65,6 +67,7 @@
     pub next_slot_compare: TimeMs,
     pub last_slots_equal: TimeMs,
     pub last_config_news: TimeMs,
+    pub next_refutation: TimeMs,
 }
 
 /// One member's share of the gossip: state, input and time in, actions out.
@@ -91,6 +94,8 @@
     /// The own failure domain is to hear at once that another one answers again.
     pub(super) answers_are_urgent: bool,
     pub(super) view: ViewBuilder,
+    /// The highest incarnation that peers hold about this node and that it has yet to override.
+    to_refute: Option<u64>,
     pub(super) schedule: Schedule,
     own_ring: ProbeRing,
     other_ring: ProbeRing,
@@ -129,6 +134,7 @@
             header_is_urgent: false,
             answers_are_urgent: false,
             view: ViewBuilder::default(),
+            to_refute: None,
             schedule: Schedule::default(),
             own_ring: ProbeRing::default(),
             other_ring: ProbeRing::default(),
@@ -210,6 +216,7 @@
     pub fn tick(&mut self, now: TimeMs) -> Vec<Action> {
         let mut actions = Vec::new();
         self.notice_pause(now);
+        self.refute_if_due(now);
         self.ask_helpers(now, &mut actions);
         self.suspect_failed(now, &mut actions);
         self.bury_suspects(now);
@@ -238,10 +245,24 @@
         actions
     }
 
-    /// Raises the own incarnation above `held`, which peers hold about this node.
+    /// Raises the own incarnation above `held`, which peers hold about this node. Two nodes with
+    /// one name would outbid each other as fast as the network goes, so it is done at most once
+    /// in a while.
     pub(super) fn refute(&mut self, held: u64, now: TimeMs) {
-        self.own.incarnation = incarnation_after(held, self.own.incarnation);
-        self.put_own(now);
+        self.to_refute = self.to_refute.max(Some(held));
+        self.refute_if_due(now);
+    }
+
+    fn refute_if_due(&mut self, now: TimeMs) {
+        if now < self.schedule.next_refutation {
+            return;
+        }
+        if let Some(held) = self.to_refute.take() {
+            log::info!("gossip: raise own incarnation held={held}");
+            self.schedule.next_refutation = now + REFUTATION_PERIOD_MS;
+            self.own.incarnation = incarnation_after(held, self.own.incarnation);
+            self.put_own(now);
+        }
     }
 
     /// Asks for the view to be published if it changed.
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -201,7 +201,6 @@
             Update::SlotMap { .. } => return false,
         };
         if held >= self.own.incarnation && self.own.state != TargetState::Left {
-            log::info!("gossip: raise own incarnation held={held}");
             self.refute(held, now);
         }
         true
--- a/tests/membership_order.rs
+++ b/tests/membership_order.rs
@@ -189,6 +189,21 @@
     assert_eq!(member.own().state, TargetState::Starting);
 }
 
+#[rstest]
+fn two_nodes_with_one_name_do_not_outbid_each_other_without_end() {
+    // A copied settings file: two nodes bear one name, and each overrides what the other says of
+    // it. Unbounded, their news would fill the control network of everybody.
+    let mut member = member();
+    let first = member.own().incarnation;
+    for tenth in 0..100 {
+        let outbid = member.own().incarnation + (1 << 16);
+        let update = Update::Own(target("node-own", outbid, TargetState::Up));
+        member.handle(NOW + tenth * 100, address(7_002), rumor(vec![update]));
+    }
+    let raised = (member.own().incarnation - first) >> 16;
+    assert!((1..=45).contains(&raised), "raised {raised} times in 10 s");
+}
+
 #[rstest]
 fn a_sender_whose_record_is_newer_here_is_told() {
     // A node restarts and pings before it learnt anything. The answer must carry what is held
