Advertise the control address that the settings give, and connect from it

Cause: nodes told others the address they bound, so a network in between (the relays of a mesh that is cut, an address translation) was bypassed by gossip and control calls. Before: the advertised control address of the settings was unused.

--- a/src/control/control_settings.rs
+++ b/src/control/control_settings.rs
@@ -19,6 +19,8 @@
     pub peer_address: SocketAddr,
     /// Where to listen for datagrams and control calls; port 0 takes any free port.
     pub control_address: SocketAddr,
+    /// Where others reach that address; port 0 stands for the port that was bound.
+    pub advertised_address: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     pub membership: MembershipSettings,
     /// The clock of the whole process, so that its times can be compared.
@@ -35,14 +37,20 @@
             domain: node.domain.clone(),
             peer_address,
             control_address: node.control_address,
+            advertised_address: node.control_advertised_address,
             seeds: node.seeds.clone(),
             membership: MembershipSettings::default(),
             clock,
         }
     }
 
-    /// The first record of this node: its backend server has not announced itself yet.
-    pub fn first_target(&self, control_address: SocketAddr) -> Target {
+    /// The first record of this node, bound at `bound`: its backend server has not announced
+    /// itself yet.
+    pub fn first_target(&self, bound: SocketAddr) -> Target {
+        let mut control_address = self.advertised_address;
+        if control_address.port() == 0 {
+            control_address.set_port(bound.port());
+        }
         Target {
             node: self.node.clone(),
             service: Name::from(""),
--- a/src/control/peer_clients.rs
+++ b/src/control/peer_clients.rs
@@ -1,5 +1,7 @@
 //! Control calls to peers over cached connections.
 
+use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -9,6 +11,7 @@
 use tarpc::client::Config;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::time::timeout;
@@ -58,16 +61,19 @@
     runtime: Handle,
     clock: Clock,
     metrics: ControlMetrics,
+    /// From which address to connect, so that peers and networks see the same one as in gossip.
+    source: IpAddr,
     cache: Mutex<Cache>,
 }
 
 impl PeerClients {
-    /// Clients whose connections live on `runtime`.
-    pub fn new(runtime: Handle, clock: Clock, metrics: ControlMetrics) -> Self {
+    /// Clients whose connections live on `runtime` and come from `source`.
+    pub fn new(runtime: Handle, clock: Clock, metrics: ControlMetrics, source: IpAddr) -> Self {
         Self {
             runtime,
             clock,
             metrics,
+            source,
             cache: Mutex::new(Cache::default()),
         }
     }
@@ -245,8 +251,9 @@
         deadline: Instant,
     ) -> Result<CachedClient, PeerCallError> {
         let metrics = self.metrics.clone();
+        let source = self.source;
         let connecting = async move {
-            let stream = timeout(left(deadline), TcpStream::connect(address))
+            let stream = timeout(left(deadline), connect_from(source, address))
                 .await
                 .map_err(|_| PeerCallError::Timeout)??;
             let transport = peer_transport(stream, &metrics);
@@ -299,6 +306,17 @@
     }
 }
 
+async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if source.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.connect(address).await
+}
+
 fn left(deadline: Instant) -> Duration {
     deadline.saturating_duration_since(Instant::now())
 }
--- a/src/control/start.rs
+++ b/src/control/start.rs
@@ -46,6 +46,7 @@
         runtime.handle().clone(),
         clock,
         metrics.clone(),
+        sockets.address.ip(),
     ));
     let view = Arc::new(Published::new(Arc::new(View::default())));
     let (own_commands, commands) = unbounded_channel();
--- a/tests/membership_loopback.rs
+++ b/tests/membership_loopback.rs
@@ -32,6 +32,7 @@
         domain: Name::from("tw-north-1"),
         peer_address: any_port(),
         control_address: any_port(),
+        advertised_address: any_port(),
         seeds,
         membership: MembershipSettings::default(),
         clock: Clock::new(),
