--- a/src/configuration/config_store.rs
+++ b/src/configuration/config_store.rs
@@ -1,6 +1,9 @@
 //! The configuration in the platform's table, as operators and polling nodes read it.
 
+use std::time::Duration;
+
 use serde::de::DeserializeOwned;
+use tokio::time::sleep;
 
 use crate::configuration::Change;
 use crate::configuration::ChangeLog;
@@ -22,6 +25,11 @@
 use crate::platform::Transaction;
 use crate::platform::transact_resolved;
 
+/// How often an operator's read is sent in all.
+const PATIENT_READ_TRIES: u32 = 4;
+/// The pause before a read is sent again.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+
 /// A preset as the table lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedPreset {
@@ -39,13 +47,43 @@
 /// of their own.
 #[derive(Clone)]
 pub struct ConfigStore {
-    pub(super) client: PlatformClient,
+    client: PlatformClient,
+    read_tries: u32,
 }
 
 impl ConfigStore {
-    /// A store behind this client.
+    /// A store behind this client, for a node that polls: a read that fails is left to the next
+    /// poll.
     pub fn new(client: PlatformClient) -> Self {
-        Self { client }
+        Self {
+            client,
+            read_tries: 1,
+        }
+    }
+
+    /// A store for an operator. A change takes several reads; with a store that fails now and
+    /// then it would hardly ever come through if one failure ended it.
+    pub fn patient(client: PlatformClient) -> Self {
+        Self {
+            client,
+            read_tries: PATIENT_READ_TRIES,
+        }
+    }
+
+    /// Reads a row, again when the platform said that it did nothing.
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        let mut tries = 1;
+        loop {
+            match self.client.get(key).await {
+                Err(PlatformError::Unavailable | PlatformError::RateLimited)
+                    if tries < self.read_tries =>
+                {
+                    tries += 1;
+                    sleep(READ_AGAIN).await;
+                }
+                result => return result,
+            }
+        }
     }
 
     /// What is in force according to the table.
@@ -108,7 +146,7 @@
         hash: &str,
     ) -> Result<(String, u64), ConfigError> {
         let key = document_key(preset, revision);
-        let row = self.client.get(&key).await?;
+        let row = self.get(&key).await?;
         match row.filter(|row| document_hash(&row.value) == hash) {
             Some(row) => Ok((row.value, row.version)),
             None => Err(ConfigError::DocumentMissing { key }),
@@ -119,7 +157,7 @@
         &self,
         key: &str,
     ) -> Result<Held<T>, ConfigError> {
-        let Some(Row { version, value }) = self.client.get(key).await? else {
+        let Some(Row { version, value }) = self.get(key).await? else {
             return Ok(Held {
                 row_version: None,
                 row: None,
--- a/src/configuration/config_switch.rs
+++ b/src/configuration/config_switch.rs
@@ -1,5 +1,7 @@
 //! Switching the preset in force by compare-and-set.
 
+use futures::try_join;
+
 use crate::configuration::Change;
 use crate::configuration::ChangeLog;
 use crate::configuration::ConfigStore;
@@ -68,19 +70,23 @@
         floor: u64,
         change: &Change,
     ) -> Result<Switched, ConfigError> {
-        let before = Before {
-            in_force: self.held(IN_FORCE_KEY).await?,
-            log: self.held(CHANGE_LOG_KEY).await?,
-        };
+        let latest_key = latest_key(preset);
+        let (in_force, log, latest) = try_join!(
+            self.held(IN_FORCE_KEY),
+            self.held(CHANGE_LOG_KEY),
+            self.held(&latest_key),
+        )?;
+        let before = Before { in_force, log };
         let changes = before.changes();
         if let Some(done) = changes.find(&change.change_id) {
             return Ok(outcome(done, &changes));
         }
         let version = before.version();
         if expected.is_some_and(|expected| expected != version) {
-            return Err(conflict(&changes));
+            // Read at the same time as the row in force, the log may lack the change that won.
+            return Err(conflict(&self.change_log().await?));
         }
-        let latest = self.latest(preset).await?;
+        let latest = self.published(preset, latest).await?;
         let revision = latest.revision;
         if version > floor && before.holds(preset, revision) {
             return Ok(Switched::Already { version, revision });
@@ -98,8 +104,11 @@
         self.resolved_switch(&next, version, resolution).await
     }
 
-    async fn latest(&self, preset: &Name) -> Result<LatestRow, ConfigError> {
-        let latest: Held<LatestRow> = self.held(&latest_key(preset)).await?;
+    async fn published(
+        &self,
+        preset: &Name,
+        latest: Held<LatestRow>,
+    ) -> Result<LatestRow, ConfigError> {
         if let Some(latest) = latest.row {
             return Ok(latest);
         }
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -102,6 +102,10 @@
     Load(#[from] LoadError),
     #[error(transparent)]
     Mesh(#[from] MeshError),
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error("version {version} was not in force on every node after {wait_ms} ms")]
+    NotInForce { version: u64, wait_ms: u64 },
 }
 
 impl LoadError {
--- a/src/load/commands/experiment.rs
+++ b/src/load/commands/experiment.rs
@@ -9,10 +9,12 @@
 use crate::load::cli::EXIT_OK;
 use crate::load::experiment::CostExperiment;
 use crate::load::experiment::OverloadExperiment;
+use crate::load::experiment::SwitchingExperiment;
 use crate::load::experiment::Variant;
 use crate::load::experiment::overload_rows;
 use crate::load::experiment::render_cost;
 use crate::load::experiment::render_overload;
+use crate::load::experiment::render_switching;
 use crate::load::load_runtime;
 
 /// Threads that send the load of an experiment.
@@ -40,6 +42,7 @@
 pub enum ExperimentCommand {
     Overload(OverloadArgs),
     Cost(CostArgs),
+    Switching(SwitchingArgs),
 }
 
 /// A surge on a chain whose last service slows down at the same moment: goodput, wasted work and
@@ -124,6 +127,27 @@
     pub out: PathBuf,
 }
 
+/// Switches between presets: the time until a version is in force on every node, with the platform
+/// as usual, slow, failing, and cut off from one failure domain.
+///
+/// Example: sassafrasgap-load experiment switching --domains 3 --nodes 4 --rounds 5 --out /tmp/results
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "switching")]
+pub struct SwitchingArgs {
+    /// failure domains, 3 unless given
+    #[argh(option, default = "3")]
+    pub domains: usize,
+    /// nodes in each failure domain, 4 unless given
+    #[argh(option, default = "4")]
+    pub nodes: usize,
+    /// repetitions, 5 unless given
+    #[argh(option, default = "5")]
+    pub rounds: usize,
+    /// folder for the rounds, in JSON
+    #[argh(option)]
+    pub out: PathBuf,
+}
+
 /// Runs the subcommand.
 ///
 /// # Errors
@@ -132,6 +156,7 @@
     match args.experiment {
         ExperimentCommand::Overload(args) => run_overload(args)?,
         ExperimentCommand::Cost(args) => run_cost(args)?,
+        ExperimentCommand::Switching(args) => run_switching(args)?,
     }
     Ok(EXIT_OK)
 }
@@ -177,6 +202,17 @@
     Ok(())
 }
 
+fn run_switching(args: SwitchingArgs) -> Result<(), ExperimentError> {
+    let experiment = SwitchingExperiment {
+        domains: args.domains,
+        nodes_per_domain: args.nodes,
+        rounds: args.rounds,
+    };
+    let rows = load_runtime(THREADS)?.block_on(experiment.run(&args.out))?;
+    print!("{}", render_switching(&rows));
+    Ok(())
+}
+
 fn or_else<T>(given: Vec<T>, usual: Vec<T>) -> Vec<T> {
     if given.is_empty() { usual } else { given }
 }
--- a/src/load/experiment/mod.rs
+++ b/src/load/experiment/mod.rs
@@ -7,6 +7,7 @@
 mod overload_rows;
 mod process_usage;
 mod spread;
+mod switching;
 mod variant;
 
 pub use chain::Chain;
@@ -21,4 +22,7 @@
 pub use overload_rows::render_overload;
 pub use process_usage::ProcessUsage;
 pub use spread::Spread;
+pub use switching::SwitchingExperiment;
+pub use switching::SwitchingRow;
+pub use switching::render_switching;
 pub use variant::Variant;
--- a/tests/configuration_store.rs
+++ b/tests/configuration_store.rs
@@ -333,3 +333,24 @@
     assert!(!log.reaches_back_to(7));
     assert!(log.reaches_back_to(8));
 }
+
+// What a user would see: a switch never comes through while the platform fails every third
+// request, although most of its reads succeed. Cause: one failed read of several ends it.
+#[tokio::test]
+async fn an_operator_gets_through_to_a_platform_that_fails_now_and_then() {
+    let platform = TestPlatform::start().await;
+    store_with(&platform, &["ordinary", "peak"]).await;
+    let store = ConfigStore::patient(platform.client("a"));
+    let fault = json!({"error_share": 0.34, "operations": "reads"});
+    platform.add_fault(fault).await;
+    for (version, preset) in [(1, "peak"), (2, "ordinary"), (3, "peak")] {
+        let switched = switch(&store, preset, &format!("c{version}"))
+            .await
+            .unwrap();
+        let expected = Switched::InForce {
+            version,
+            revision: 1,
+        };
+        assert_eq!(switched, expected);
+    }
+}
