--- a/src/node/attempts.rs
+++ b/src/node/attempts.rs
@@ -21,7 +21,7 @@
 use crate::node::kept_answer::kept_parts;
 
 /// How long an ended attempt is remembered, in milliseconds.
-const KEEP_ENDED_MS: u64 = 10_000;
+pub(super) const KEEP_ENDED_MS: u64 = 10_000;
 /// How long a revoked attempt is refused: as long as a connection may deliver what it held back.
 const KEEP_REVOKED_MS: u64 = 600_000;
 /// Attempts remembered; the oldest ended or revoked ones go first.
--- a/src/node/keyed_forward.rs
+++ b/src/node/keyed_forward.rs
@@ -12,7 +12,9 @@
 use crate::core::RetryReason;
 use crate::core::RunState;
 use crate::core::Target;
+use crate::core::TargetState;
 use crate::core::TimeMs;
+use crate::core::View;
 use crate::node::Node;
 use crate::node::answer::Answer;
 use crate::node::body::NodeBody;
@@ -65,7 +67,7 @@
         find_owner(node, call, &key).await;
     }
     loop {
-        let Some(target) = owner_or_any(node, call, &key, &progress.tried) else {
+        let Some(target) = owner_or_any(node, call, &key, &mut progress.tried) else {
             return Err(no_word(RefusalReason::NoTarget));
         };
         let (refusal, again) = match attempt(node, call, &target).await {
@@ -176,21 +178,27 @@
     }
     let first_loss = !progress.may_be_under_way;
     progress.may_be_under_way |= refusal.run_state != RunState::NotRun;
-    if refusal.reason != RefusalReason::PeerLost {
-        return None;
-    }
-    if refusal.run_state == RunState::NotRun {
-        node.slot_router().forget(&call.service, key);
-        progress.tried.push(target.node.clone());
-    } else if !first_loss {
-        return None;
-    }
+    let reason = match (refusal.reason, refusal.run_state) {
+        (RefusalReason::Revoked, _) => RetryReason::SilentConnection,
+        (RefusalReason::PeerLost, RunState::NotRun) => {
+            node.slot_router().forget(&call.service, key);
+            progress.tried.push(target.node.clone());
+            RetryReason::Unreachable
+        }
+        (RefusalReason::PeerLost, _) if first_loss => RetryReason::ConnectionLost,
+        _ => return None,
+    };
     let paid = call.holder.spend() && node.targets.try_retry(&call.service);
-    paid.then_some(RetryReason::ConnectionLost)
+    paid.then_some(reason)
 }
 
 /// The owner as far as it is known, else any target, whose guard names the owner.
-fn owner_or_any(node: &Node, call: &mut Call, key: &Name, tried: &[Name]) -> Option<Arc<Target>> {
+fn owner_or_any(
+    node: &Node,
+    call: &mut Call,
+    key: &Name,
+    tried: &mut Vec<Name>,
+) -> Option<Arc<Target>> {
     let hint = node.slot_router().route(&call.service, key);
     call.owner_stamp = hint.as_ref().map_or(0, |hint| hint.stamp);
     let Some(hint) = hint else {
@@ -199,27 +207,37 @@
     if tried.contains(&hint.node) {
         return None;
     }
-    let target = node.inputs.view.load().nodes.get(&hint.node).cloned();
-    match target {
+    let view = node.inputs.view.load();
+    let target = view.nodes.get(&hint.node).cloned();
+    match target.filter(|target| is_reachable(&view, target)) {
         Some(target) => {
             let now: TimeMs = node.inputs.clock.now();
             node.targets.enter(&target.node, now);
             Some(target)
         }
         None => {
+            // Another guard knows of a take-over; if it names the same owner, that is the end.
             node.slot_router().forget(&call.service, key);
+            tried.push(hint.node);
             choose(node, call, tried)
         }
     }
 }
 
+/// Whether membership holds the owner for reachable. To wait for one that is not would keep the
+/// caller from an answer that is known already.
+fn is_reachable(view: &View, target: &Target) -> bool {
+    let is_gone = matches!(target.state, TargetState::Dead | TargetState::Left);
+    !is_gone && !view.cut_off_domains.contains(&target.domain)
+}
+
 /// A streamed body can be sent once only. So the owner and its stamp are asked for before, by an
 /// attempt without body and without stamp, which no guard starts.
 async fn find_owner(node: &Arc<Node>, call: &mut Call, key: &Name) {
     let empty = NodeBody::Held(Bytes::new());
     let body = std::mem::replace(&mut call.body, empty);
     for _ in 0..MAX_PROBES {
-        let Some(target) = owner_or_any(node, call, key, &[]) else {
+        let Some(target) = owner_or_any(node, call, key, &mut Vec::new()) else {
             break;
         };
         call.owner_stamp = 0;
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -61,6 +61,8 @@
     request: RequestId,
     method: Method,
     non_idempotent: bool,
+    /// Giving up does no harm: the call may be sent again, or its key keeps it from running twice.
+    may_give_up: bool,
 }
 
 /// Sends the call to one target and waits for the end. /// `share` of the call's allotment goes along.
@@ -76,6 +78,7 @@
         request: call.request,
         method: call.method.clone(),
         non_idempotent: call.non_idempotent,
+        may_give_up: !call.non_idempotent || call.key.is_some(),
     };
     let Some(request) = peer_request(node, call, target, sent.attempt, share) else {
         return lost(RefusalReason::BadRequest, RunState::NotRun);
@@ -103,7 +106,7 @@
     let client = node.peer_client.load_full();
     let silence = tokio::select! {
         end = exchange(node, &client, sent, request, in_flight) => return end,
-        silence = watch(node, target, sent.attempt, sent.non_idempotent) => silence,
+        silence = watch(node, target, sent.attempt, sent.may_give_up) => silence,
     };
     log::info!(
         "entry: a connection went silent, peer={} attempt={}",
