Take over the slots of a failure domain that is cut off

Members of a silent domain are not held for dead, so nobody took their slots over, and outside a third of the keys stayed refused for as long as the cut lasted: 10 keys in 3 s went through after it should have been over. An owner that still reads the row removes the intent; whoever announced it waits four leases before it does so again, so that the two do not write in turn.

--- a/src/claims/driver.rs
+++ b/src/claims/driver.rs
@@ -236,8 +236,11 @@
     fn situation(&self, local: &LocalService, view: &View) -> Situation {
         let is_gone = |state| matches!(state, TargetState::Dead | TargetState::Left);
         let targets = view.targets(&local.service).iter();
+        // A domain that cannot be reached counts as gone: its owners cannot run calls from here,
+        // and if they still read the row, they remove what others announce against them.
         let mut alive: FastSet<Name> = targets
             .filter(|target| !is_gone(target.state))
+            .filter(|target| !view.cut_off_domains.contains(&target.domain))
             .map(|target| target.node.clone())
             .collect();
         alive.insert(self.settings.node.clone());
--- a/src/claims/lease_keeper.rs
+++ b/src/claims/lease_keeper.rs
@@ -35,6 +35,8 @@
 
 /// How many transfers are remembered that were received and not seen in the row yet.
 const MAX_RECEIVED: usize = 16;
+/// How many leases pass before slots are announced again whose owner turned out to live.
+const REBUFFED_LEASES: u64 = 4;
 /// The longest wait after a lost race for the row.
 const CONFLICT_WAIT_MS: u64 = 200;
 
@@ -342,6 +344,7 @@
 
     fn note_intents(&mut self, now: TimeMs, map: &SlotMap) {
         let me = self.me.instance;
+        self.note_rebuffs(now, map);
         let own = map.intents.iter().filter(|intent| intent.by == me);
         let seen: FastMap<u64, TimeMs> = own
             .map(|intent| {
@@ -352,6 +355,21 @@
         self.intents = seen;
     }
 
+    /// An own intent that is gone while its victim is listed was removed by the victim: it lives,
+    /// though not for this node. To announce again at once would only make both write in turn.
+    fn note_rebuffs(&mut self, now: TimeMs, map: &SlotMap) {
+        let Some(before) = &self.row else {
+            return;
+        };
+        let me = self.me.instance;
+        for intent in before.map.intents.iter().filter(|intent| intent.by == me) {
+            let is_gone = !map.intents.iter().any(|other| other.id == intent.id);
+            if is_gone && let Some(since) = self.missing_since.get_mut(&intent.victim) {
+                *since = now + REBUFFED_LEASES * self.conf.terms.lease_ms;
+            }
+        }
+    }
+
     /// Ends a hand-over that the row shows to be done or impossible.
     fn note_given(&mut self, now: TimeMs, map: &SlotMap) {
         let Some(giving) = &self.giving else {
