Check invariants inside the program, and notice a backend server that is down

Cause: in-flight within the limit, attempts within the allotment and unused shares were asserted nowhere on the data path; the gauge of the queue by class was never set; a backend server that crashed stayed up for all other nodes until it announced itself again. Conclusion: three refused connections in a row count as down; production counts broken invariants.

--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of a node.
 
+use std::collections::BTreeMap;
+
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -41,7 +43,7 @@
     pub invariant_violations: IntCounter,
     pub guard_in_flight: IntGauge,
     pub guard_limit: IntGauge,
-    pub guard_queue: IntGaugeVec,
+    guard_queue: IntGaugeVec,
     /// Attempts that this node as entry awaits the end of.
     pub entry_in_flight: IntGauge,
     pub config_version: IntGauge,
@@ -188,6 +190,15 @@
         self.retries.inc(reason as usize);
     }
 
+    /// Sets how many calls of each class wait at the guard.
+    pub fn set_guard_queue(&self, queued: &BTreeMap<u8, i64>) {
+        self.guard_queue.reset();
+        for (class, queued) in queued {
+            let class = class.to_string();
+            self.guard_queue.with_label_values(&[&class]).set(*queued);
+        }
+    }
+
     /// Refusals given so far as entry.
     pub fn entry_refusals(&self, reason: RefusalReason) -> u64 {
         self.entry_refusals.get(reason as usize)
--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -81,7 +81,8 @@
     let method = call.method.clone();
     let id = call.header.request;
     let response = node.backend_client.request(request).await;
-    let response = response.map_err(|error| lost(id, &error))?;
+    let response = response.map_err(|error| lost(node, id, &error))?;
+    node.note_connection(true);
     take_answer(node, &method, response).await
 }
 
@@ -167,9 +168,10 @@
     Some(request)
 }
 
-fn lost(request: RequestId, error: &hyper_util::client::legacy::Error) -> Refusal {
+fn lost(node: &Node, request: RequestId, error: &hyper_util::client::legacy::Error) -> Refusal {
     log::debug!("guard: lost the backend server, request={request} error={error}");
     if error.is_connect() {
+        node.note_connection(false);
         not_run(RefusalReason::BackendDown)
     } else {
         unknown(RefusalReason::BackendBroke)
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -11,6 +11,8 @@
 use crate::node::answer::Answer;
 use crate::node::baseline;
 use crate::node::call::Call;
+use crate::node::invariants::Invariant;
+use crate::node::invariants::check;
 use crate::node::keyed_forward::forward_keyed;
 use crate::node::peer_call::AttemptEnd;
 use crate::node::peer_call::call_peer;
@@ -34,11 +36,17 @@
     }
     let mut tried: Vec<Name> = Vec::new();
     let mut last: Option<Refusal> = None;
+    let most_attempts = 1 + usize::from(call.holder.allotment_left());
+    let mut attempts = 0;
     node.targets.first_attempt(&call.service);
     loop {
         let Some(target) = choose(node, call, &tried) else {
             return Err(last.unwrap_or_else(no_target));
         };
+        attempts += 1;
+        // The siblings of a child may give back what they did not use, so that it may make more.
+        let is_within = attempts <= most_attempts || call.depth > 0;
+        check(&node.metrics, Invariant::AttemptsWithinAllotment, is_within);
         let refusal = match attempt(node, call, &target).await {
             AttemptEnd::Answered(answer, _) => return Ok(answer),
             AttemptEnd::Refused(refusal, _) => refusal,
@@ -81,6 +89,7 @@
         AttemptEnd::Refused(_, header) => header.as_ref(),
     };
     let unused = header.map_or(0, |header| header.allotment_unused);
+    check(&node.metrics, Invariant::AllotmentNotMade, unused <= share);
     call.holder.take_back(share, unused);
     if let Some(header) = header {
         let now = node.inputs.clock.now();
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -1,5 +1,6 @@
 //! The way into the local backend server: admission decides, calls wait here for its word.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -17,6 +18,9 @@
 use crate::core::Priority;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::metrics::Metrics;
+use crate::node::invariants::Invariant;
+use crate::node::invariants::check;
 use crate::node::permit::Permit;
 use crate::wire::LoadReport;
 
@@ -26,13 +30,20 @@
 struct GateState {
     admission: Admission,
     /// Calls that wait, by ticket. Bounded by the queue of admission.
-    waiting: FastMap<u64, oneshot::Sender<Word>>,
+    waiting: FastMap<u64, WaitingCall>,
     next_ticket: u64,
     in_flight: u32,
 }
 
+/// Whom to tell, and the class for the metrics.
+struct WaitingCall {
+    class: u8,
+    tell: oneshot::Sender<Word>,
+}
+
 /// Admission and the calls that wait for it.
 pub(super) struct Gate {
+    metrics: Arc<Metrics>,
     state: Mutex<GateState>,
     clock: Clock,
     /// `false` lets everything in at once: the baseline of measurements.
@@ -40,7 +51,7 @@
 }
 
 impl Gate {
-    pub(super) fn new(clock: Clock, enabled: bool) -> Arc<Self> {
+    pub(super) fn new(clock: Clock, metrics: Arc<Metrics>, enabled: bool) -> Arc<Self> {
         let admission = Admission::new(AdmissionConf::default(), fastrand::u64(..));
         let state = GateState {
             admission,
@@ -49,6 +60,7 @@
             in_flight: 0,
         };
         Arc::new(Self {
+            metrics,
             state: Mutex::new(state),
             clock,
             enabled,
@@ -73,7 +85,10 @@
                 Offer::Wait => {}
             }
             let (tell, told) = oneshot::channel();
-            state.waiting.insert(call.ticket, tell);
+            let class = call.priority.class();
+            state
+                .waiting
+                .insert(call.ticket, WaitingCall { class, tell });
             (Waiting::new(self.clone(), call.ticket), told)
         };
         self.poll();
@@ -132,8 +147,22 @@
         }
     }
 
+    /// How many calls of each class wait.
+    pub(super) fn queued_by_class(&self) -> BTreeMap<u8, i64> {
+        let mut queued = BTreeMap::new();
+        for waiting in self.lock().waiting.values() {
+            *queued.entry(waiting.class).or_default() += 1;
+        }
+        queued
+    }
+
     fn permit(self: &Arc<Self>, state: &mut GateState, ticket: u64) -> Permit {
         state.in_flight += 1;
+        if self.enabled {
+            let limit = state.admission.load().limit;
+            let is_within = state.in_flight <= limit;
+            check(&self.metrics, Invariant::InFlightWithinLimit, is_within);
+        }
         Permit::new(self.clone(), ticket, self.clock.now_us())
     }
 
@@ -148,7 +177,7 @@
                 Action::Start(ticket) => (ticket, None),
                 Action::Refuse(ticket, refusal) => (ticket, Some(refusal)),
             };
-            let Some(tell) = state.waiting.remove(&ticket) else {
+            let Some(WaitingCall { tell, .. }) = state.waiting.remove(&ticket) else {
                 continue;
             };
             let word = refusal.map_or_else(|| Ok(self.permit(state, ticket)), Err);
--- a/src/node/live_calls.rs
+++ b/src/node/live_calls.rs
@@ -72,6 +72,11 @@
         self.allotment().spend()
     }
 
+    /// What can still be spent or handed out.
+    pub(super) fn allotment_left(&self) -> u16 {
+        self.allotment().left()
+    }
+
     /// Takes everything that is left, when the answer goes out: what a child gives back later
     /// counts as used.
     pub(super) fn close_allotment(&self) -> u16 {
--- a/src/node/local_backend.rs
+++ b/src/node/local_backend.rs
@@ -48,6 +48,17 @@
         }
     }
 
+    /// Marks the backend server as down; whether that is news.
+    pub fn went_down(&mut self) -> bool {
+        match &mut self.announced {
+            Some(announced) if announced.state == TargetState::Up => {
+                announced.state = TargetState::Starting;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Marks the node as stopping.
     pub fn drain(&mut self) {
         self.node_draining = true;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,6 +20,7 @@
 mod guard_run;
 mod guarded_call;
 mod heritage;
+mod invariants;
 mod join_claims;
 mod join_configuration;
 mod kept_answer;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
@@ -24,6 +25,8 @@
 use crate::node::status::LedgerFigures;
 use crate::node::targets::Targets;
 
+/// Refused connections in a row after which the backend server counts as down.
+const DOWN_AFTER_REFUSALS: u32 = 3;
 /// How long an unused connection towards the backend server is kept, in milliseconds.
 const BACKEND_IDLE_MS: u64 = 1_000;
 
@@ -40,12 +43,17 @@
     pub(super) levels: LearntLevels,
     slot_router: Mutex<SlotRouter>,
     draining: AtomicBool,
+    connections_refused: AtomicU32,
 }
 
 impl Node {
     /// Joins the parts.
     pub fn new(settings: NodeSettings, inputs: NodeInputs) -> Self {
-        let gate = Gate::new(inputs.clock, settings.control_enabled);
+        let gate = Gate::new(
+            inputs.clock,
+            inputs.metrics.clone(),
+            settings.control_enabled,
+        );
         Self {
             gate,
             metrics: inputs.metrics.clone(),
@@ -57,6 +65,7 @@
             levels: LearntLevels::default(),
             slot_router: Mutex::new(SlotRouter::default()),
             draining: AtomicBool::new(false),
+            connections_refused: AtomicU32::new(0),
             settings,
         }
     }
@@ -113,6 +122,23 @@
         }
     }
 
+    /// Notes whether the backend server took a connection. After some refusals in a row it counts
+    /// as starting, which tells the other nodes, until it announces itself again: one that crashed
+    /// says nothing of it.
+    pub(super) fn note_connection(&self, taken: bool) {
+        if taken {
+            self.connections_refused.store(0, Ordering::Relaxed);
+            return;
+        }
+        if self.connections_refused.fetch_add(1, Ordering::Relaxed) + 1 < DOWN_AFTER_REFUSALS {
+            return;
+        }
+        let is_news = self.inputs.local.send_if_modified(LocalBackend::went_down);
+        if is_news {
+            log::warn!("node: the backend server takes no connections, state=starting");
+        }
+    }
+
     /// Where the local backend server serves, once it announced itself.
     pub(super) fn backend_address(&self) -> Option<SocketAddr> {
         let local = self.inputs.local.borrow();
@@ -131,6 +157,7 @@
         let load = self.gate.load();
         self.metrics.guard_in_flight.set(i64::from(load.in_flight));
         self.metrics.guard_limit.set(i64::from(load.limit));
+        self.metrics.set_guard_queue(&self.gate.queued_by_class());
         let ledger = LedgerFigures::of(self);
         self.metrics.slots_owned.set(ledger.slots_owned as i64);
         self.metrics.slots_open.set(ledger.slots_open as i64);
