Waive the grace period for keys that only the local run can send

Ruled out: a caller's mark for first sendings, since a held-up first sending can be overtaken by its own resend. Change: child keys under the parent's key are known first sendings at the parent's node. A backend server's word that it shed a call is not believed once it has called on.

--- a/src/claims/ledger.rs
+++ b/src/claims/ledger.rs
@@ -59,6 +59,8 @@
     pub fingerprint: u64,
     /// The stamp of the call header.
     pub stamp: u64,
+    /// No earlier sending of the key exists: the grace period need not pass for it.
+    pub first_sending: bool,
 }
 
 /// What to do with a keyed call.
@@ -139,7 +141,7 @@
         if now >= self.holding.lease_until {
             return Some(Refusal::unknown(RefusalReason::LeaseLapsed, OWNER_RETRY_MS));
         }
-        if now < held.grace_until {
+        if now < held.grace_until && !call.first_sending {
             let left_ms = held.grace_until.since(now);
             let spread_ms = spread_of(call.key, left_ms / 4);
             let refusal = Refusal::unknown(RefusalReason::GracePeriod, left_ms + spread_ms);
--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -60,6 +60,7 @@
     match timeout(Duration::from_millis(left_ms), exchange).await {
         Ok(Ok(answer)) => Ok(holding(answer, running)),
         Ok(Err(refusal)) => {
+            let refusal = believed(refusal, &running.live);
             running.failed(refusal);
             if let (RefusalReason::BackendBroke, Some(address)) =
                 (refusal.reason, node.backend_address())
@@ -72,6 +73,16 @@
     }
 }
 
+/// Guards against a backend server that says it shed a call which it had begun: the call would run
+/// a second time elsewhere. It shows in the calls that it made on its behalf, all of which pass
+/// this node, so what was seen here goes before what the backend server says.
+fn believed(refusal: Refusal, live: &LiveCall) -> Refusal {
+    if refusal.reason == RefusalReason::BackendShed && live.has_called_on() {
+        return unknown(RefusalReason::BackendShed);
+    }
+    refusal
+}
+
 async fn exchange(node: &Node, call: &mut GuardedCall, context: u128) -> Result<Answer, Refusal> {
     let address = node
         .backend_address()
--- a/src/node/call.rs
+++ b/src/node/call.rs
@@ -32,6 +32,8 @@
     pub(super) key: Option<Name>,
     /// The stamp to send, heard from the owner of the key's slot.
     pub(super) owner_stamp: u64,
+    /// No earlier sending of the key exists anywhere.
+    pub(super) first_sending: bool,
     /// When the entry read the head of the call.
     pub(super) arrived_at: TimeMs,
     pub(super) config_version: u64,
--- a/src/node/child_clock.rs
+++ b/src/node/child_clock.rs
@@ -7,6 +7,7 @@
     outstanding: u32,
     since_us: u64,
     total_us: u64,
+    has_begun: bool,
 }
 
 impl ChildClock {
@@ -15,6 +16,7 @@
             self.since_us = now_us;
         }
         self.outstanding += 1;
+        self.has_begun = true;
     }
 
     pub(super) fn end(&mut self, now_us: u64) {
@@ -24,6 +26,11 @@
         }
     }
 
+    /// Whether any child call went out.
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     /// The sum so far, with what is outstanding at `now_us`.
     pub(super) fn total_us(&self, now_us: u64) -> u64 {
         let open_us = if self.outstanding > 0 {
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -173,7 +173,8 @@
         Name::from(route_of(&path_and_query)),
         fingerprint,
         header.allotment,
-    );
+    )
+    .under_key(key_of(&header).cloned());
     Ok(GuardedCall {
         method: parts.method,
         path_and_query,
--- a/src/node/heritage.rs
+++ b/src/node/heritage.rs
@@ -14,6 +14,8 @@
 /// What a call has from the call on whose behalf it is made, or as a new root.
 pub(super) struct Heritage {
     pub(super) holder: Arc<LiveCall>,
+    /// Whether the holder is a call that runs at the local backend server.
+    pub(super) is_child: bool,
     pub(super) priority: Priority,
     pub(super) depth: u8,
     /// The deadline of the call above; a root has none but its own.
@@ -47,6 +49,7 @@
         depth: parent.depth.saturating_add(1),
         deadline: Some(parent.deadline),
         holder: parent,
+        is_child: true,
     }
 }
 
@@ -64,6 +67,7 @@
     let holder = LiveCall::new(request, priority, 0, deadline, route, 0, allotment);
     Heritage {
         holder: Arc::new(holder),
+        is_child: false,
         priority,
         depth: 0,
         deadline: None,
--- a/src/node/keyed_forward.rs
+++ b/src/node/keyed_forward.rs
@@ -165,7 +165,7 @@
 /// repeats the answer. An owner that cannot be reached at all has no substitute.
 fn after_loss(
     node: &Node,
-    call: &Call,
+    call: &mut Call,
     key: &Name,
     target: &Target,
     refusal: Refusal,
@@ -178,6 +178,7 @@
     }
     let first_loss = !progress.may_be_under_way;
     progress.may_be_under_way |= refusal.run_state != RunState::NotRun;
+    call.first_sending &= !progress.may_be_under_way;
     let reason = match (refusal.reason, refusal.run_state) {
         (RefusalReason::Revoked, _) => RetryReason::SilentConnection,
         (RefusalReason::PeerLost, RunState::NotRun) => {
--- a/src/node/keyed_guard.rs
+++ b/src/node/keyed_guard.rs
@@ -93,6 +93,7 @@
         key,
         fingerprint: call.live.fingerprint,
         stamp: call.header.owner_stamp,
+        first_sending: call.header.first_sending,
     })
 }
 
--- a/src/node/live_calls.rs
+++ b/src/node/live_calls.rs
@@ -10,6 +10,7 @@
 use crate::core::RequestId;
 use crate::core::TimeMs;
 use crate::node::child_clock::ChildClock;
+use crate::node::child_keys::ChildKeys;
 use crate::poison::Running;
 use crate::retry::Allotment;
 
@@ -25,6 +26,8 @@
     pub(super) fingerprint: u64,
     allotment: Mutex<Allotment>,
     children: Mutex<ChildClock>,
+    /// Set for a call that the ledger admitted: it runs once in all.
+    keys: Option<ChildKeys>,
 }
 
 impl LiveCall {
@@ -46,9 +49,20 @@
             fingerprint,
             allotment: Mutex::new(Allotment::new(allotment)),
             children: Mutex::new(ChildClock::default()),
+            keys: None,
         }
     }
 
+    /// Marks a call that runs under `key` at most once.
+    pub(super) fn under_key(mut self, key: Option<Name>) -> Self {
+        self.keys = key.map(ChildKeys::new);
+        self
+    }
+
+    /// Whether a child call's key is sent for the first time ever.
+    pub(super) fn is_first_sending(&self, service: &Name, key: &Name) -> bool {
+        let keys = self.keys.as_ref();
+        keys.is_some_and(|keys| keys.is_first_sending(service, key))
     /// The call as a suspect, should the backend server crash.
     pub(super) fn running(&self) -> Running {
         Running {
@@ -96,6 +110,11 @@
         self.children().end(now_us);
     }
 
+    /// Whether the backend server made any call on behalf of this one.
+    pub(super) fn has_called_on(&self) -> bool {
+        self.children().has_begun()
+    }
+
     /// How long child calls were outstanding so far.
     pub(super) fn child_us(&self, now_us: u64) -> u64 {
         self.children().total_us(now_us)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod call;
 mod caller_headers;
 mod child_clock;
+mod child_keys;
 mod entry;
 mod fleet;
 mod forward;
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -151,6 +151,7 @@
         non_idempotent: call.non_idempotent,
         key: call.key.clone(),
         owner_stamp: call.owner_stamp,
+        first_sending: call.first_sending,
         config_version: call.config_version,
         body_len: call.body.len(),
         from_node: node.settings.node.clone(),
--- a/src/node/take_call.rs
+++ b/src/node/take_call.rs
@@ -56,6 +56,9 @@
     {
         return Err(not_run(RefusalReason::ShedAtEntry));
     }
+    let first_sending = key
+        .as_ref()
+        .is_some_and(|key| heritage.is_child && heritage.holder.is_first_sending(&service, key));
     let path_and_query = path_and_query.to_owned();
     caller_headers::strip(&mut parts.headers);
     let body = held_or_streamed(node, body).await?;
@@ -75,6 +78,7 @@
         non_idempotent: policy.non_idempotent,
         key,
         owner_stamp: 0,
+        first_sending,
         arrived_at: now,
         config_version: in_force.version,
         holder: heritage.holder,
--- a/src/wire/call_header.rs
+++ b/src/wire/call_header.rs
@@ -34,6 +34,9 @@
     /// The owner's stamp that the sender heard last, 0 if none: it proves that the attempt was
     /// sent lately (docs/AT_MOST_ONCE.md, "Attempts that arrive late").
     pub owner_stamp: u64,
+    /// No earlier sending of the key exists, so that not even a new owner has to doubt it
+    /// (docs/DESIGN.md, "Keys of child calls").
+    pub first_sending: bool,
     /// The version of the configuration by which the call was classified.
     pub config_version: u64,
     /// The length of the body that follows, checked on arrival.
--- a/tests/claims_ledger.rs
+++ b/tests/claims_ledger.rs
@@ -54,6 +54,7 @@
         key: &key,
         fingerprint,
         stamp,
+        first_sending: false,
     };
     ledger.begin(TimeMs(now), &call)
 }
@@ -134,6 +135,7 @@
             key: &key,
             fingerprint: CONTENT,
             stamp,
+            first_sending: false,
         };
         let said = (RefusalReason::StaleAttempt, RunState::Unknown);
         assert_eq!(refused(ledger.begin(much_later, &call)), said);
--- a/tests/claims_world/mod.rs
+++ b/tests/claims_world/mod.rs
@@ -642,6 +642,7 @@
             key: &sending.key,
             fingerprint: 1,
             stamp,
+            first_sending: false,
         };
         match process.ledger.begin(now, &call) {
             Begin::Run => {
