Believe that an attempt was never seen only as far back as the guard remembers

Cause: found by reading. A guard asked about an attempt answered NeverSeen also when its process had been started anew after running it, or when it had forgotten it (ended attempts are kept for 10 s). The entry then sent non-idempotent work a second time. Change: the answer says for how long the memory is complete; the sender compares it with the age of the attempt, with 2% for clocks.

--- a/src/capacity/protocol_sizes.rs
+++ b/src/capacity/protocol_sizes.rs
@@ -119,6 +119,7 @@
         non_idempotent: true,
         key: Some(Name::from(KEY)),
         owner_stamp: u64::MAX,
+        first_sending: true,
         config_version: 100_000,
         body_len: Some(100_000),
         from_node: target().node,
--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -12,8 +12,10 @@
 /// one went silent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptStatus {
-    /// It never arrived, and will be refused if it still does: the sender may send it again.
-    NeverSeen,
+    /// It is not among the attempts remembered, and will be refused if it still arrives. It never
+    /// arrived, and may be sent again, if it was sent less than `complete_for_ms` ago: for so long
+    /// this guard has run and has forgotten no attempt.
+    NeverSeen { complete_for_ms: u64 },
     /// It waits or runs; ask again.
     InProgress,
     /// It ended; the whole answer is repeated.
--- a/src/node/attempts.rs
+++ b/src/node/attempts.rs
@@ -21,7 +21,7 @@
 use crate::node::kept_answer::kept_parts;
 
 /// How long an ended attempt is remembered, in milliseconds.
-pub(super) const KEEP_ENDED_MS: u64 = 10_000;
+const KEEP_ENDED_MS: u64 = 10_000;
 /// How long a revoked attempt is refused: as long as a connection may deliver what it held back.
 const KEEP_REVOKED_MS: u64 = 600_000;
 /// Attempts remembered; the oldest ended or revoked ones go first.
@@ -60,6 +60,8 @@
     ended: VecDeque<(TimeMs, AttemptId)>,
     /// Revoked attempts in the order of their revocation.
     revoked: VecDeque<(TimeMs, AttemptId)>,
+    /// Every attempt that arrived after this is remembered. At first the start of the process.
+    complete_since: TimeMs,
     kept_bytes: usize,
 }
 
@@ -116,11 +118,11 @@
             Some(Entry::Running) => AttemptStatus::InProgress,
             Some(Entry::Ended(Some(answer))) => AttemptStatus::Done(answer.kept()),
             Some(Entry::Ended(None)) => AttemptStatus::DoneWithoutAnswer,
-            Some(Entry::Revoked) => AttemptStatus::NeverSeen,
+            Some(Entry::Revoked) => state.never_seen(now),
             None => {
                 state.entries.insert(attempt, Entry::Revoked);
                 state.revoked.push_back((now, attempt));
-                AttemptStatus::NeverSeen
+                state.never_seen(now)
             }
         }
     }
@@ -143,7 +145,8 @@
 impl State {
     fn sweep(&mut self, now: TimeMs) {
         while self.is_due(self.ended.front(), now, KEEP_ENDED_MS) {
-            if let Some((_, attempt)) = self.ended.pop_front() {
+            if let Some((ended, attempt)) = self.ended.pop_front() {
+                self.complete_since = self.complete_since.max(ended);
                 self.forget(attempt);
             }
         }
@@ -154,6 +157,15 @@
         }
     }
 
+    /// Guards against a guard that was started anew, or has forgotten the attempt: it would say that
+    /// the attempt was never seen, and the call would run a second time. It holds because the sender
+    /// believes this only of attempts younger than the memory.
+    fn never_seen(&self, now: TimeMs) -> AttemptStatus {
+        AttemptStatus::NeverSeen {
+            complete_for_ms: now.since(self.complete_since),
+        }
+    }
+
     fn is_due(&self, oldest: Option<&(TimeMs, AttemptId)>, now: TimeMs, keep_ms: u64) -> bool {
         let is_full = self.entries.len() >= MAX_ATTEMPTS;
         oldest.is_some_and(|(at, _)| is_full || now.since(*at) >= keep_ms)
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -28,6 +28,7 @@
 use crate::node::guard_answer::refuse_unread;
 use crate::node::guard_run;
 use crate::node::guarded_call::GuardedCall;
+use crate::node::keyed_guard::key_of;
 use crate::node::keyed_guard::without_ledger;
 use crate::node::live_calls::LiveCall;
 use crate::node::take_call::split_path;
--- a/src/node/keyed_forward.rs
+++ b/src/node/keyed_forward.rs
@@ -171,16 +171,12 @@
     refusal: Refusal,
     progress: &mut Progress,
 ) -> Option<RetryReason> {
-    // Never seen and revoked: it is not under way any more, and the owner is as good as before.
-    if refusal.reason == RefusalReason::Revoked && refusal.run_state == RunState::NotRun {
-        let paid = call.holder.spend() && node.targets.try_retry(&call.service);
-        return paid.then_some(RetryReason::SilentConnection);
-    }
     let first_loss = !progress.may_be_under_way;
     progress.may_be_under_way |= refusal.run_state != RunState::NotRun;
     call.first_sending &= !progress.may_be_under_way;
     let reason = match (refusal.reason, refusal.run_state) {
-        (RefusalReason::Revoked, _) => RetryReason::SilentConnection,
+        // Never seen and revoked: it is not under way, and the owner is as good as before.
+        (RefusalReason::Revoked, RunState::NotRun) => RetryReason::SilentConnection,
         (RefusalReason::PeerLost, RunState::NotRun) => {
             node.slot_router().forget(&call.service, key);
             progress.tried.push(target.node.clone());
--- a/src/node/live_calls.rs
+++ b/src/node/live_calls.rs
@@ -63,6 +63,8 @@
     pub(super) fn is_first_sending(&self, service: &Name, key: &Name) -> bool {
         let keys = self.keys.as_ref();
         keys.is_some_and(|keys| keys.is_first_sending(service, key))
+    }
+
     /// The call as a suspect, should the backend server crash.
     pub(super) fn running(&self) -> Running {
         Running {
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -119,6 +119,7 @@
         Silence::NeverSeen => lost(RefusalReason::Revoked, RunState::NotRun),
         Silence::Answered(kept) => receive(node, sent, response_of(&kept), in_flight).await,
         Silence::AnswerGone => lost(RefusalReason::PeerLost, ran_if(sent.non_idempotent)),
+        Silence::Forgotten => lost(RefusalReason::PeerLost, RunState::Unknown),
         Silence::NobodyThere => {
             in_flight.lost();
             lost(RefusalReason::PeerLost, RunState::Unknown)
--- a/src/node/silence.rs
+++ b/src/node/silence.rs
@@ -13,9 +13,7 @@
 use crate::control::KeptAnswer;
 use crate::core::AttemptId;
 use crate::core::Target;
-use crate::core::TimeMs;
 use crate::node::Node;
-use crate::node::attempts::KEEP_ENDED_MS;
 
 /// An answer is overdue after this multiple of what answers of the target take.
 const OVERDUE_FACTOR: u64 = 3;
@@ -24,6 +22,11 @@
 /// How long an answer that has left the guard may take to arrive.
 const ARRIVAL_MS: u64 = 200;
 
+/// Two clocks differ by at most one part in this.
+const CLOCK_DRIFT: u64 = 50;
+/// Both clocks count whole milliseconds.
+const CLOCK_GRAIN_MS: u64 = 2;
+
 /// What the guard says of an attempt whose answer is overdue.
 pub(super) enum Silence {
     /// It was not seen, and will be refused if it still arrives.
@@ -32,6 +35,8 @@
     Answered(KeptAnswer),
     /// It ended, but the answer is not kept.
     AnswerGone,
+    /// The guard does not remember so far back: it may have run the call.
+    Forgotten,
     /// The guard cannot be asked either.
     NobodyThere,
 }
@@ -52,10 +57,9 @@
         sleep(Duration::from_millis(pause_ms)).await;
         node.metrics.attempt_questions.inc();
         match (node.inputs.ask_attempt)(target.control_address, attempt).await {
-            Ok(AttemptStatus::NeverSeen) if is_remembered(node, sent_at) => {
-                return Silence::NeverSeen;
+            Ok(AttemptStatus::NeverSeen { complete_for_ms }) => {
+                return never_seen(node.inputs.clock.now().since(sent_at), complete_for_ms);
             }
-            Ok(AttemptStatus::NeverSeen) => return Silence::NobodyThere,
             Ok(AttemptStatus::Done(answer)) => return Silence::Answered(answer),
             Ok(AttemptStatus::DoneWithoutAnswer) => {
                 sleep(Duration::from_millis(ARRIVAL_MS)).await;
@@ -73,9 +77,12 @@
     }
 }
 
-/// Guards against a guard that has forgotten the attempt, after this process was paused or the
-/// answer was long under way: the attempt would be sent again and run twice. It holds because
-/// ended attempts are remembered for longer than this.
-fn is_remembered(node: &Node, sent_at: TimeMs) -> bool {
-    node.inputs.clock.now().since(sent_at) < KEEP_ENDED_MS * 4 / 5
+/// Believes that an attempt sent `sent_ms` ago was never seen only if the guard's memory reaches
+/// back beyond it, though the two clocks may run at slightly different speeds.
+fn never_seen(sent_ms: u64, complete_for_ms: u64) -> Silence {
+    if complete_for_ms > sent_ms + sent_ms / CLOCK_DRIFT + CLOCK_GRAIN_MS {
+        Silence::NeverSeen
+    } else {
+        Silence::Forgotten
+    }
 }
--- a/tests/node_silence.rs
+++ b/tests/node_silence.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -16,11 +17,14 @@
 use sassafrasgap::adapters::full_body;
 use sassafrasgap::control::AttemptStatus;
 use sassafrasgap::core::AttemptId;
+use sassafrasgap::core::Clock;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Priority;
 use sassafrasgap::core::RefusalReason;
 use sassafrasgap::core::RequestId;
 use sassafrasgap::core::RetryReason;
+use sassafrasgap::core::TimeMs;
+use sassafrasgap::node::Attempts;
 use sassafrasgap::wire::CallHeader;
 
 use support::test_mesh::TestMesh;
@@ -59,6 +63,9 @@
         .await;
     let relay = TestRelay::start(mesh.nodes[target].peer_address).await;
     mesh.move_target("two", relay.address);
+    // A guard's word on an attempt counts when its memory reaches back beyond the sending by more
+    // than two clocks may differ.
+    tokio::time::sleep(Duration::from_millis(100)).await;
     Story { mesh, relay, runs }
 }
 
@@ -75,6 +82,16 @@
             .await
     }
 
+    /// Replaces the target's memory of attempts by that of a new process after its n-th run began.
+    async fn restart_after_run(&self, run: u32) {
+        while self.runs.load(Ordering::SeqCst) < run {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let new_process = (Arc::new(Attempts::default()), Clock::new());
+        let address = self.mesh.nodes[1].peer_address;
+        self.mesh.note_attempts(address, new_process);
+    }
+
     fn retries(&self, reason: RetryReason) -> u64 {
         self.mesh.nodes[0].node.metrics.retries(reason)
     }
@@ -148,7 +165,7 @@
     let attempt = AttemptId(7);
     let inputs = &guard.node.inputs;
     let status = inputs.attempts.status(inputs.clock.now(), attempt);
-    assert_eq!(status, AttemptStatus::NeverSeen);
+    assert!(matches!(status, AttemptStatus::NeverSeen { .. }));
     let header = CallHeader {
         request: RequestId(1),
         attempt,
@@ -160,6 +177,7 @@
         non_idempotent: true,
         key: None,
         owner_stamp: 0,
+        first_sending: false,
         config_version: 1,
         body_len: Some(0),
         from_node: Name::from("one"),
@@ -173,3 +191,31 @@
     let refusals = guard.node.metrics.guard_refusals(RefusalReason::Revoked);
     assert_eq!(refusals, 1);
 }
+
+/// A charge runs, its answer is lost on a connection gone silent, and the guard's process is
+/// started anew. Asked, the new process has never seen the attempt. Were that believed, the charge
+/// would run twice; the entry says that it does not know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_guard_started_anew_is_not_believed_to_have_seen_nothing() {
+    let story = story().await;
+    story.order("PUT", None).await;
+    story.relay.silence(Lost::Answers);
+    let (got, ()) = tokio::join!(story.order("POST", None), story.restart_after_run(2));
+    assert_eq!(got.header("sassafrasgap-outcome"), "unknown", "{got:?}");
+    assert_eq!(story.runs.load(Ordering::SeqCst), 2);
+}
+
+/// A charge ran so long ago that the guard has forgotten the attempt. Its sender, which could not
+/// ask before, must not hear that it was never seen: the memory does not reach back so far.
+#[test]
+fn what_is_forgotten_counts_as_never_seen_no_more() {
+    let attempts = Attempts::default();
+    let attempt = AttemptId(7);
+    attempts.arrive(TimeMs(1_000), attempt);
+    attempts.end(TimeMs(2_000), attempt, None);
+    let asked_at = TimeMs(60_000);
+    let AttemptStatus::NeverSeen { complete_for_ms } = attempts.status(asked_at, attempt) else {
+        panic!("it was forgotten long ago");
+    };
+    assert_eq!(complete_for_ms, asked_at.since(TimeMs(2_000)));
+}
--- a/tests/support/test_mesh.rs
+++ b/tests/support/test_mesh.rs
@@ -200,7 +200,7 @@
         self.nodes.len() - 1
     }
 
-    fn note_attempts(&self, address: SocketAddr, known: (Arc<Attempts>, Clock)) {
+    pub fn note_attempts(&self, address: SocketAddr, known: (Arc<Attempts>, Clock)) {
         let mut attempts = self.attempts.lock().expect("no holder panics");
         attempts.insert(address, known);
     }
