--- a/tests/ctl_check.rs
+++ b/tests/ctl_check.rs
@@ -50,7 +50,7 @@
         preset
             .replace("order: [vouchers, ", "order: [")
             .replace("class: stock}", "class: stocks}")
-            .replace("resend_window_ms: 180000", "resend_window_s: 180"),
+            .replace("resend_window_ms: 30000", "resend_window_s: 30"),
     );
     let run = ctl(&["check", &node, &preset, "/nowhere.yaml"]).await;
     assert_eq!(run.code, 1);
@@ -61,7 +61,7 @@
         "peak.yaml: order: is [orders, uploads, menus, stock]; the order of importance leaves out \
          class vouchers",
         "peak.yaml: rules[7].class: is stocks; one of the classes",
-        "peak.yaml: resend_window_s: is 180; write `resend_window_ms: 180000`",
+        "peak.yaml: resend_window_s: is 30; write `resend_window_ms: 30000`",
         "/nowhere.yaml: (document): is not readable",
     ] {
         assert!(
