Probe once more before a death is declared

Cause: a suspicion came due by time alone. After a cut of 3 or 6 s the old suspicions came due when the link was back, and nodes that had only heard of a suspicion never told the suspect, which so could not refute in time.

--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -11,8 +11,9 @@
 pub enum Standing {
     /// Nobody doubts it.
     Trusted,
-    /// It did not answer; the suspicion began at this time of the local clock.
-    Suspected { since: TimeMs },
+    /// It did not answer; the suspicion began at this time of the local clock. It is first hand
+    /// when a probe of this node's own failed.
+    Suspected { since: TimeMs, first_hand: bool },
     /// It is taken to be gone.
     Dead,
 }
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -108,7 +108,10 @@
         match update {
             Update::Own(target) => self.apply_own(target, now, settings),
             Update::Suspect { node, incarnation } => {
-                let suspected = Standing::Suspected { since: now };
+                let suspected = Standing::Suspected {
+                    since: now,
+                    first_hand: false,
+                };
                 self.apply_standing(node, *incarnation, suspected, now)
             }
             Update::Dead { node, incarnation } => {
@@ -177,7 +180,10 @@
     pub fn restart_suspicions(&mut self, now: TimeMs) {
         for node in &self.suspects {
             if let Some(member) = self.members.get_mut(node) {
-                member.standing = Standing::Suspected { since: now };
+                member.standing = Standing::Suspected {
+                    since: now,
+                    first_hand: false,
+                };
             }
         }
     }
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -35,6 +35,8 @@
 const PROBE_CYCLE: u64 = 3;
 /// How many members are asked to probe one that did not answer.
 const HELPERS: usize = 3;
+/// How much longer than others a node waits that only heard of a suspicion.
+const HEARSAY_PATIENCE: u64 = 3;
 /// A failure domain whose last answer is older than this gets extra probes.
 const QUIET_DOMAIN_MS: u64 = 1_500;
 /// A node that knows of no answer for so long asks a member of its own domain for fresher news.
@@ -219,7 +221,7 @@
         self.refute_if_due(now);
         self.ask_helpers(now, &mut actions);
         self.suspect_failed(now, &mut actions);
-        self.bury_suspects(now);
+        self.probe_overdue_suspects(now, &mut actions);
         self.judge_domains(now);
         if now >= self.schedule.next_probe {
             self.schedule.next_probe = now + self.settings.probe_period_ms;
@@ -366,8 +368,16 @@
             if member.is_tombstone() || self.is_silent(&member.own.domain) {
                 continue;
             }
-            if member.standing == Standing::Trusted {
-                self.suspect(&member, now, actions);
+            match member.standing {
+                Standing::Suspected { since, .. } if probe.is_last => {
+                    self.bury(&member, since, now);
+                }
+                Standing::Suspected { since, .. } => {
+                    let first_hand = true;
+                    let standing = Standing::Suspected { since, first_hand };
+                    self.table.set_standing(&probe.node, standing, now);
+                }
+                _ => self.suspect(&member, now, actions),
             }
         }
     }
@@ -375,7 +385,11 @@
     fn suspect(&mut self, member: &Member, now: TimeMs, actions: &mut Vec<Action>) {
         let node = member.own.node.clone();
         log::debug!("gossip: suspect node={node} domain={}", member.own.domain);
-        self.set_standing(member, Standing::Suspected { since: now }, now);
+        let standing = Standing::Suspected {
+            since: now,
+            first_hand: true,
+        };
+        self.set_standing(member, standing, now);
         let incarnation = member.own.incarnation;
         let update = Update::Suspect { node, incarnation };
         self.queue.push(update.clone(), false);
@@ -383,31 +397,49 @@
         self.send_updates(member.own.control_address, vec![update], now, actions);
     }
 
-    /// Takes suspects that did not refute in time to be dead, provided that their failure domain
-    /// answered since. Without this guard a domain cut off would be declared dead member by
-    /// member on the other side, and healing would take thousands of refutations.
-    fn bury_suspects(&mut self, now: TimeMs) {
-        let due: Vec<Member> = self
-            .table
-            .suspects()
-            .filter(|member| self.is_overdue(member, now))
-            .cloned()
-            .collect();
-        for member in due {
-            let node = member.own.node.clone();
-            log::info!("gossip: dead node={node} domain={}", member.own.domain);
-            self.set_standing(&member, Standing::Dead, now);
-            let incarnation = member.own.incarnation;
-            self.queue.push(Update::Dead { node, incarnation }, true);
+    /// Probes suspects that did not refute in time once more. Nobody is taken to be dead on old
+    /// failures: a link may have been down for a moment, and its suspicions come due when it is
+    /// back. Those who only heard of the suspicion leave this to those who raised it, unless they
+    /// are gone too.
+    fn probe_overdue_suspects(&mut self, now: TimeMs, actions: &mut Vec<Action>) {
+        let overdue = |member: &&Member| match member.standing {
+            Standing::Suspected { since, first_hand } => {
+                let patience = if first_hand { 1 } else { HEARSAY_PATIENCE };
+                now.since(since) >= patience * self.settings.suspicion_ms
+            }
+            _ => false,
+        };
+        let overdue = self.table.suspects().filter(overdue);
+        let overdue: Vec<Name> = overdue.map(|member| member.own.node.clone()).collect();
+        for node in overdue {
+            self.probe(&node, true, now, actions);
         }
     }
 
-    fn is_overdue(&self, member: &Member, now: TimeMs) -> bool {
-        let Standing::Suspected { since } = member.standing else {
-            return false;
-        };
-        let answered = self.watch.last_answer(&member.own.domain);
-        now.since(since) >= self.settings.suspicion_ms && answered > Some(since)
+    /// Takes a suspect to be dead, provided that its failure domain answered since it was
+    /// suspected. Without this guard a domain cut off would be declared dead member by member on
+    /// the other side, and healing would take thousands of refutations.
+    fn bury(&mut self, member: &Member, since: TimeMs, now: TimeMs) {
+        if self.watch.last_answer(&member.own.domain) <= Some(since) {
+            return;
+        }
+        let node = member.own.node.clone();
+        log::info!("gossip: dead node={node} domain={}", member.own.domain);
+        self.set_standing(member, Standing::Dead, now);
+        let incarnation = member.own.incarnation;
+        self.queue.push(Update::Dead { node, incarnation }, true);
+    }
+
+    /// Notes that a suspect answered. It was told of the suspicion and will refute it.
+    pub(super) fn hear_suspect(&mut self, node: &Name, now: TimeMs) {
+        let held = self.table.get(node).map(|member| member.standing);
+        if let Some(Standing::Suspected { .. }) = held {
+            let standing = Standing::Suspected {
+                since: now,
+                first_hand: false,
+            };
+            self.table.set_standing(node, standing, now);
+        }
     }
 
     /// Finds the failure domains that fell silent. Suspicions of their members are dropped: it is
@@ -459,7 +491,7 @@
             false => self.next_other().or_else(|| self.next_own()),
         };
         if let Some(node) = next {
-            self.probe(&node, now, actions);
+            self.probe(&node, false, now, actions);
         }
     }
 
@@ -504,7 +536,7 @@
                 in_domain(member) && !member.is_tombstone()
             });
             if let Some(node) = self.rng.choice(&names).cloned() {
-                self.probe(&node, now, actions);
+                self.probe(&node, false, now, actions);
             }
         }
     }
@@ -516,12 +548,12 @@
         if old.iter().any(|domain| *domain != self.own.domain) {
             let next = self.next_own();
             if let Some(node) = next {
-                self.probe(&node, now, actions);
+                self.probe(&node, false, now, actions);
             }
         }
     }
 
-    fn probe(&mut self, node: &Name, now: TimeMs, actions: &mut Vec<Action>) {
+    fn probe(&mut self, node: &Name, is_last: bool, now: TimeMs, actions: &mut Vec<Action>) {
         let Some(member) = self.table.get(node) else {
             return;
         };
@@ -533,7 +565,10 @@
         let incarnation = member.own.incarnation;
         let member_is_near = is_near(member, &self.own);
         let judges = !self.is_silent(&member.own.domain);
-        let Some(sequence) = self.probes.start(node.clone(), address, judges, now) else {
+        let Some(sequence) = self
+            .probes
+            .start(node.clone(), address, judges, is_last, now)
+        else {
             return;
         };
         let node = node.clone();
--- a/src/membership/probes.rs
+++ b/src/membership/probes.rs
@@ -23,6 +23,8 @@
     /// Whether silence counts against the member. It does not when its failure domain was cut off
     /// at the time: on healing, all such probes would fail at once and raise suspicions.
     pub judges: bool,
+    /// Whether the member is dead if this fails as well.
+    pub is_last: bool,
     /// Whether others were already asked to probe as well.
     pub indirect: bool,
 }
@@ -50,6 +52,7 @@
         node: Name,
         address: SocketAddr,
         judges: bool,
+        is_last: bool,
         now: TimeMs,
     ) -> Option<u32> {
         if self.own.len() >= MAX_PROBES || self.own.values().any(|probe| probe.node == node) {
@@ -61,6 +64,7 @@
             address,
             sent: now,
             judges,
+            is_last,
             indirect: false,
         };
         self.own.insert(sequence, probe);
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -314,7 +314,9 @@
                 }
             }
             Body::RelayedAck { sequence } => {
-                self.probes.finish(sequence);
+                if let Some(probe) = self.probes.finish(sequence) {
+                    self.hear_suspect(&probe.node, now);
+                }
             }
             Body::Rumor => {}
             Body::WhoAreYou => {
@@ -349,6 +351,7 @@
             return;
         };
         let domain = member.own.domain.clone();
+        self.hear_suspect(&probe.node, now);
         if self.watch.note(&domain, now) > self.settings.quiet_ms {
             self.hear_again(&domain, now);
         }
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -11,7 +11,7 @@
     pub direct_timeout_ms: u64,
     /// Silence after which the probed member is suspected.
     pub probe_timeout_ms: u64,
-    /// How long a suspect has to refute before it is taken to be dead.
+    /// How long a suspect has to refute before it is probed for the last time.
     pub suspicion_ms: u64,
     /// Silence of a whole failure domain after which suspicions of its members prove nothing.
     pub quiet_ms: u64,
@@ -44,7 +44,7 @@
             probe_period_ms: 1_000,
             direct_timeout_ms: 400,
             probe_timeout_ms: 1_000,
-            suspicion_ms: 4_000,
+            suspicion_ms: 3_000,
             quiet_ms: 3_000,
             cut_off_ms: 8_000,
             rejoin_period_ms: 5_000,
