Hold no call against a backend server that was down already

Cause: a call that met a backend server still down after a crash was reported as running in that crash. After two such crashes an innocent read was refused as poisoned (tests/node_faults.rs, seen in the guard's log as running=2). Ruled out: equal fingerprints, a report of another service. Now a call counts only if it was sent before the crash was noticed, and the backend server counts as down at once, until it announces itself again.

--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -65,7 +65,8 @@
             if let (RefusalReason::BackendBroke, Some(address)) =
                 (refusal.reason, node.backend_address())
             {
-                backend_broke(node, address, &running.live).await;
+                let since_us = running.permit.since_us;
+                backend_broke(node, address, &running.live, since_us).await;
             }
             Err(refusal)
         }
--- a/src/node/poison_guard.rs
+++ b/src/node/poison_guard.rs
@@ -11,7 +11,9 @@
 use tokio::time::timeout;
 
 use crate::control::Suspects as SuspectsNews;
+use crate::core::TargetState;
 use crate::core::TimeMs;
+use crate::node::LocalBackend;
 use crate::node::Node;
 use crate::node::live_calls::LiveCall;
 use crate::poison::CrashId;
@@ -20,8 +22,6 @@
 use crate::poison::Suspects;
 use crate::poison::Verdict;
 
-/// Calls that break within this time of a crash broke in it.
-const ONE_CRASH_MS: u64 = 1_000;
 /// How long the backend server is given to take a connection and keep it.
 const PROBE: Duration = Duration::from_millis(40);
 /// How long the other targets are given to take in a report, before the caller is answered.
@@ -30,7 +30,8 @@
 /// The crash that was noticed last.
 struct LastCrash {
     id: CrashId,
-    at: TimeMs,
+    /// When it was noticed, in microseconds: what was sent before broke in it.
+    at_us: u64,
     running: Vec<Running>,
 }
 
@@ -80,44 +81,55 @@
 
 /// Called while a call that broke still counts as running. If the backend server crashed, all
 /// targets of the service know what was running when this returns, or were given the time to.
-pub(super) async fn backend_broke(node: &Node, address: SocketAddr, live: &LiveCall) {
+pub(super) async fn backend_broke(
+    node: &Node,
+    address: SocketAddr,
+    live: &LiveCall,
+    since_us: u64,
+) {
     if is_alive(address).await {
         return;
     }
     let poison = &node.inputs.poison;
     let mut last = poison.last_crash.lock().await;
-    let now = node.inputs.clock.now();
     let this = live.running();
     let id = match last.as_mut() {
-        Some(crash) if now.since(crash.at) < ONE_CRASH_MS => {
+        Some(crash) if since_us <= crash.at_us => {
             if crash.running.contains(&this) {
                 return;
             }
             crash.running.push(this);
             crash.id
         }
-        _ => {
-            let crash = new_crash(node, now, this);
-            last.insert(crash).id
-        }
+        // It met a backend server that was still down. Held against it, every call that does so
+        // would be taken for the cause, and refused after two of them.
+        Some(_) if is_down(node) => return,
+        _ => last.insert(new_crash(node, this)).id,
     };
+    // Nothing more is sent there until it announces itself again.
+    node.inputs.local.send_if_modified(LocalBackend::went_down);
     let running = last.as_ref().map_or(&[][..], |crash| &crash.running);
     log::warn!(
         "poison: the backend server crashed, running={}",
         running.len()
     );
+    let now = node.inputs.clock.now();
     let report = poison.lock().note_crash(now, id, running);
     tell_targets(node, report).await;
 }
 
-fn new_crash(node: &Node, now: TimeMs, this: Running) -> LastCrash {
+fn is_down(node: &Node) -> bool {
+    node.inputs.local.borrow().state() == TargetState::Starting
+}
+
+fn new_crash(node: &Node, this: Running) -> LastCrash {
     let mut running = node.live_calls.running();
     if !running.contains(&this) {
         running.push(this);
     }
     LastCrash {
         id: CrashId::random(),
-        at: now,
+        at_us: node.inputs.clock.now_us(),
         running,
     }
 }
