--- a/src/claims/driver.rs
+++ b/src/claims/driver.rs
@@ -25,13 +25,15 @@
 use crate::claims::LedgerTransfer;
 use crate::claims::MovedTo;
 use crate::claims::PauseWatch;
-use crate::claims::ReadResult;
 use crate::claims::ResendLimits;
 use crate::claims::SharedLedger;
 use crate::claims::Situation;
 use crate::claims::SlotMap;
 use crate::claims::WindowWatch;
-use crate::claims::WriteResult;
+use crate::claims::member_calls::ask_promise;
+use crate::claims::member_calls::send_transfer;
+use crate::claims::slot_table::read_row;
+use crate::claims::slot_table::write_row;
 use crate::control::ControlHandlers;
 use crate::control::PeerClients;
 use crate::control::Promise;
@@ -43,9 +45,7 @@
 use crate::core::TargetState;
 use crate::core::TimeMs;
 use crate::core::View;
-use crate::errors::PlatformError;
 use crate::platform::PlatformClient;
-use crate::platform::Transaction;
 
 /// How often the keeper looks at the time.
 const TICK: Duration = Duration::from_millis(100);
@@ -394,75 +394,3 @@
         taken
     }
 }
-
-async fn read_row(platform: &PlatformClient, row: &str) -> ReadResult {
-    match platform.get(row).await {
-        Ok(None) => ReadResult::Row(None),
-        Ok(Some(found)) => match SlotMap::decode(found.value.as_bytes()) {
-            Ok(map) => ReadResult::Row(Some((found.version, map))),
-            Err(error) => {
-                log::error!("claims: row {row} cannot be used error={error}");
-                ReadResult::Failed
-            }
-        },
-        Err(error) => {
-            log::debug!("claims: row {row} not read error={error}");
-            ReadResult::Failed
-        }
-    }
-}
-
-async fn write_row(
-    platform: &PlatformClient,
-    row: &str,
-    expected: Option<u64>,
-    map: &SlotMap,
-) -> WriteResult {
-    let transaction = Transaction::put_if(row, expected, map.encode());
-    match platform.transact(&transaction).await {
-        Ok(committed) => {
-            let written = committed.versions.iter().find(|each| &*each.key == row);
-            match written {
-                Some(written) => WriteResult::Applied {
-                    version: written.version,
-                },
-                None => WriteResult::Unknown,
-            }
-        }
-        Err(PlatformError::Conflict { .. }) => WriteResult::Conflict,
-        Err(
-            PlatformError::Unavailable
-            | PlatformError::RateLimited
-            | PlatformError::Rejected { .. }
-            | PlatformError::InvalidKey { .. },
-        ) => WriteResult::NotWritten,
-        Err(_) => WriteResult::Unknown,
-    }
-}
-
-async fn ask_promise(ports: &ClaimsPorts, node: &Name, ask: PromiseAsk) -> Promise {
-    let target = ports.view.load().nodes.get(node).cloned();
-    let Some(target) = target else {
-        return Promise::Refused;
-    };
-    let answer = ports.clients.promise(target.control_address, ask).await;
-    answer.unwrap_or_else(|error| {
-        log::debug!("claims: no promise node={node} error={error}");
-        Promise::Refused
-    })
-}
-
-async fn send_transfer(ports: &ClaimsPorts, node: &Name, transfer: &LedgerTransfer) -> bool {
-    let target = ports.view.load().nodes.get(node).cloned();
-    let Some(target) = target else {
-        return false;
-    };
-    let answer = ports
-        .clients
-        .hand_over(target.control_address, transfer.encode())
-        .await;
-    answer.unwrap_or_else(|error| {
-        log::debug!("claims: transfer not confirmed node={node} error={error}");
-        false
-    })
-}
--- a/src/claims/lease_keeper.rs
+++ b/src/claims/lease_keeper.rs
@@ -7,21 +7,14 @@
 //! with pauses, lost answers and late writes, is in docs/AT_MOST_ONCE.md.
 
 use crate::claims::Action;
-use crate::claims::HeldSlot;
 use crate::claims::Holding;
 use crate::claims::LeaseConf;
 use crate::claims::LedgerTransfer;
-use crate::claims::Member;
-use crate::claims::OtherOwner;
 use crate::claims::ReadResult;
 use crate::claims::ResendLimits;
-use crate::claims::SLOTS;
 use crate::claims::Situation;
 use crate::claims::SlotMap;
 use crate::claims::WriteResult;
-use crate::claims::fair_share::candidates;
-use crate::claims::fair_share::next_gift;
-use crate::claims::held_slots;
 use crate::claims::held_slots::Received;
 use crate::claims::promises::Promises;
 use crate::claims::row_plan;
@@ -35,8 +28,6 @@
 
 /// How many transfers are remembered that were received and not seen in the row yet.
 const MAX_RECEIVED: usize = 16;
-/// How many leases pass before slots are announced again whose owner turned out to live.
-const REBUFFED_LEASES: u64 = 4;
 /// The longest wait after a lost race for the row.
 const CONFLICT_WAIT_MS: u64 = 200;
 
@@ -52,64 +43,64 @@
 
 /// The row as last read or written.
 #[derive(Clone, Debug)]
-struct Row {
-    version: Option<u64>,
-    map: SlotMap,
+pub(super) struct Row {
+    pub(super) version: Option<u64>,
+    pub(super) map: SlotMap,
 }
 
 #[derive(Clone, Debug)]
-struct Write {
+pub(super) struct Write {
     map: SlotMap,
     expected: Option<u64>,
     takes_over: bool,
 }
 
 #[derive(Clone, Debug)]
-enum Pending {
+pub(super) enum Pending {
     Read,
     Write(Box<Write>),
 }
 
 /// A write whose answer was lost and that may still take effect.
 #[derive(Clone, Copy, Debug)]
-struct Unresolved {
-    expected: Option<u64>,
+pub(super) struct Unresolved {
+    pub(super) expected: Option<u64>,
     takes_over: bool,
 }
 
 /// Slots on their way to another member.
 #[derive(Clone, Debug)]
-struct Giving {
-    given: Given,
-    confirmed: bool,
+pub(super) struct Giving {
+    pub(super) given: Given,
+    pub(super) confirmed: bool,
 }
 
 /// The lease keeper of one node. Call [`Self::tick`] several times a second.
 #[derive(Debug)]
 pub struct LeaseKeeper {
-    me: Identity,
-    conf: LeaseConf,
-    limits: ResendLimits,
-    rng: fastrand::Rng,
-    situation: Situation,
-    row: Option<Row>,
-    pending: Option<(u64, TimeMs, Pending)>,
-    unresolved: Option<Unresolved>,
-    next_op: u64,
-    next_read_at: TimeMs,
+    pub(super) me: Identity,
+    pub(super) conf: LeaseConf,
+    pub(super) limits: ResendLimits,
+    pub(super) rng: fastrand::Rng,
+    pub(super) situation: Situation,
+    pub(super) row: Option<Row>,
+    pub(super) pending: Option<(u64, TimeMs, Pending)>,
+    pub(super) unresolved: Option<Unresolved>,
+    pub(super) next_op: u64,
+    pub(super) next_read_at: TimeMs,
     /// When the last sign was asked for that nobody takes over, out of the row itself.
-    clean_at: Option<TimeMs>,
-    promises: Promises,
+    pub(super) clean_at: Option<TimeMs>,
+    pub(super) promises: Promises,
     /// Own intents in the row and when each was seen to be there.
-    intents: FastMap<u64, TimeMs>,
-    missing_since: FastMap<u64, TimeMs>,
-    not_serving_since: Option<TimeMs>,
-    unowned_since: Option<TimeMs>,
-    giving: Option<Giving>,
-    give_at: TimeMs,
-    transfers: u32,
-    received: Vec<Received>,
-    holding: Holding,
+    pub(super) intents: FastMap<u64, TimeMs>,
+    pub(super) missing_since: FastMap<u64, TimeMs>,
+    pub(super) not_serving_since: Option<TimeMs>,
+    pub(super) unowned_since: Option<TimeMs>,
+    pub(super) giving: Option<Giving>,
+    pub(super) give_at: TimeMs,
+    pub(super) transfers: u32,
+    pub(super) received: Vec<Received>,
+    pub(super) holding: Holding,
 }
 
 impl LeaseKeeper {
@@ -308,155 +299,6 @@
         Some((sent_at, pending))
     }
 
-    /// Takes in a row that was true at some moment after `sent_at`, and plans the next write.
-    fn accept(&mut self, now: TimeMs, sent_at: TimeMs, row: Row) {
-        let older = self
-            .row
-            .as_ref()
-            .is_some_and(|known| known.version > row.version);
-        if older {
-            return;
-        }
-        if self
-            .unresolved
-            .is_some_and(|lost| lost.expected != row.version)
-        {
-            // The row has moved on: the lost write took effect, or it never will.
-            self.unresolved = None;
-        }
-        let listed = row.map.member(self.me.instance).is_some();
-        if listed && !row.map.is_threatened(self.me.instance) {
-            let until = sent_at + self.conf.terms.lease_ms;
-            self.holding.lease_until = self.holding.lease_until.max(until);
-            self.clean_at = self.clean_at.max(Some(sent_at));
-        }
-        self.unowned_since = if row.map.unowned().is_empty() {
-            None
-        } else {
-            self.unowned_since.or(Some(now))
-        };
-        self.note_intents(now, &row.map);
-        self.note_given(now, &row.map);
-        self.row = Some(row);
-        self.derive_holding(now);
-        self.note_missing(now);
-    }
-
-    fn note_intents(&mut self, now: TimeMs, map: &SlotMap) {
-        let me = self.me.instance;
-        self.note_rebuffs(now, map);
-        let own = map.intents.iter().filter(|intent| intent.by == me);
-        let seen: FastMap<u64, TimeMs> = own
-            .map(|intent| {
-                let at = self.intents.get(&intent.id).copied();
-                (intent.id, at.unwrap_or(now))
-            })
-            .collect();
-        self.intents = seen;
-    }
-
-    /// An own intent that is gone while its victim is listed was removed by the victim: it lives,
-    /// though not for this node. To announce again at once would only make both write in turn.
-    fn note_rebuffs(&mut self, now: TimeMs, map: &SlotMap) {
-        let Some(before) = &self.row else {
-            return;
-        };
-        let me = self.me.instance;
-        for intent in before.map.intents.iter().filter(|intent| intent.by == me) {
-            let is_gone = !map.intents.iter().any(|other| other.id == intent.id);
-            if is_gone && let Some(since) = self.missing_since.get_mut(&intent.victim) {
-                *since = now + REBUFFED_LEASES * self.conf.terms.lease_ms;
-            }
-        }
-    }
-
-    /// Ends a hand-over that the row shows to be done or impossible.
-    fn note_given(&mut self, now: TimeMs, map: &SlotMap) {
-        let Some(giving) = &self.giving else {
-            return;
-        };
-        let me = self.me.instance;
-        let still_own = |slot: &usize| map.slots[*slot].owner == Some(me);
-        if !giving.given.slots.iter().any(still_own) {
-            self.giving = None;
-            self.give_at = now;
-            return;
-        }
-        let Some(receiver) = giving.given.receiver else {
-            return;
-        };
-        if map.member(receiver).is_none_or(|member| !member.serving) {
-            self.cancel_giving(now);
-        }
-    }
-
-    /// Keeps the slots after all. Only while no write that gives them away can take effect: the
-    /// receiver would own them by it while this process goes on.
-    fn cancel_giving(&mut self, now: TimeMs) {
-        let confirmed = self.giving.as_ref().is_some_and(|giving| giving.confirmed);
-        if confirmed && (self.pending_write() || self.unresolved.is_some()) {
-            return;
-        }
-        self.giving = None;
-        self.give_at = now + self.conf.give_again_ms;
-        self.derive_holding(now);
-    }
-
-    fn pending_write(&self) -> bool {
-        matches!(self.pending, Some((_, _, Pending::Write(_))))
-    }
-
-    fn derive_holding(&mut self, now: TimeMs) {
-        let Some(row) = &self.row else {
-            return;
-        };
-        let me = self.me.instance;
-        let given: &[usize] = self
-            .giving
-            .as_ref()
-            .map_or(&[], |giving| &giving.given.slots);
-        for slot in 0..SLOTS {
-            let entry = row.map.slots[slot];
-            let before = self.holding.held[slot];
-            let held = held_slots::held(slot, entry, me, before, &self.received, now, self.limits);
-            self.holding.held[slot] = held.map(|held| HeldSlot {
-                giving: given.contains(&slot),
-                ..held
-            });
-            let other = entry.owner.filter(|owner| *owner != me);
-            let member = other.and_then(|owner| row.map.member(owner));
-            self.holding.others[slot] = member.map(|member| OtherOwner {
-                node: member.node.clone(),
-                epoch: entry.epoch,
-            });
-        }
-    }
-
-    /// Notes since when members are gone from the view. A member whose node runs as another
-    /// process that joined later is gone, too.
-    fn note_missing(&mut self, now: TimeMs) {
-        let Some(row) = &self.row else {
-            return;
-        };
-        let map = &row.map;
-        let missing = |member: &&Member| {
-            let replaced = map
-                .members
-                .iter()
-                .any(|other| other.node == member.node && other.added > member.added);
-            let is_me = member.instance == self.me.instance;
-            let was_me = member.node == self.me.node && !is_me;
-            !is_me && (replaced || was_me || !self.situation.alive.contains(&member.node))
-        };
-        let missing = map.members.iter().filter(missing);
-        self.missing_since = missing
-            .map(|member| {
-                let since = self.missing_since.get(&member.instance).copied();
-                (member.instance, since.unwrap_or(now))
-            })
-            .collect();
-    }
-
     fn accept_and_plan(&mut self, now: TimeMs, sent_at: TimeMs, row: Row) -> Vec<Action> {
         self.accept(now, sent_at, row);
         let mut actions = Vec::new();
@@ -517,7 +359,7 @@
             .is_some_and(|since| now.since(since) >= 2 * self.conf.read_every_ms)
     }
 
-    fn is_serving(&self, now: TimeMs) -> bool {
+    pub(super) fn is_serving(&self, now: TimeMs) -> bool {
         let since = self.not_serving_since;
         let lately = since.is_some_and(|since| now.since(since) < self.conf.not_serving_ms);
         let listed = |row: &Row| row.map.member(self.me.instance).is_some();
@@ -537,90 +379,6 @@
         actions
     }
 
-    fn start_giving(&mut self, now: TimeMs) -> Option<Action> {
-        if self.giving.is_some() || now < self.give_at || self.pending_write() {
-            return None;
-        }
-        let clean_at = self.clean_at?;
-        if self.unresolved.is_some() || now.since(clean_at) > 2 * self.conf.read_every_ms {
-            return None;
-        }
-        let map = &self.row.as_ref()?.map;
-        let mut slots = map.slots_of(self.me.instance);
-        let stopping = self.situation.stopping;
-        let leaving = stopping || !self.is_serving(now);
-        let alive = |instance: u64| !self.missing_since.contains_key(&instance);
-        let others = candidates(map, alive);
-        let gift = next_gift(&others, self.me.instance, slots.len(), leaving);
-        let given = match gift {
-            Some((receiver, count)) => {
-                slots.drain(..slots.len() - count);
-                self.new_given(Some(receiver), slots)
-            }
-            None if stopping && !slots.is_empty() => self.new_given(None, slots),
-            None => return None,
-        };
-        self.begin_giving(now, given)
-    }
-
-    fn new_given(&mut self, receiver: Option<u64>, slots: Vec<usize>) -> Given {
-        self.transfers += 1;
-        Given {
-            transfer: (self.me.instance << 32) | u64::from(self.transfers),
-            receiver,
-            slots,
-        }
-    }
-
-    fn begin_giving(&mut self, now: TimeMs, given: Given) -> Option<Action> {
-        let member = given
-            .receiver
-            .and_then(|receiver| self.row.as_ref()?.map.member(receiver));
-        let action = member.map(|member| Action::HandOver {
-            transfer: given.transfer,
-            node: member.node.clone(),
-            member: member.instance,
-            slots: given.slots.clone(),
-        });
-        // Without a receiver the slots are released; the next owner then has no ledger.
-        let confirmed = action.is_none();
-        if confirmed {
-            self.next_read_at = now;
-        }
-        self.giving = Some(Giving { given, confirmed });
-        self.derive_holding(now);
-        action
-    }
-
-    /// Asks the members for promises when the table has not answered for a while.
-    fn ask_promises(&mut self, now: TimeMs) -> Vec<Action> {
-        let (Some(clean_at), Some(row)) = (self.clean_at, &self.row) else {
-            return Vec::new();
-        };
-        let waiting = now.since(clean_at) < self.conf.promises_after_ms;
-        if waiting || self.holding.count() == 0 || !self.promises.is_due(now) {
-            return Vec::new();
-        }
-        // Members of other regions may only take over by the long way, which outlasts promises.
-        let asked = row.map.members.iter().filter(|member| {
-            member.instance != self.me.instance && member.region == self.me.region
-        });
-        let members: Vec<(u64, Name)> = asked
-            .map(|member| (member.instance, member.node.clone()))
-            .collect();
-        let next_at = now + self.conf.promises_every_ms;
-        let (round, to_ask) = self.promises.start_round(now, next_at, members);
-        // With nobody to ask there is nobody who could take over by the short way.
-        let nobody = Promise::Granted { hold_ms: u64::MAX };
-        self.on_promise(now, round, self.me.instance, &nobody);
-        let ask = |(member, node)| Action::AskPromise {
-            round,
-            node,
-            member,
-        };
-        to_ask.into_iter().map(ask).collect()
-    }
-
     fn new_op(&mut self) -> u64 {
         self.next_op += 1;
         self.next_op
