--- a/src/errors.rs
+++ b/src/errors.rs
@@ -98,6 +98,8 @@
 pub enum ExperimentError {
     #[error("{text:?} is no change of a setting; give key=value, such as control_enabled=false")]
     Change { text: String },
+    #[error("the run log of {target} lost lines; nothing can be said of its runs")]
+    RunLogLost { target: Name },
     #[error(transparent)]
     Load(#[from] LoadError),
     #[error(transparent)]
--- a/src/load/experiment/overload.rs
+++ b/src/load/experiment/overload.rs
@@ -118,7 +118,11 @@
         let mut surge_runs = Vec::new();
         for (index, target) in mesh.targets.iter().enumerate() {
             let runs = runs_of_events(target.run_events());
-            surge_runs.extend_from_slice(&runs[marks.from[index]..marks.to[index]]);
+            let in_surge = runs.get(marks.from[index]..marks.to[index]);
+            let lost = || ExperimentError::RunLogLost {
+                target: target.name.clone(),
+            };
+            surge_runs.extend_from_slice(in_surge.ok_or_else(lost)?);
             all_runs.extend(runs);
         }
         let spans = PhaseSpan::of_plan(&plan);
@@ -127,10 +131,11 @@
         let run = OverloadRun::of(cell.depth, cell.factor, &cell.variant.name, cell.round)
             .with_figures(&report, &surge_audit, SURGE);
         let name = format!(
-            "overload-d{}-x{}-{}-r{}.json",
+            "overload-d{}-x{}-{}-r{}",
             cell.depth, cell.factor, cell.variant.name, cell.round
         );
-        write_json(&out.join(name), &report)?;
+        write_json(&out.join(format!("{name}.json")), &report)?;
+        write_metrics(&mesh, &out.join(format!("{name}.metrics"))).await?;
         eprintln!("experiment: {run}");
         Ok(run)
     }
@@ -207,6 +212,21 @@
     mesh.targets.iter().map(started).collect()
 }
 
+/// Writes the metrics of all nodes, from which the cause of a figure can be found.
+async fn write_metrics(mesh: &Mesh, path: &Path) -> Result<(), ExperimentError> {
+    let mut text = String::new();
+    for target in &mesh.targets {
+        let answer = mesh.web.get(&target.operator_uri("/metrics")).await?;
+        for line in String::from_utf8_lossy(&answer.body).lines() {
+            if !line.starts_with('#') && !line.ends_with(" 0") {
+                text.push_str(&format!("{} {line}\n", target.name));
+            }
+        }
+    }
+    fs::write(path, text).map_err(|source| LoadError::write(path, source))?;
+    Ok(())
+}
+
 /// Writes a file of an experiment.
 pub fn write_json<T: Serialize>(path: &Path, value: &T) -> Result<(), LoadError> {
     let text = serde_json::to_string(value).expect("plain structs always encode");
