Break off streamed answers that stall, and wait for bodies until the deadline

Cause: a streamed answer whose sender fell silent was waited for for good, as was a caller or node that stopped in the middle of a held body: an archive that never ends, and a task that never goes. Conclusion: streamed uploads that stall still end only with their connection.

--- a/src/errors.rs
+++ b/src/errors.rs
@@ -245,6 +245,8 @@
     CutShort,
     #[error("the body is longer than announced")]
     TooLong,
+    #[error("nothing came of the body for too long")]
+    Stalled,
 }
 
 /// A node that cannot start.
--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -233,7 +233,8 @@
     match answer.body {
         NodeBody::Held(_) => running.succeeded(),
         NodeBody::Streamed { body, len } => {
-            let body = watched(body, len, move |end| running.body_ended(end));
+            let stall_ms = running.node.stall_ms();
+            let body = watched(body, len, stall_ms, move |end| running.body_ended(end));
             answer.body = NodeBody::Streamed { body, len };
         }
     }
--- a/src/node/guard.rs
+++ b/src/node/guard.rs
@@ -159,8 +159,11 @@
     let now = node.inputs.clock.now();
     let deadline = now + u64::from(header.deadline_left_ms);
     caller_headers::strip(&mut parts.headers);
-    let body = read_body(body, node.settings.max_held_body_bytes)
+    let reading = read_body(body, node.settings.max_held_body_bytes);
+    let left = Duration::from_millis(u64::from(header.deadline_left_ms));
+    let body = tokio::time::timeout(left, reading)
         .await
+        .map_err(|_| not_run(RefusalReason::DeadlineExceeded))?
         .map_err(|_| not_run(RefusalReason::BodyCutShort))?;
     if differs(header.body_len, body.len()) {
         return Err(not_run(RefusalReason::BodyCutShort));
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -25,6 +25,9 @@
 use crate::node::status::LedgerFigures;
 use crate::node::targets::Targets;
 
+/// Nothing of a streamed answer for so many times the silence of the settings ends it. Longer than
+/// for heads, as nobody can be asked for the rest and slow storage pauses too.
+const STALL_FACTOR: u64 = 20;
 /// Refused connections in a row after which the backend server counts as down.
 const DOWN_AFTER_REFUSALS: u32 = 3;
 /// How long an unused connection towards the backend server is kept, in milliseconds.
@@ -80,6 +83,11 @@
         }
     }
 
+    /// How long a streamed answer may bring nothing before it is broken off.
+    pub(super) fn stall_ms(&self) -> u64 {
+        self.settings.silence_ms * STALL_FACTOR
+    }
+
     /// Begins a planned stop: new work is refused from now on, what runs is finished.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Release);
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -281,6 +281,7 @@
 /// Keeps a streamed answer counted as in flight until its end, and checks its length on the way.
 fn holding(node: &Arc<Node>, mut answer: Answer, in_flight: InFlightAt) -> Answer {
     if let NodeBody::Streamed { body, len } = answer.body {
+        let stall_ms = node.stall_ms();
         let node = node.clone();
         let on_end = move |end| {
             if end == BodyEnd::Broken {
@@ -288,7 +289,7 @@
             }
             drop(in_flight);
         };
-        let body = watched(body, len, on_end);
+        let body = watched(body, len, stall_ms, on_end);
         answer.body = NodeBody::Streamed { body, len };
     }
     answer
--- a/src/node/take_call.rs
+++ b/src/node/take_call.rs
@@ -1,8 +1,10 @@
 //! Classifying a call by the preset in force and taking in its body.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Request;
+use tokio::time::timeout;
 
 use crate::adapters::Body;
 use crate::admission::route_of;
@@ -61,7 +63,7 @@
         .is_some_and(|key| heritage.is_child && heritage.holder.is_first_sending(&service, key));
     let path_and_query = path_and_query.to_owned();
     caller_headers::strip(&mut parts.headers);
-    let body = held_or_streamed(node, body).await?;
+    let body = held_or_streamed(node, body, deadline.since(now)).await?;
     Ok(Call {
         service,
         route,
@@ -144,10 +146,15 @@
         .ok_or_else(|| not_run(RefusalReason::BadRequest))
 }
 
-async fn held_or_streamed(node: &Node, body: Body) -> Result<NodeBody, Refusal> {
-    read_body(body, node.settings.max_held_body_bytes)
-        .await
-        .map_err(|_| not_run(RefusalReason::BodyCutShort))
+/// Takes in a body within the deadline: a caller whose connection went silent in the middle of it
+/// would be waited for for good.
+async fn held_or_streamed(node: &Node, body: Body, left_ms: u64) -> Result<NodeBody, Refusal> {
+    let reading = read_body(body, node.settings.max_held_body_bytes);
+    match timeout(Duration::from_millis(left_ms), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(_)) => Err(not_run(RefusalReason::BodyCutShort)),
+        Err(_) => Err(not_run(RefusalReason::DeadlineExceeded)),
+    }
 }
 
 fn not_run(reason: RefusalReason) -> Refusal {
--- a/src/node/watched_body.rs
+++ b/src/node/watched_body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Buf;
 use bytes::Bytes;
@@ -11,6 +12,8 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 
 use crate::adapters::Body;
 use crate::errors::BodyError;
@@ -32,20 +35,27 @@
     inner: Body,
     left_bytes: Option<u64>,
     on_end: Option<OnEnd>,
+    stall: Duration,
+    /// Runs while the sender is waited for, and not while the receiver takes its time.
+    waits: Option<Pin<Box<Sleep>>>,
 }
 
 /// Watches a body. Guards against an answer cut short that looks whole to its receiver: the body
 /// then ends in an error, upon which the HTTP library closes the connection without the last
-/// chunk or before the announced length, and every HTTP client sees that as a failure.
+/// chunk or before the announced length, and every HTTP client sees that as a failure. A sender of which nothing comes for `stall_ms` counts
+/// as gone: its connection may have gone silent, and the receiver would wait for good.
 pub(super) fn watched(
     inner: Body,
     len: Option<u64>,
+    stall_ms: u64,
     on_end: impl FnOnce(BodyEnd) + Send + 'static,
 ) -> Body {
     let watched = WatchedBody {
         inner,
         left_bytes: len,
         on_end: Some(Box::new(on_end)),
+        stall: Duration::from_millis(stall_ms),
+        waits: None,
     };
     watched.boxed_unsync()
 }
@@ -57,6 +67,15 @@
         }
     }
 
+    fn wait(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let stall = self.stall;
+        let waits = self.waits.get_or_insert_with(|| Box::pin(sleep(stall)));
+        match waits.as_mut().poll(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(()) => self.broken(io::Error::other(BodyError::Stalled)),
+        }
+    }
+
     fn broken(&mut self, error: io::Error) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         self.end(BodyEnd::Broken);
         Poll::Ready(Some(Err(error)))
@@ -86,8 +105,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match Pin::new(&mut self.inner).poll_frame(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(frame))) => self.take(frame),
+            Poll::Pending => self.wait(context),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.waits = None;
+                self.take(frame)
+            }
             Poll::Ready(Some(Err(error))) => self.broken(error),
             Poll::Ready(None) if self.left_bytes.is_some_and(|left| left > 0) => {
                 self.broken(io::Error::other(BodyError::CutShort))
--- a/tests/node_answers.rs
+++ b/tests/node_answers.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use futures::StreamExt;
 use futures::stream;
 use http::HeaderValue;
 use http::Request;
@@ -220,3 +221,27 @@
     assert!(body.is_err(), "a cut archive must not look whole");
     assert!(mesh.nodes[entry].node.metrics.broken_answers.get() >= 1);
 }
+
+async fn stalls(_request: Request<Body>, _local: SocketAddr) -> Response<Body> {
+    let good = (0..20).map(|_| Ok(Frame::data(Bytes::from(vec![7_u8; 16_384]))));
+    let body = StreamBody::new(stream::iter(good).chain(stream::pending()));
+    Response::new(body.boxed_unsync())
+}
+
+/// An archive is streamed, and after 300 KB nothing more comes, though no connection is closed. An
+/// analyst who waits for it loses the afternoon. The stream is broken off visibly after a while.
+#[tokio::test]
+async fn a_streamed_answer_that_stalls_is_broken_off() {
+    let mut mesh = TestMesh::new();
+    let mut settings = node_settings("one");
+    settings.silence_ms = 50;
+    let entry = mesh
+        .add_with(settings, plain_preset(), "archives", stalls)
+        .await;
+    let request = Request::get(mesh.uri(entry, "/archives/7")).body(full_body(""));
+    let response = mesh.client.request(request.expect("valid")).await;
+    let response = response.expect("the head comes");
+    let body = response.into_body().collect().await;
+    assert!(body.is_err(), "a cut archive must not look whole");
+    assert!(mesh.nodes[entry].node.metrics.broken_answers.get() >= 1);
+}
