--- a/tests/mesh_claims.rs
+++ b/tests/mesh_claims.rs
@@ -277,6 +277,8 @@
     let inside = inside.stop().await;
     let outside = outside.stop().await;
     report("inside a domain cut off", &inside, from, to);
+    let lapsed = from + Duration::from_millis(2 * LEASE_MS);
+    report("inside, after the lease", &inside, lapsed, to);
     report(
         "outside, until the grace period is over",
         &outside,
