Name the waiting call in the gate and mend a doc comment

Cause: a guard value was called told, and a doc comment bore slashes in its middle. Measured: node_path 2, node_retries 7, node_answers 14, mesh_serves 2 tests pass. Conclusion: no behaviour changed.

--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -72,7 +72,7 @@
     /// # Errors
     /// The refusal, at once when admission decides so.
     pub(super) async fn admit(self: &Arc<Self>, mut call: QueuedCall) -> Word {
-        let (told, word) = {
+        let (_waiting, word) = {
             let mut state = self.lock();
             state.next_ticket += 1;
             call.ticket = state.next_ticket;
@@ -92,9 +92,8 @@
             (Waiting::new(self.clone(), call.ticket), told)
         };
         self.poll();
-        let end = word.await;
-        drop(told);
-        end.unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::Overloaded, 0)))
+        word.await
+            .unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::Overloaded, 0)))
     }
 
     /// Lets admission look at the time: starts what there is room for, refuses what waited long.
--- a/src/node/peer_call.rs
+++ b/src/node/peer_call.rs
@@ -65,7 +65,7 @@
     may_give_up: bool,
 }
 
-/// Sends the call to one target and waits for the end. /// `share` of the call's allotment goes along.
+/// Sends the call to one target, with `share` of its allotment, and waits for the end.
 pub(super) async fn call_peer(
     node: &Arc<Node>,
     call: &mut Call,
