Keep a class shed when its own route brings no more news, and let chance move no level

Now what other routes say of the service holds meanwhile, and one call a second passes to ask. One call standing in a slow queue no longer lowers the level; three do.

--- a/src/admission/level_control.rs
+++ b/src/admission/level_control.rs
@@ -14,6 +14,10 @@
 const MEMORY: f32 = 0.7;
 /// What is admitted after overload, as a share of what was run.
 const FIT: f32 = 1.0;
+/// Fewer calls than this standing in the queue are chance, however slowly they are run.
+const LOWER_QUEUED: usize = 3;
+/// The level rises whatever they wait for while fewer than this stand in the queue.
+const RAISE_QUEUED: usize = 1;
 /// By which share of what is run the level is raised in a window.
 const CAUTIOUS_STEP: f32 = 0.02;
 /// The most by which it is raised in a window.
@@ -136,9 +140,9 @@
         self.remember();
         let wait_ms = queued as f32 * self.window_ms as f32 / self.run_per_window.max(0.1);
         let target_ms = self.wait_target_ms as f32;
-        if wait_ms > target_ms * 2.0 {
+        if wait_ms > target_ms * 2.0 && queued >= LOWER_QUEUED {
             self.lower();
-        } else if wait_ms < target_ms {
+        } else if wait_ms < target_ms || queued < RAISE_QUEUED {
             self.raise();
         }
         self.window = Window::NEW;
--- a/src/admission/levels.rs
+++ b/src/admission/levels.rs
@@ -7,6 +7,8 @@
 
 /// A level that has not been heard of for this long no longer holds.
 const FRESH_MS: u64 = 500;
+/// How often a call passes to ask for the level of a route that is shed as a whole.
+const ASK_MS: u64 = 1_000;
 /// Services and routes remembered at most; beyond it those not heard of for longest go.
 const MOST_ENTRIES: usize = 4_096;
 
@@ -22,6 +24,7 @@
 struct Heard {
     level: Priority,
     at: TimeMs,
+    asked_at: TimeMs,
 }
 
 /// The admission level of each service and route, held where calls are sent from: at entries for
@@ -39,7 +42,11 @@
 impl Levels {
     /// Takes in the level that an answer of `service` to a call on `route` brought.
     pub fn note(&mut self, now: TimeMs, service: &Name, route: &str, level: Priority) {
-        let heard = Heard { level, at: now };
+        let heard = Heard {
+            level,
+            at: now,
+            asked_at: now,
+        };
         let routes = self.heard.entry(service.clone()).or_default();
         if let Some(known) = routes.get_mut(route) {
             *known = heard;
@@ -52,18 +59,50 @@
         }
     }
 
-    /// Whether a call may be sent; when not, it would be shed by the service or behind it.
-    pub fn may_pass(&self, now: TimeMs, service: &str, route: &str, priority: Priority) -> bool {
-        priority <= self.level(now, service, route)
+    /// Whether a call may be sent; when not, it would be shed by the service or behind it. Where the
+    /// route has not been heard of lately, one call now and then passes all the same, to ask.
+    pub fn may_pass(
+        &mut self,
+        now: TimeMs,
+        service: &str,
+        route: &str,
+        priority: Priority,
+    ) -> bool {
+        if priority <= self.level(now, service, route) {
+            return true;
+        }
+        let heard = self
+            .heard
+            .get_mut(service)
+            .and_then(|routes| routes.get_mut(route));
+        match heard {
+            Some(heard) if now.since(heard.at.max(heard.asked_at)) > ASK_MS => {
+                heard.asked_at = now;
+                true
+            }
+            _ => false,
+        }
     }
 
     /// The lowest priority that the service, and those behind it on this route, admit.
+    ///
+    /// Guards against a class with a route of its own being let in at once by all nodes whenever
+    /// the route's level grows old: since the class is shed, no answer renews it. What answers on
+    /// other routes say of the same service holds for it meanwhile, the most lenient of them, for
+    /// what is behind this route may be less loaded than what is behind others.
     pub fn level(&self, now: TimeMs, service: &str, route: &str) -> Priority {
-        let heard = self.heard.get(service).and_then(|routes| routes.get(route));
-        match heard {
-            Some(heard) if now.since(heard.at) <= FRESH_MS => heard.level,
-            _ => Priority::LOWEST,
+        let Some(routes) = self.heard.get(service) else {
+            return Priority::LOWEST;
+        };
+        let is_fresh = |heard: &&Heard| now.since(heard.at) <= FRESH_MS;
+        if let Some(heard) = routes.get(route).filter(is_fresh) {
+            return heard.level;
         }
+        let fresh = routes.values().filter(is_fresh);
+        fresh
+            .map(|heard| heard.level)
+            .max()
+            .unwrap_or(Priority::LOWEST)
     }
 
     fn evict(&mut self, now: TimeMs) {
--- a/tests/admission_chain.rs
+++ b/tests/admission_chain.rs
@@ -16,17 +16,31 @@
     ..Story::ORDINARY
 };
 
+/// The shape of `sassafrasgap-load experiment overload`.
+const MESH: Story = Story {
+    targets: 2,
+    slots: 200,
+    deep_slots: 8,
+    own_us: 1_000,
+    deep_us: 50_000,
+    spread_percent: 100,
+    slow_percent: 200,
+    classes: [10, 5, 35, 50],
+    ..Story::ORDINARY
+};
+
 fn line(name: &str, story: &Story, report: &Report) {
     let lost: Vec<String> = (0..4)
         .map(|class| format!("{:.1}", report.lost_percent(class, story)))
         .collect();
     println!(
-        "{name:<12} depth={} surge={}% goodput={:.0}/s ({:.0}%) wasted={:.1}% lost%={} p99={}ms rec={}ms relapses={} | before {:.0}/s p99={}ms failed={:.2}%",
+        "{name:<12} depth={} surge={}% goodput={:.0}/s ({:.0}%) wasted={:.1}%/{:.1}% lost%={} p99={}ms rec={}ms relapses={} | before {:.0}/s p99={}ms failed={:.2}%",
         story.depth,
         story.surge_percent,
         report.surge_goodput(story),
         report.surge_goodput(story) * 100.0 / story.slow_capacity(),
         report.wasted_percent(),
+        report.wasted_runs_percent(story),
         lost.join("/"),
         report.latency_us(99, story.surge_from_ms + 1000, story.surge_to_ms) / 1000,
         report.recovery_ms(story),
@@ -209,6 +223,21 @@
                 ..ordinary.clone()
             },
         ),
+        ("mesh x4", MESH),
+        (
+            "mesh x2",
+            Story {
+                surge_percent: 200,
+                ..MESH
+            },
+        ),
+        (
+            "mesh x1",
+            Story {
+                surge_percent: 100,
+                ..MESH
+            },
+        ),
         (
             "few slots above",
             Story {
--- /dev/null
+++ b/tests/admission_levels.rs
@@ -0,0 +1,62 @@
+//! What entries and guards learn of levels from answers.
+
+use rstest::rstest;
+use sassafrasgap::admission::Dependencies;
+use sassafrasgap::admission::Levels;
+use sassafrasgap::admission::route_of;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Priority;
+use sassafrasgap::core::TimeMs;
+
+const NOW: TimeMs = TimeMs(10_000);
+
+// Story: a class with a route of its own is shed as a whole, so no answer renews the level of its
+// route. Users of more important classes would see a wave of the shed class take the queue twice a
+// second. Cause: a level that nobody renews lapses.
+#[test]
+fn a_route_that_is_shed_as_a_whole_stays_shed_while_the_service_is_heard_of() {
+    let service = Name::from("deep");
+    let level = Priority::new(1, 0);
+    let shed = Priority::new(3, 7);
+    let mut levels = Levels::default();
+    levels.note(NOW, &service, "lookups", level);
+    let mut passed = 0;
+    for at_ms in (0..5_000).step_by(10) {
+        let now = NOW + at_ms;
+        levels.note(now, &service, "jobs", level);
+        passed += u32::from(levels.may_pass(now, &service, "lookups", shed));
+    }
+    assert!((1..=5).contains(&passed), "{passed} calls passed to ask");
+    levels.note(NOW + 5_000, &service, "jobs", Priority::LOWEST);
+    assert!(levels.may_pass(NOW + 5_001, &service, "lookups", shed));
+}
+
+#[test]
+fn a_level_that_nobody_renews_lapses() {
+    let service = Name::from("deep");
+    let mut levels = Levels::default();
+    levels.note(NOW, &service, "jobs", Priority::new(0, 9));
+    assert!(!levels.may_pass(NOW + 400, &service, "jobs", Priority::new(2, 0)));
+    assert!(levels.may_pass(NOW + 600, &service, "jobs", Priority::new(2, 0)));
+}
+
+#[test]
+fn the_level_of_a_deep_service_passes_through_those_that_depend_on_it() {
+    let deep = Name::from("deep");
+    let level = Priority::new(1, 5);
+    let mut levels = Levels::default();
+    let mut dependencies = Dependencies::default();
+    dependencies.note(NOW, "menus", &deep, "stock");
+    levels.note(NOW, &deep, "stock", level);
+    let own = Priority::LOWEST;
+    assert_eq!(dependencies.level(NOW, "menus", own, &levels), level);
+    assert_eq!(dependencies.level(NOW, "static", own, &levels), own);
+}
+
+#[rstest]
+#[case("/jobs/7?x=1", "jobs")]
+#[case("/jobs?x=1", "jobs")]
+#[case("/", "")]
+fn a_route_is_the_first_segment(#[case] path: &str, #[case] route: &str) {
+    assert_eq!(route_of(path), route);
+}
--- a/tests/fake_chain/chain.rs
+++ b/tests/fake_chain/chain.rs
@@ -36,7 +36,9 @@
 const BASELINE_RETRIES: u32 = 3;
 const BASELINE_CONNECTIONS: usize = 700;
 const ENTRIES: usize = 3;
-const ROUTES: [&str; 2] = ["deep", "shallow"];
+/// Each class has a route of its own, so that a class that is shed brings no news of its route.
+const ROUTES: [&str; 4] = ["jobs", "charges", "notebooks", "lookups"];
+const SHALLOW: &str = "shallow";
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -233,7 +235,10 @@
     }
 
     fn route(&self, root: usize) -> &'static str {
-        ROUTES[usize::from(self.roots[root].shallow)]
+        match self.roots[root].shallow {
+            true => SHALLOW,
+            false => ROUTES[self.roots[root].class],
+        }
     }
 
     fn send(&mut self, index: usize) {
@@ -244,14 +249,15 @@
         let attempt = root.attempt;
         let patience_us = DEADLINE_MS[root.class] * 1_000;
         let priority = self.priority(&self.roots[index]);
-        let entry = &self.entries[index % ENTRIES];
         let route = self.route(index);
+        let entry = &mut self.entries[index % ENTRIES];
         if self.story.control == Control::Levels
             && !entry.may_pass(now, &self.names[0], route, priority)
         {
             self.attempt_failed(index, attempt, 200);
             return;
         }
+        self.report.entered += 1;
         self.after(patience_us, Event::GiveUp(index, attempt));
         self.forward(index, None, 0, now_us + patience_us, 0);
     }
@@ -403,7 +409,10 @@
         let warming = self.now_us / 1_000 < self.story.warm_ms;
         let cold = deep && warming && self.calls[index].target == 0;
         let mean_us = if cold { mean_us * 4 } else { mean_us };
-        let work_us = mean_us / 2 + self.exponential(mean_us as f64 / 2.0);
+        let spread = self.story.spread_percent;
+        let varying_us = (mean_us * spread / 100) as f64;
+        let work_us = mean_us * (100 - spread) / 100 + self.exponential(varying_us);
+        self.report.runs += 1;
         let call = &self.calls[index];
         let root = &mut self.roots[call.root];
         self.report.work_us += work_us;
--- a/tests/fake_chain/report.rs
+++ b/tests/fake_chain/report.rs
@@ -28,6 +28,10 @@
     pub lost: Vec<Lost>,
     pub work_us: u64,
     pub wasted_us: u64,
+    /// Attempts that the entries let pass.
+    pub entered: u64,
+    /// Calls that backend servers ran.
+    pub runs: u64,
     pub not_run_after_start: u64,
     pub failed_at_ms: Vec<u64>,
     pub events: u64,
@@ -50,6 +54,12 @@
         self.wasted_us as f64 * 100.0 / self.work_us.max(1) as f64
     }
 
+    /// Calls that backend servers ran for attempts that failed, in percent of all that they ran.
+    pub fn wasted_runs_percent(&self, story: &Story) -> f64 {
+        let useful = (self.done.len() * story.depth) as f64;
+        (self.runs as f64 - useful) * 100.0 / self.runs as f64
+    }
+
     /// The share of the root requests of a class, first sent in the surge, that were lost.
     pub fn lost_percent(&self, class: usize, story: &Story) -> f64 {
         let from = story.surge_from_ms;
--- a/tests/fake_chain/story.rs
+++ b/tests/fake_chain/story.rs
@@ -48,6 +48,8 @@
     pub announced_percent: u32,
     pub own_us: u64,
     pub deep_us: u64,
+    /// The part of service times that varies, exponentially, in percent.
+    pub spread_percent: u64,
     /// The deep backend servers shed what exceeds their slots instead of queueing it inside.
     pub sheds: bool,
     /// One deep target joins at this time, cold: until `warm_ms` it takes four times as long.
@@ -93,6 +95,7 @@
         announced_percent: 100,
         own_us: 5_000,
         deep_us: 30_000,
+        spread_percent: 50,
         sheds: false,
         joins_ms: 0,
         warm_ms: 0,
