Split membership by job, and let questions for a first configuration grow rarer

Cause: two files of membership had grown over 500 lines; and with the platform down and no configuration ever in force, each node asked all others for one five times a second, without end. Mutations by hand, one guard taken out at a time. Caught: evidence of the failure domain, last probe, waiting on hearsay, new beginning of a suspicion, rate of refutations, probes into a cut, suspicions dropped on silence and on hearing again, watching is no answer, stale incarnation, death against revival, pause. Three were not caught at first (pause, watching, telling the sender, whose test passed by accident) and one more (a stale word of others): each has a stricter or a new test now.

--- a/src/configuration/config_task.rs
+++ b/src/configuration/config_task.rs
@@ -31,8 +31,11 @@
 /// How many peers are asked at the start, in one round: enough that nodes of the own failure
 /// domain are among the seeds asked, whose domains are not known yet.
 const FIRST_PEERS: usize = 32;
-/// The pause between two rounds of questions at the start.
+/// The pause after the first round of questions at the start; it doubles with each round.
 const ROUND_PAUSE_MS: u64 = 200;
+/// The longest pause. Before anything was ever in force, with the platform down, all nodes ask for
+/// as long as that lasts; asking on without growing pauses took 8 KB/s of each node.
+const LONGEST_ROUND_PAUSE_MS: u64 = 12_800;
 
 /// Runs on the control thread.
 pub struct ConfigTask {
@@ -63,6 +66,7 @@
 /// Asks until something is in force; the platform's answer ends it as well. It does not end at
 /// the first answer: see [`crate::configuration::ConfigState`].
 async fn ask_first_peers(shared: &ConfigShared, ports: &ConfigPorts) {
+    let mut pause_ms = ROUND_PAUSE_MS;
     while shared.version() == 0 {
         let mut peers = (ports.first_peers)();
         peers.truncate(FIRST_PEERS);
@@ -73,7 +77,8 @@
         if let Some(version) = shared.finish_asking() {
             (ports.announce)(version);
         }
-        sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
+        sleep(Duration::from_millis(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(LONGEST_ROUND_PAUSE_MS);
     }
 }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,9 +4,11 @@
 
 mod action;
 mod codec;
+mod compare;
 mod datagram;
 mod digest;
 mod domain_watch;
+mod exchange;
 mod incarnation;
 mod member;
 mod member_table;
@@ -14,10 +16,12 @@
 mod news_budget;
 mod probe_ring;
 mod probes;
+mod probing;
 mod receive;
 mod settings;
 mod slot_map_versions;
 mod spread;
+mod suspicion;
 mod update_queue;
 mod view_builder;
 
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -6,33 +6,16 @@
 use super::Applied;
 use super::Body;
 use super::Datagram;
-use super::FixedDigest;
 use super::Header;
 use super::Membership;
 use super::Receiver;
 use super::Standing;
 use super::Update;
-use super::digest::BUCKETS;
-use super::encoded_bytes;
 use super::member_table::record_of;
-use crate::core::FastMap;
 use crate::core::Name;
-use crate::core::Target;
 use crate::core::TargetState;
 use crate::core::TimeMs;
 
-/// With more differing buckets than this, everything is exchanged over a control call.
-const MAX_DIFFERING_BUCKETS: usize = 16;
-/// How many buckets are answered at once; the next comparison finds the rest.
-const ANSWERED_BUCKETS: usize = 4;
-/// After this many compare periods without equal digests, tables are compared although changes
-/// still come in.
-const PATIENT_PERIODS: u64 = 5;
-/// The least time between two full exchanges that this node starts.
-const EXCHANGE_PERIOD_MS: u64 = 2_000;
-/// More new members than this from one exchange are not passed on one by one: others get them
-/// by exchanges too.
-const MAX_PASSED_ON: usize = 32;
 /// The least time between two hints that a peer has newer configuration.
 const CONFIG_NEWS_PERIOD_MS: u64 = 200;
 /// How long digests of slot maps may differ before they are compared.
@@ -71,69 +54,6 @@
         actions
     }
 
-    /// All members, for a full exchange over a control call.
-    pub fn all_members(&self) -> Vec<Target> {
-        self.table
-            .iter()
-            .map(|member| {
-                let mut target = member.own.clone();
-                if member.standing == Standing::Dead {
-                    target.state = TargetState::Dead;
-                }
-                target
-            })
-            .collect()
-    }
-
-    /// Answers a full exchange: takes in what the asker knows, and returns what it lacks or holds
-    /// older.
-    pub fn answer_exchange(
-        &mut self,
-        now: TimeMs,
-        from: SocketAddr,
-        members: &[Target],
-    ) -> (Vec<Target>, Vec<Action>) {
-        let theirs: FastMap<&Name, (u64, bool)> = members
-            .iter()
-            .map(|target| (&target.node, order_of_target(target)))
-            .collect();
-        let mut answer = self.all_members();
-        answer.retain(|ours| {
-            let held = theirs.get(&ours.node);
-            held.is_none_or(|held| order_of_target(ours) > *held)
-        });
-        (answer, self.merge(now, from, members))
-    }
-
-    /// Takes in what a full exchange brought from `from`.
-    pub fn merge(&mut self, now: TimeMs, from: SocketAddr, members: &[Target]) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let is_bulk = members.len() > self.table.len() + MAX_PASSED_ON;
-        for target in members {
-            let (node, incarnation) = (target.node.clone(), target.incarnation);
-            if target.state != TargetState::Dead {
-                self.apply_from(
-                    &Update::Own(target.clone()),
-                    from,
-                    !is_bulk,
-                    now,
-                    &mut actions,
-                );
-                continue;
-            }
-            let mut own = target.clone();
-            own.state = TargetState::Starting;
-            let is_unknown = self.table.get(&node).is_none();
-            if !is_unknown {
-                self.apply_from(&Update::Own(own), from, false, now, &mut actions);
-                let dead = Update::Dead { node, incarnation };
-                self.apply_from(&dead, from, !is_bulk, now, &mut actions);
-            }
-        }
-        self.publish_if_stale(&mut actions);
-        actions
-    }
-
     /// Somebody else uses this node's name: an earlier process's datagram that came late, or two
     /// nodes with the same settings. The larger incarnation wins the name.
     fn handle_namesake(&mut self, now: TimeMs, from: SocketAddr, incarnation: u64) -> Vec<Action> {
@@ -148,7 +68,7 @@
         self.apply_from(update, from, true, now, actions);
     }
 
-    fn apply_from(
+    pub(super) fn apply_from(
         &mut self,
         update: &Update,
         from: SocketAddr,
@@ -375,165 +295,13 @@
         }
         self.send_to(Receiver::far(from), Body::WhoAreYou, now, actions);
     }
-
-    /// Starts a comparison when the digests differ for long: just after a change they differ
-    /// anyway, until the update has gone round.
-    fn compare_members(
-        &mut self,
-        header: &Header,
-        from: SocketAddr,
-        now: TimeMs,
-        actions: &mut Vec<Action>,
-    ) {
-        if header.members_digest == self.table.digest() {
-            self.schedule.last_equal = now;
-            return;
-        }
-        if self.lacks_many(header.members) {
-            self.start_exchange(from, now, actions);
-            return;
-        }
-        let period_ms = self.settings.compare_period_ms;
-        let is_settled = now.since(self.table.last_change()) >= period_ms;
-        let is_overdue = now.since(self.schedule.last_equal) >= PATIENT_PERIODS * period_ms;
-        if now < self.schedule.next_compare || !(is_settled || is_overdue) {
-            return;
-        }
-        self.schedule.next_compare = now + period_ms + self.rng.u64(0..period_ms.max(1));
-        let digests = self.table.buckets().map(FixedDigest).to_vec();
-        self.send_to(Receiver::far(from), Body::Buckets { digests }, now, actions);
-    }
-
-    /// Whether a peer knows so many more members that comparing bucket by bucket is too slow; it
-    /// is so when everything starts at once.
-    fn lacks_many(&self, their_members: u32) -> bool {
-        let ours = self.table.alive();
-        their_members as usize > ours + ours / 8 + MAX_PASSED_ON / 4
-    }
-
-    fn start_exchange(&mut self, with: SocketAddr, now: TimeMs, actions: &mut Vec<Action>) {
-        if now >= self.schedule.next_exchange {
-            self.schedule.next_exchange = now + EXCHANGE_PERIOD_MS;
-            actions.push(Action::Exchange { with });
-        }
-    }
-
-    fn answer_buckets(
-        &mut self,
-        theirs: &[FixedDigest],
-        from: SocketAddr,
-        now: TimeMs,
-        actions: &mut Vec<Action>,
-    ) {
-        if theirs.len() != BUCKETS {
-            return;
-        }
-        let ours = self.table.buckets();
-        let mut differing: Vec<usize> = (0..BUCKETS)
-            .filter(|bucket| ours[*bucket] != theirs[*bucket].0)
-            .collect();
-        if differing.len() > MAX_DIFFERING_BUCKETS {
-            self.start_exchange(from, now, actions);
-            return;
-        }
-        self.rng.shuffle(&mut differing);
-        differing.truncate(ANSWERED_BUCKETS);
-        for bucket in differing {
-            let updates = self.table.bucket_updates(bucket);
-            self.send_entries(bucket as u16, updates, true, from, now, actions);
-        }
-    }
-
-    /// Sends back what is known better here than in the entries received.
-    fn answer_entries(
-        &mut self,
-        bucket: u16,
-        received: &[Update],
-        from: SocketAddr,
-        now: TimeMs,
-        actions: &mut Vec<Action>,
-    ) {
-        let theirs: FastMap<&Name, &Update> = received
-            .iter()
-            .map(|update| (node_of(update), update))
-            .collect();
-        let mut better = self.table.bucket_updates(bucket as usize % BUCKETS);
-        better.retain(|ours| {
-            theirs
-                .get(node_of(ours))
-                .is_none_or(|theirs| is_newer(ours, theirs))
-        });
-        if !better.is_empty() {
-            self.send_entries(bucket, better, false, from, now, actions);
-        }
-    }
-
-    /// A bucket that does not fit one datagram is sent in several; none of them is then complete,
-    /// so no reply is asked for.
-    fn send_entries(
-        &mut self,
-        bucket: u16,
-        updates: Vec<Update>,
-        reply: bool,
-        to: SocketAddr,
-        now: TimeMs,
-        actions: &mut Vec<Action>,
-    ) {
-        let parts = split(updates, self.settings.max_datagram_bytes);
-        let reply = reply && parts.len() == 1;
-        for updates in parts {
-            let datagram = Datagram {
-                header: self.header(false, now),
-                body: Body::Entries { bucket, reply },
-                updates,
-            };
-            actions.push(Action::Send { to, datagram });
-        }
-    }
 }
 
 /// The node an update is about; that of a slot map is no member's name.
-fn node_of(update: &Update) -> &Name {
+pub(super) fn node_of(update: &Update) -> &Name {
     match update {
         Update::Own(target) => &target.node,
         Update::Suspect { node, .. } | Update::Dead { node, .. } => node,
         Update::SlotMap { service, .. } => service,
     }
 }
-
-/// Whether `ours` overrides `theirs` about the same member.
-fn is_newer(ours: &Update, theirs: &Update) -> bool {
-    order_of(ours) > order_of(theirs)
-}
-
-fn order_of(update: &Update) -> (u64, u8) {
-    match update {
-        Update::Own(target) => (target.incarnation, 0),
-        Update::Suspect { incarnation, .. } => (*incarnation, 1),
-        Update::Dead { incarnation, .. } => (*incarnation, 2),
-        Update::SlotMap { version, .. } => (*version, 0),
-    }
-}
-
-fn order_of_target(target: &Target) -> (u64, bool) {
-    (target.incarnation, target.state == TargetState::Dead)
-}
-
-/// Cuts updates into parts of at most `max_bytes`; an empty list is one empty part.
-fn split(updates: Vec<Update>, max_bytes: usize) -> Vec<Vec<Update>> {
-    let mut parts = vec![Vec::new()];
-    let mut bytes = 0;
-    for update in updates {
-        let update_bytes = encoded_bytes(&update);
-        if bytes + update_bytes > max_bytes && bytes > 0 {
-            parts.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += update_bytes;
-        parts
-            .last_mut()
-            .expect("there is always a part")
-            .push(update);
-    }
-    parts
-}
--- a/tests/membership_order.rs
+++ b/tests/membership_order.rs
@@ -189,6 +189,20 @@
     assert_eq!(member.own().state, TargetState::Starting);
 }
 
+#[rstest]
+#[case::suspected(Update::Suspect { node: Name::from("node-x"), incarnation: 2 })]
+#[case::dead(Update::Dead { node: Name::from("node-x"), incarnation: 2 })]
+fn a_stale_word_of_others_does_not_touch_a_newer_incarnation(#[case] stale: Update) {
+    // A node was taken for dead, came back and said so. Then the old news of its death arrives by
+    // a detour: it must not take the node out of service again.
+    let mut member = member();
+    let newer = Update::Own(target("node-x", 3, TargetState::Up));
+    member.handle(NOW, address(7_002), rumor(vec![newer]));
+    member.handle(NOW, address(7_002), rumor(vec![stale]));
+    let held = member.table().get("node-x").expect("it was told");
+    assert_eq!(held.published.state, TargetState::Up);
+}
+
 #[rstest]
 fn two_nodes_with_one_name_do_not_outbid_each_other_without_end() {
     // A copied settings file: two nodes bear one name, and each overrides what the other says of
@@ -204,6 +218,40 @@
     assert!((1..=45).contains(&raised), "raised {raised} times in 10 s");
 }
 
+#[rstest]
+fn a_suspect_that_answers_is_not_probed_without_pause() {
+    // A suspect answers, but its refutation is lost on the way. Its last probe came due; without a
+    // new beginning of the suspicion it would be probed again at every tick.
+    let mut member = member();
+    let told = Update::Own(target("node-x", 1 << 16, TargetState::Up));
+    member.handle(NOW, address(7_002), rumor(vec![told]));
+    let suspicion = Update::Suspect {
+        node: Name::from("node-x"),
+        incarnation: 1 << 16,
+    };
+    member.handle(NOW, address(7_002), rumor(vec![suspicion]));
+    let mut pings = 0;
+    for tenth in 1..300 {
+        let now = NOW + tenth * 100;
+        for action in member.tick(now) {
+            let Action::Send { to, datagram } = action else {
+                continue;
+            };
+            if let Body::Ping { sequence } = datagram.body {
+                pings += 1;
+                let ack = Datagram {
+                    header: header("node-x", 1 << 16),
+                    body: Body::Ack { sequence },
+                    updates: Vec::new(),
+                };
+                member.handle(now, to, ack);
+            }
+        }
+    }
+    // One ordinary probe a second, and a last one now and then.
+    assert!(pings <= 45, "{pings} pings in 30 s");
+}
+
 #[rstest]
 fn a_sender_whose_record_is_newer_here_is_told() {
     // A node restarts and pings before it learnt anything. The answer must carry what is held
@@ -216,6 +264,10 @@
         body: Body::Ping { sequence: 9 },
         updates: Vec::new(),
     };
+    // Until the news about it has been passed on often enough, every datagram carries it anyway.
+    for _ in 0..50 {
+        member.handle(NOW, address(7_000), ping.clone());
+    }
     let actions = member.handle(NOW, address(7_000), ping);
     let told = actions.iter().any(|action| match action {
         Action::Send { to, datagram } => *to == address(7_000) && datagram.updates.contains(&held),
--- a/tests/membership_partitions.rs
+++ b/tests/membership_partitions.rs
@@ -186,7 +186,13 @@
     net.kill(restarted);
     net.run_ms(1_000);
     net.restart(restarted);
-    net.run_ms(15_000);
+    // The restarted node has yet to notice the cut; the others must not take that for an answer.
+    let others: Vec<usize> = net.members_of(2).skip(2).collect();
+    for _ in 0..150 {
+        net.run_ms(100);
+        let all_cut = |index: &usize| cut_off(&net.nodes[*index]) == 8;
+        assert!(others.iter().all(all_cut));
+    }
     let (dead, restarted) = (net.name_of(dead), net.name_of(restarted));
     for index in net.members_of(2).skip(1) {
         let node = &net.nodes[index];
