Work out the capacity at 720 targets

The experiment also takes the platform down and watches its recovery, and can wait for the news of a start to be spread before it counts.

--- a/src/bin/sassafrasgap-capacity.rs
+++ b/src/bin/sassafrasgap-capacity.rs
@@ -23,6 +23,10 @@
     #[argh(option, default = "String::from(\"8,24,72\")")]
     sizes: String,
 
+    /// seconds to let the news of the start be spread before anything is counted (default 10)
+    #[argh(option, default = "10")]
+    settle_s: u64,
+
     /// seconds for which each size is watched at rest (default 30)
     #[argh(option, default = "30")]
     steady_s: u64,
@@ -58,6 +62,7 @@
     let plan = ExperimentPlan {
         binaries: Binaries::beside_current()?,
         sizes: numbers(&arguments.sizes)?,
+        settle_s: arguments.settle_s,
         steady_s: arguments.steady_s,
         repeats: arguments.repeats,
         call_rates_per_s: numbers(&arguments.call_rates)?,
--- a/src/capacity/experiment.rs
+++ b/src/capacity/experiment.rs
@@ -6,7 +6,9 @@
 use crate::capacity::CapacityReport;
 use crate::capacity::ChangeFigures;
 use crate::capacity::Fleet;
+use crate::capacity::GossipCost;
 use crate::capacity::MemberState;
+use crate::capacity::OutageFigures;
 use crate::capacity::ProtocolSizes;
 use crate::capacity::SizeFigures;
 use crate::capacity::Spread;
@@ -19,14 +21,18 @@
 
 const BYTES: &str = "sassafrasgap_control_bytes_total";
 const SENT: &str = "direction=\"sent\"";
-/// Seconds between the start and the first count, so that the news of the start has been spread.
-const SETTLE_S: u64 = 10;
+/// Sizes at which gossip at rest is counted in memory, and for how long.
+const GOSSIP_MEMBERS: [usize; 5] = [8, 24, 72, 144, layout::FULL_NODES];
+const GOSSIP_S: u64 = 300;
 
 /// What to measure and for how long.
 #[derive(Clone, Debug)]
 pub struct ExperimentPlan {
     pub binaries: Binaries,
     pub sizes: Vec<usize>,
+    /// Between the start and the first count. The news of a start is spread at a bounded rate, so
+    /// it goes on for a while after everybody knows everybody.
+    pub settle_s: u64,
     pub steady_s: u64,
     pub repeats: usize,
     /// At the smallest size only; empty for none.
@@ -44,6 +50,9 @@
         is_release_build: !cfg!(debug_assertions),
         protocol: ProtocolSizes::count(),
         member_state: MemberState::measure(layout::FULL_NODES)?,
+        gossip: GOSSIP_MEMBERS
+            .map(|members| GossipCost::count(members, GOSSIP_S))
+            .to_vec(),
         ..CapacityReport::default()
     };
     for &nodes in &plan.sizes {
@@ -68,7 +77,7 @@
     let start_sent = start_sent.iter().map(|node| node.sum(BYTES, &[SENT]));
     let start_sent_bytes = Spread::of(&start_sent.collect::<Vec<f64>>());
     let start_store = fleet.platform_stats().await?.total;
-    tokio::time::sleep(std::time::Duration::from_secs(SETTLE_S)).await;
+    tokio::time::sleep(std::time::Duration::from_secs(plan.settle_s)).await;
     let steady = SteadyFigures::measure(&fleet, plan.steady_s).await?;
     log::info!(
         "capacity: steady nodes={nodes} cpu_share={}",
@@ -83,6 +92,8 @@
         "capacity: switched nodes={nodes} mean_ms={}",
         switch.times_ms.mean
     );
+    let outage = OutageFigures::measure(&fleet, plan.steady_s).await?;
+    log::info!("capacity: outage over nodes={nodes}");
     let changes = ChangeFigures::measure(&mut fleet, plan.repeats).await?;
     log::info!(
         "capacity: changed nodes={nodes} dead_ms={}",
@@ -98,6 +109,7 @@
         steady,
         switch_ms: switch.times_ms,
         switch_store: switch.store,
+        outage,
         changes,
     };
     Ok((figures, calls))
--- a/src/capacity/report.rs
+++ b/src/capacity/report.rs
@@ -7,7 +7,9 @@
 
 use crate::capacity::CallFigures;
 use crate::capacity::ChangeFigures;
+use crate::capacity::GossipCost;
 use crate::capacity::MemberState;
+use crate::capacity::OutageFigures;
 use crate::capacity::ProtocolSizes;
 use crate::capacity::Slope;
 use crate::capacity::Spread;
@@ -33,6 +35,7 @@
     pub switch_ms: Spread,
     /// What one switch cost the platform beyond ordinary use.
     pub switch_store: StoreUse,
+    pub outage: OutageFigures,
     pub changes: ChangeFigures,
 }
 
@@ -57,6 +60,8 @@
     pub is_release_build: bool,
     pub protocol: ProtocolSizes,
     pub member_state: MemberState,
+    /// Gossip of one member at rest, counted in memory.
+    pub gossip: Vec<GossipCost>,
     pub sizes: Vec<SizeFigures>,
     pub calls: Option<CallFigures>,
     pub slopes: BTreeMap<String, SlopeFigure>,
@@ -74,7 +79,7 @@
 
 type Figure = fn(&SizeFigures) -> Spread;
 
-fn figures() -> [(&'static str, Figure); 13] {
+fn figures() -> [(&'static str, Figure); 17] {
     [
         ("sent_bytes_per_s", |size| size.steady.sent_bytes_per_s),
         ("received_bytes_per_s", |size| {
@@ -98,6 +103,16 @@
             Spread::of(&[size.start_store_writes])
         }),
         ("start_sent_bytes", |size| size.start_sent_bytes),
+        ("outage_sent_bytes_per_s", |size| {
+            size.outage.during.sent_bytes_per_s
+        }),
+        ("outage_cpu_share", |size| size.outage.during.cpu_share),
+        ("recovery_peak_reads_per_s", |size| {
+            Spread::of(&[size.outage.recovery_peak_reads_per_s])
+        }),
+        ("recovery_peak_writes_per_s", |size| {
+            Spread::of(&[size.outage.recovery_peak_writes_per_s])
+        }),
         ("switch_ms", |size| size.switch_ms),
         ("dead_ms", |size| size.changes.dead_ms),
         ("drain_ms", |size| size.changes.drain_ms),
--- a/src/mesh/mesh.rs
+++ b/src/mesh/mesh.rs
@@ -33,6 +33,8 @@
 const SEEDS_PER_DOMAIN: usize = 2;
 /// The longest wait for everything to be up.
 const READY_WAIT_MS: u64 = 15_000;
+/// How much longer it may take for each target, since all start at once on one machine.
+const READY_WAIT_PER_TARGET_MS: u64 = 250;
 
 /// All processes of a mesh; they are killed when it is dropped.
 pub struct Mesh {
@@ -71,7 +73,8 @@
             mesh.start_relays(&addresses).await?;
         }
         mesh.start_targets(&addresses)?;
-        wait_ready(&mesh, READY_WAIT_MS).await?;
+        let wait_ms = READY_WAIT_MS + READY_WAIT_PER_TARGET_MS * mesh.targets.len() as u64;
+        wait_ready(&mesh, wait_ms).await?;
         Ok(mesh)
     }
 
