--- a/src/admission/admission_conf.rs
+++ b/src/admission/admission_conf.rs
@@ -23,7 +23,7 @@
 impl Default for AdmissionConf {
     fn default() -> Self {
         Self {
-            first_limit: 8,
+            first_limit: 16,
             least_limit: 2,
             most_limit: 2_000,
             queue_percent: 100,
