Give the demo a resend window that fits its callers

Cause: the demo took the Association's window of 120 s, although its callers give up after 10 s; a key whose owner was lost with its VM stayed uncertain for 180 s, longer than the demo runs.

--- a/src/demo/demo_files.rs
+++ b/src/demo/demo_files.rs
@@ -1,4 +1,4 @@
-//! The files of `examples/demo` and the Association's presets, built into the program so that the
+//! The files of `examples/demo` built into the program so that the
 //! demo runs from any folder.
 
 use crate::backend::BackendSettings;
@@ -10,11 +10,7 @@
 
 const PLAN: &str = include_str!("../../examples/demo/plan.yaml");
 const BACKENDS: &str = include_str!("../../examples/demo/backends.yaml");
-const PRESETS: [&str; 3] = [
-    include_str!("../../examples/association/presets/ordinary.yaml"),
-    include_str!("../../examples/association/presets/peak.yaml"),
-    include_str!("../../examples/association/presets/maintenance.yaml"),
-];
+const PRESET: &str = include_str!("../../examples/demo/preset.yaml");
 const REGION: &str = "tw-north";
 const DOMAINS: [&str; 3] = ["tw-north-a", "tw-north-b", "tw-north-c"];
 const FIRST_PRESET: &str = "ordinary";
@@ -42,7 +38,7 @@
         binaries,
         region: Name::from(REGION),
         targets,
-        presets: PRESETS.map(str::to_string).to_vec(),
+        presets: vec![PRESET.to_string()],
         first_preset: Name::from(FIRST_PRESET),
         node_change: Box::new(|_| {}),
         relayed: false,
--- a/tests/demo_files.rs
+++ b/tests/demo_files.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use sassafrasgap::backend::BackendSettings;
+use sassafrasgap::conf::load_preset;
 use sassafrasgap::load::Plan;
 
 /// The program expects both to be right, and every child call to name a service of the demo.
@@ -13,6 +14,7 @@
     let plan = Plan::load(&folder.join("plan.yaml")).expect("a plan");
     let text = fs::read_to_string(folder.join("backends.yaml")).expect("a file");
     let backends: Vec<BackendSettings> = serde_yaml_ng::from_str(&text).expect("settings");
+    load_preset(&folder.join("preset.yaml")).expect("a preset");
     let known = |service: &str| backends.iter().any(|backend| backend.service == service);
     for call in &plan.calls {
         let service = call.path.split('/').nth(1).expect("a service");
