--- a/src/backend/answer.rs
+++ b/src/backend/answer.rs
@@ -13,7 +13,8 @@
 use crate::wire::headers;
 
 /// The answer to a call that ran.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     pub service: String,
     pub instance: String,
@@ -32,7 +33,8 @@
 }
 
 /// The answer to a call that a backend server made in turn.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChildAnswer {
     pub service: String,
     pub path: String,
@@ -41,7 +43,8 @@
 }
 
 /// Why a call that a backend server made in turn failed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChildFailure {
     pub service: String,
     pub path: String,
@@ -56,7 +59,8 @@
 }
 
 /// The body of a refusal or failure.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Failure {
     pub service: String,
     pub instance: String,
--- a/src/backend/backend_settings.rs
+++ b/src/backend/backend_settings.rs
@@ -11,7 +11,8 @@
 use crate::errors::BackendError;
 
 /// A call that a backend server makes to a further service while it works for its caller.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChildCall {
     pub service: String,
@@ -28,7 +29,8 @@
 }
 
 /// A large body that is streamed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ArchiveSettings {
     pub size_bytes: u64,
@@ -36,7 +38,8 @@
 }
 
 /// What is done for calls whose path begins with a prefix. The first route that matches is taken.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSettings {
     pub path_prefix: String,
@@ -56,7 +59,8 @@
 }
 
 /// Everything that a stand-in backend server has to know before it starts.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BackendSettings {
     pub service: String,
--- a/src/backend/behaviour.rs
+++ b/src/backend/behaviour.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// What the load endpoint reports.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LoadMode {
     #[default]
@@ -20,7 +21,8 @@
 }
 
 /// The behaviour in force.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Behaviour {
     /// How many times as long as usual calls take.
     pub slow_factor: f64,
@@ -35,7 +37,8 @@
 }
 
 /// A change: what is left out stays as it is.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BehaviourChange {
     pub slow_factor: Option<f64>,
--- a/src/backend/life.rs
+++ b/src/backend/life.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// The state that is announced.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LifeState {
     #[default]
@@ -19,7 +20,8 @@
 }
 
 /// The body of `POST /announce` at the node's local listener.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Announcement {
     pub service: String,
     pub address: SocketAddr,
--- a/src/backend/load_report.rs
+++ b/src/backend/load_report.rs
@@ -12,7 +12,8 @@
 const LAG_MS: u64 = 5_000;
 
 /// The answer of `GET /load`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendLoad {
     pub slots: u32,
     pub in_use: u32,
--- a/src/backend/run_record.rs
+++ b/src/backend/run_record.rs
@@ -6,7 +6,8 @@
 use crate::core::TimeMs;
 
 /// One run of one call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunRecord {
     /// Counts the runs of this process from 1.
     pub run: u64,
@@ -26,7 +27,8 @@
 }
 
 /// A line of the run log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunEvent {
     Start(RunRecord),
@@ -34,7 +36,8 @@
 }
 
 /// Counts since the process started; these are never dropped.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunCounters {
     pub arrived: u64,
     pub started: u64,
@@ -52,7 +55,8 @@
 }
 
 /// The answer of `GET /runs`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunList {
     pub service: String,
     pub instance: String,
--- a/src/backend/service_time.rs
+++ b/src/backend/service_time.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// How service times are spread.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Distribution {
     /// Every call takes the same time.
@@ -17,7 +18,8 @@
 }
 
 /// The distribution of service times.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceTime {
     pub mean_ms: f64,
--- a/src/claims/lease_conf.rs
+++ b/src/claims/lease_conf.rs
@@ -7,7 +7,8 @@
 const MARGIN_MS: u64 = 500;
 
 /// What an owner relies on, recorded in the row for those who would take over from it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseTerms {
     /// For how long a sign that nobody takes over holds, from the moment it was asked for.
     pub lease_ms: u64,
--- a/src/claims/ledger_entry.rs
+++ b/src/claims/ledger_entry.rs
@@ -79,7 +79,8 @@
 }
 
 /// How a key stands, as it is handed from one owner to the next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum MovedState {
     Running,
     Ran,
@@ -89,7 +90,8 @@
 }
 
 /// One key on its way to the slot's next owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MovedKey {
     pub key: Name,
     pub fingerprint: u64,
@@ -100,7 +102,8 @@
 }
 
 /// One slot on its way to its next owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MovedSlot {
     pub slot: u8,
     /// What is left of the giver's own grace period, from the receipt on.
@@ -109,7 +112,8 @@
 
 /// The ledger of slots, or news of keys whose slots were handed over before (then `slots` is
 /// empty).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LedgerTransfer {
     pub service: Name,
     /// Ties the transfer to the one row change that may follow it.
--- a/src/claims/slot_map.rs
+++ b/src/claims/slot_map.rs
@@ -9,7 +9,8 @@
 use crate::errors::ClaimsError;
 
 /// One slot as recorded.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotEntry {
     /// The process instance that owns it; always that of a listed member.
     pub owner: Option<u64>,
@@ -20,7 +21,8 @@
 }
 
 /// A process that may own slots and take them over.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     pub node: Name,
     /// Random for each process, so that a restarted node is another member.
@@ -42,7 +44,8 @@
 }
 
 /// The intention to take over the slots of a member that seems to be gone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Intent {
     pub id: u64,
     pub by: u64,
@@ -50,7 +53,8 @@
 }
 
 /// The whole row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotMap {
     /// Named by whoever wrote the row last, to recognise a write whose answer was lost.
     pub change: u64,
--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -10,7 +10,8 @@
 
 /// What a guard knows of an attempt, when its sender asks over a new connection because the old
 /// one went silent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum AttemptStatus {
     /// It is not among the attempts remembered, and will be refused if it still arrives. It never
     /// arrived, and may be sent again, if it was sent less than `complete_for_ms` ago: for so long
@@ -25,7 +26,8 @@
 }
 
 /// A whole answer as kept for a while at the guard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeptAnswer {
     pub status: u16,
     /// Headers in order, the encoded answer header among them.
@@ -34,7 +36,8 @@
 }
 
 /// A published configuration as it is handed from node to node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigDocument {
     pub version: u64,
     pub preset: Name,
@@ -46,7 +49,8 @@
 ///
 /// Both sides are named by process instance: a restarted member has forgotten what its
 /// predecessor promised or began, so it must not answer for it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PromiseAsk {
     pub service: Name,
     /// The process instance of the owner that asks.
@@ -56,7 +60,8 @@
 }
 
 /// The answer to an owner's request that this node refrain from taking over its slots.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Promise {
     /// No take-over of the asker's slots is under way here, and none will be completed within
     /// `hold_ms` of the receipt of the request.
@@ -66,7 +71,8 @@
 }
 
 /// Requests that ran when a backend server crashed.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Suspects {
     pub service: Name,
     pub report: CrashReport,
--- a/src/ctl/arguments.rs
+++ b/src/ctl/arguments.rs
@@ -6,7 +6,8 @@
 use argh::FromArgs;
 
 /// Checks settings, publishes presets, switches the preset in force, shows status and drains.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     example = "{command_name} check examples/association/deployment.yaml",
     note = "The platform's address is taken from --platform or SASSAFRASGAP_PLATFORM, a node's \
@@ -41,7 +42,8 @@
     pub command: Option<Command>,
 }
 
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
     Check(CheckArguments),
@@ -53,7 +55,8 @@
 }
 
 /// Check settings of nodes, presets and deployments, without touching anything.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "check",
@@ -66,7 +69,8 @@
 }
 
 /// Publish preset documents as their next revisions. They come into force by `switch` only.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "publish",
@@ -87,7 +91,8 @@
 }
 
 /// Bring the latest revision of a preset into force everywhere.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "switch",
@@ -121,7 +126,8 @@
 }
 
 /// Show nodes, failure domains, and where which version is in force.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "status",
@@ -138,7 +144,8 @@
 }
 
 /// Take a target out of service: no new work, what is in flight finishes.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "drain",
@@ -155,7 +162,8 @@
 }
 
 /// List published presets and the last changes.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "presets",
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -12,7 +12,8 @@
 use crate::core::Name;
 
 /// A message between nodes that cannot be understood.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum WireError {
     #[error("header {header} is missing")]
     Missing { header: &'static str },
@@ -28,7 +29,8 @@
 }
 
 /// A value of a load plan that makes no sense.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Error)]
 pub enum PlanProblem {
     #[error("{field}: empty; at least one entry is needed")]
     Empty { field: &'static str },
@@ -41,7 +43,8 @@
 }
 
 /// What can go wrong in a load run.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum LoadError {
     #[error("{}: cannot be read: {source}", path.display())]
     Read { path: PathBuf, source: io::Error },
@@ -94,7 +97,8 @@
 }
 
 /// What can go wrong in an experiment.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ExperimentError {
     #[error("{text:?} is no change of a setting; give key=value, such as control_enabled=false")]
     Change { text: String },
@@ -144,7 +148,8 @@
 }
 
 /// A request to the platform that did not do what was asked.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum PlatformError {
     #[error("the platform is unavailable; nothing was done")]
     Unavailable,
@@ -170,7 +175,8 @@
 }
 
 /// A script of faults that cannot be followed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum FaultScriptError {
     #[error("the fault script is not valid: {0}")]
     Yaml(#[from] serde_yaml_ng::Error),
@@ -221,7 +227,8 @@
 }
 
 /// A stand-in backend server that cannot start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum BackendError {
     #[error("cannot read the settings {}: {source}", path.display())]
     ReadSettings { path: PathBuf, source: io::Error },
@@ -239,7 +246,8 @@
 }
 
 /// A body that is not what was announced.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum BodyError {
     #[error("the body ended before its announced length")]
     CutShort,
@@ -250,7 +258,8 @@
 }
 
 /// A node that cannot start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum NodeError {
     #[error("cannot listen for {listener} on {address}: {source}")]
     Bind {
@@ -265,7 +274,8 @@
 }
 
 /// An answer of a peer that must not be passed on.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum AnswerError {
     #[error(transparent)]
     Header(#[from] WireError),
@@ -276,7 +286,8 @@
 }
 
 /// A gossip datagram that cannot be used; it is counted and dropped.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum GossipError {
     #[error("the datagram is empty")]
     Empty,
@@ -287,7 +298,8 @@
 }
 
 /// A control call that brought no answer.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum PeerCallError {
     #[error("no answer in time")]
     Timeout,
@@ -300,7 +312,8 @@
 }
 
 /// The control thread cannot start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ControlError {
     #[error("control address {address} cannot be bound: {source}")]
     Bind {
@@ -312,7 +325,8 @@
 }
 
 /// A slot map or a transfer of a ledger that cannot be understood.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ClaimsError {
     #[error("the row is not a slot map: {source}")]
     Row { source: serde_json::Error },
@@ -325,7 +339,8 @@
 }
 
 /// A mesh of processes that cannot be started or does not do as it is told.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum MeshError {
     #[error("cannot find the program that runs: {0}")]
     CurrentExe(io::Error),
@@ -369,7 +384,8 @@
 }
 
 /// A change or a read of the configuration that did not succeed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ConfigError {
     #[error(transparent)]
     Settings(#[from] SettingsError),
@@ -406,7 +422,8 @@
 }
 
 /// A command of an operator that did not succeed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum CtlError {
     #[error(transparent)]
     Config(#[from] ConfigError),
@@ -433,7 +450,8 @@
 }
 
 /// An experiment that could not be carried out.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum CapacityError {
     #[error("process {pid} is gone")]
     ProcessGone { pid: u32 },
--- a/src/load/answer_reader.rs
+++ b/src/load/answer_reader.rs
@@ -22,7 +22,8 @@
 const KEPT_BYTES: usize = 64 * 1024;
 
 /// What a stand-in backend server repeats of the request that it ran.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Echo {
     #[serde(default)]
     pub path: Option<String>,
--- a/src/load/audit.rs
+++ b/src/load/audit.rs
@@ -16,7 +16,8 @@
 const EXAMPLES: usize = 5;
 
 /// What must always hold, counted.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Audit {
     /// Runs at all backend servers.
     pub runs: u64,
--- a/src/load/call_kind.rs
+++ b/src/load/call_kind.rs
@@ -6,17 +6,8 @@
 use crate::core::Name;
 
 /// What the caller expects of an answer besides status 200 and a complete body.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AnswerCheck {
     /// The JSON of the answer repeats the path, query and key of this very request.
@@ -29,7 +20,8 @@
 }
 
 /// A kind of call, with its share of the mix.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallKind {
     pub name: Name,
--- a/src/load/class_figures.rs
+++ b/src/load/class_figures.rs
@@ -12,7 +12,8 @@
 use crate::load::latencies::histogram_of;
 
 /// Percentiles of the latency of good whole requests, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LatencyFigures {
     pub p50_ms: f64,
     pub p90_ms: f64,
@@ -22,7 +23,8 @@
 }
 
 /// What became of the whole requests of a class.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassFigures {
     pub offered: u64,
     /// Complete, correct answers within the deadline.
--- a/src/load/cli.rs
+++ b/src/load/cli.rs
@@ -16,7 +16,8 @@
 /// Sends load to sassafrasgap nodes and reports what became of whole requests.
 ///
 /// Example: sassafrasgap-load run --plan plan.yaml --entry 127.0.0.1:7100 --json report.json
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub struct LoadArgs {
     /// print the version
     #[argh(switch)]
@@ -27,7 +28,8 @@
 
 /// What to do. A new subcommand is a module under `commands`, a variant here and an arm in
 /// [`dispatch`].
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum LoadCommand {
     Run(commands::run::RunArgs),
--- a/src/load/commands/calibrate.rs
+++ b/src/load/commands/calibrate.rs
@@ -37,7 +37,8 @@
 /// Measures what the generator itself can offer, against a server that answers at once.
 ///
 /// Example: sassafrasgap-load calibrate --rate 5000
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "calibrate")]
 pub struct CalibrateArgs {
     /// calls per second, 5000 unless given
--- a/src/load/commands/demo.rs
+++ b/src/load/commands/demo.rs
@@ -13,7 +13,8 @@
 /// surge and recovery, and prints the report. Takes about 40 s.
 ///
 /// Example: sassafrasgap-load demo --plot demo.svg
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
 pub struct DemoArgs {
     /// nodes forward everything, with three retries a hop: what the product is measured against
--- a/src/load/commands/experiment.rs
+++ b/src/load/commands/experiment.rs
@@ -29,7 +29,8 @@
 
 /// Measures variants of the system against each other, interleaved and repeated, on meshes of real
 /// processes on loopback.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "experiment")]
 pub struct ExperimentArgs {
     #[argh(subcommand)]
@@ -37,7 +38,8 @@
 }
 
 /// Which experiment.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum ExperimentCommand {
     Overload(OverloadArgs),
@@ -49,7 +51,8 @@
 /// recovery.
 ///
 /// Example: sassafrasgap-load experiment overload --depth 2 --depth 4 --rounds 3 --out /tmp/results
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "overload")]
 pub struct OverloadArgs {
     /// services in the chain; repeat it for several; 2, 4 and 8 unless given
@@ -101,7 +104,8 @@
 /// Calls straight to a backend server, paired with the same calls through entry and guard.
 ///
 /// Example: sassafrasgap-load experiment cost --rate 500 --rounds 5 --out /tmp/results
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "cost")]
 pub struct CostArgs {
     /// calls per second, 500 unless given
@@ -131,7 +135,8 @@
 /// as usual, slow, failing, and cut off from one failure domain.
 ///
 /// Example: sassafrasgap-load experiment switching --domains 3 --nodes 4 --rounds 5 --out /tmp/results
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "switching")]
 pub struct SwitchingArgs {
     /// failure domains, 3 unless given
--- a/src/load/commands/generate.rs
+++ b/src/load/commands/generate.rs
@@ -11,7 +11,8 @@
 /// Makes a trace from a plan; the same plan and seed make the same trace.
 ///
 /// Example: sassafrasgap-load generate --plan plan.yaml --seed 7 --out trace.jsonl
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "generate")]
 pub struct GenerateArgs {
     /// plan of phases and calls, in YAML
--- a/src/load/commands/replay.rs
+++ b/src/load/commands/replay.rs
@@ -21,7 +21,8 @@
 /// Example: sassafrasgap-load replay --trace examples/cantinas/trace.jsonl
 /// --plan examples/cantinas/plan.yaml --expect examples/cantinas/outcomes.yaml
 /// --deployment examples/cantinas/deployment.yaml
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "replay")]
 pub struct ReplayArgs {
     /// trace, one JSON line a call
--- a/src/load/commands/report.rs
+++ b/src/load/commands/report.rs
@@ -13,7 +13,8 @@
 /// Shows a report written as JSON, draws it, or checks it against stated outcomes.
 ///
 /// Example: sassafrasgap-load report --json report.json --plot report.svg
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "report")]
 pub struct ReportArgs {
     /// report written by `run` or `replay`
--- a/src/load/commands/run.rs
+++ b/src/load/commands/run.rs
@@ -20,7 +20,8 @@
 ///
 /// Example: sassafrasgap-load run --plan plan.yaml --entry 127.0.0.1:7100
 /// --backend 127.0.0.1:7900 --json report.json --plot report.svg
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
 pub struct RunArgs {
     /// plan of phases and calls, in YAML
--- a/src/load/outcomes.rs
+++ b/src/load/outcomes.rs
@@ -13,7 +13,8 @@
 use crate::load::Report;
 
 /// What a run must reach. What is left out is not checked.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Outcomes {
     /// The least share of good whole requests, by class.
--- a/src/load/phase.rs
+++ b/src/load/phase.rs
@@ -6,7 +6,8 @@
 use crate::core::Name;
 
 /// What a phase stands for in the report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PhaseRole {
     /// Ordinary load: later phases are compared with it.
@@ -21,7 +22,8 @@
 }
 
 /// A phase of a [`Plan`](crate::load::Plan).
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Phase {
     pub name: Name,
--- a/src/load/phase_span.rs
+++ b/src/load/phase_span.rs
@@ -9,7 +9,8 @@
 use crate::load::Trace;
 
 /// A phase by its moments in milliseconds since the start of the run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PhaseSpan {
     pub name: Name,
     pub role: PhaseRole,
--- a/src/load/plan.rs
+++ b/src/load/plan.rs
@@ -14,7 +14,8 @@
 use crate::load::ResendPolicy;
 
 /// What callers do over the whole run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// The same seed and plan give the same trace.
--- a/src/load/recovery.rs
+++ b/src/load/recovery.rs
@@ -18,7 +18,8 @@
 const P99_MULTIPLE: f64 = 2.0;
 
 /// How a run came back to normal after its last surge.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Recovery {
     pub ordinary_goodput_per_s: f64,
     pub ordinary_p99_ms: f64,
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -20,7 +20,8 @@
 ///
 /// Latencies are counted from the moment at which a call was due, so a generator that falls behind
 /// makes them longer instead of hiding the wait (coordinated omission).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct GeneratorFigures {
     pub behind_p50_ms: f64,
     pub behind_p99_ms: f64,
@@ -29,14 +30,16 @@
 }
 
 /// The figures of a class within a phase, or within the whole run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassRow {
     pub class: Name,
     pub figures: ClassFigures,
 }
 
 /// The figures of a phase.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PhaseReport {
     pub span: PhaseSpan,
     pub all: ClassFigures,
@@ -44,7 +47,8 @@
 }
 
 /// Everything that is known of a run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     pub duration_ms: u64,
     pub all: ClassFigures,
--- a/src/load/resend_policy.rs
+++ b/src/load/resend_policy.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// The behaviour of callers after a refusal, a failure or silence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ResendPolicy {
     /// How often a whole request is sent again, each time through the next entry.
--- a/src/load/timeline.rs
+++ b/src/load/timeline.rs
@@ -11,7 +11,8 @@
 pub const STEP_MS: u64 = 100;
 
 /// One step of a timeline.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Step {
     pub at_ms: u64,
     pub offered: u64,
@@ -30,7 +31,8 @@
 }
 
 /// A run in steps of [`STEP_MS`].
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Timeline {
     pub classes: Vec<Name>,
     pub steps: Vec<Step>,
--- a/src/load/trace_line.rs
+++ b/src/load/trace_line.rs
@@ -7,7 +7,8 @@
 use crate::load::AnswerCheck;
 
 /// A whole request at its moment. Resends are not recorded: the replaying callers decide on them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TraceLine {
     /// Milliseconds since the start of the run.
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -17,7 +17,8 @@
 }
 
 /// Who sends, and short values by which the receiver sees whether one of the two lacks news.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Header {
     pub from: Name,
     pub incarnation: u64,
@@ -36,7 +37,8 @@
 }
 
 /// How long ago a failure domain answered somebody of the sender's own domain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeardDomain {
     /// The hash of the domain's name: two bytes do, as there are few domains.
     #[serde(with = "postcard::fixint::le")]
@@ -46,7 +48,8 @@
 }
 
 /// The kinds of message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Body {
     /// Asks for an [`Body::Ack`] with the same number.
     Ping { sequence: u32 },
@@ -68,7 +71,8 @@
 }
 
 /// A digest of fixed width on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FixedDigest(#[serde(with = "postcard::fixint::le")] pub u32);
 
 impl Body {
@@ -88,7 +92,8 @@
 }
 
 /// One piece of news.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Update {
     /// What a node says of itself; its state is never `Suspect` or `Dead`.
     Own(Target),
--- a/src/mesh/ready.rs
+++ b/src/mesh/ready.rs
@@ -44,7 +44,8 @@
 }
 
 /// The part of a node's status that tells whether it is ready.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct NodeStatus {
     preset: Option<Name>,
     service: Option<Name>,
--- a/src/mesh/run_files.rs
+++ b/src/mesh/run_files.rs
@@ -20,7 +20,8 @@
 }
 
 /// Runs counted over all backend servers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct RunSummary {
     pub started: u64,
     pub completed: u64,
--- a/src/node/local_backend.rs
+++ b/src/node/local_backend.rs
@@ -9,7 +9,8 @@
 use crate::core::TargetState;
 
 /// What a backend server sends to `POST /announce` on the local listener, in JSON.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     pub service: Name,
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -13,7 +13,8 @@
 use crate::node::Node;
 
 /// The answer to `GET /status`, in JSON.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     pub node: Name,
     pub region: Name,
--- a/src/platform/fault.rs
+++ b/src/platform/fault.rs
@@ -8,7 +8,8 @@
 use crate::errors::FaultScriptError;
 
 /// Which requests a fault touches.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Operations {
     #[default]
@@ -18,7 +19,8 @@
 }
 
 /// How the answer of a transaction that took effect is lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AnswerLoss {
     /// The connection is broken.
@@ -28,7 +30,8 @@
 }
 
 /// One step of a script: one or more things that are wrong at the same time.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fault {
     /// When it begins, counted from the start of the platform or from the moment it was posted.
--- a/src/platform/fault_script.rs
+++ b/src/platform/fault_script.rs
@@ -12,7 +12,8 @@
 const MAX_STEPS: usize = 256;
 
 /// All faults planned or active.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FaultScript {
     pub steps: Vec<Fault>,
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -20,7 +20,8 @@
 pub const DOMAIN_HEADER: &str = "sassafrasgap-domain";
 
 /// A row as a get answers it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Rises with every change of any row, so that a row deleted and written again never repeats
     /// an earlier version.
@@ -29,7 +30,8 @@
 }
 
 /// A row of a scan.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyedRow {
     pub key: Name,
     pub version: u64,
@@ -37,27 +39,31 @@
 }
 
 /// All rows whose keys begin with the prefix, in the order of their keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Scan {
     pub rows: Vec<KeyedRow>,
 }
 
 /// A condition of a transaction: the row has this version, or does not exist.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Check {
     pub key: Name,
     pub version: Option<u64>,
 }
 
 /// A row to be written.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Put {
     pub key: Name,
     pub value: String,
 }
 
 /// Conditions and changes that take effect together or not at all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Transaction {
     #[serde(default)]
@@ -105,20 +111,23 @@
 }
 
 /// The version that a put got.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyVersion {
     pub key: Name,
     pub version: u64,
 }
 
 /// The answer to a transaction that took effect.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Committed {
     pub versions: Vec<KeyVersion>,
 }
 
 /// The row that a check found otherwise.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Conflict {
     pub key: Name,
     /// `None` when the row does not exist.
@@ -127,7 +136,8 @@
 }
 
 /// The body of a 409.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConflictAnswer {
     pub conflict: Conflict,
 }
--- a/src/platform/stats.rs
+++ b/src/platform/stats.rs
@@ -10,7 +10,8 @@
 const OTHER: &str = "other";
 
 /// The counters of one prefix, or of all.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counters {
     /// Reads by cost: a get is one, a scan one for every 16 rows begun.
     pub reads: u64,
@@ -29,7 +30,8 @@
 }
 
 /// All counters.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stats {
     pub total: Counters,
     /// By the part of the key before its first `/`.
--- a/src/wire/owner_hint.rs
+++ b/src/wire/owner_hint.rs
@@ -9,7 +9,8 @@
 ///
 /// Entries learn owners from answers alone: no message spreads the slot maps (docs/AT_MOST_ONCE.md,
 /// "How entries find the owner").
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnerHint {
     /// The node whose guard owns the slot.
     pub node: Name,
