--- /dev/null
+++ b/src/adapters/http_listener.rs
@@ -0,0 +1,112 @@
+//! A listener that serves HTTP/1.1 by `hyper` itself.
+//!
+//! `gotham` routes every request through boxed states; on the way of traffic that was measured at
+//! several times what `hyper` alone takes (docs/PLATFORM.md), so here the nearest kin is used.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::adapters::connection_pool::set_options;
+
+/// The pause after a failure to accept, which is mostly a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The smallest buffer that `hyper` takes, in bytes.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Bounds of a listener's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerConf {
+    /// How long a connection may bring no whole request head; it includes the time without a
+    /// request.
+    pub idle_ms: u64,
+    /// The longest request head.
+    pub most_head_bytes: usize,
+    /// Nothing acknowledged for so long ends a connection.
+    pub silence_ms: u64,
+}
+
+/// Serves until the task is dropped. Once `stopping` holds true, connections are closed after the
+/// answer that is under way, and new ones get one answer each.
+///
+/// The bounds are asked for at each new connection, so that changed ones hold from then on. A
+/// handler is dropped when its caller closes the connection.
+pub async fn serve_http<F, R>(
+    listener: TcpListener,
+    conf: impl Fn() -> ListenerConf,
+    stopping: watch::Receiver<bool>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let serving = serve_one(stream, from, conf(), stopping.clone(), handler.clone());
+                tokio::spawn(serving);
+            }
+            Err(error) => {
+                log::warn!("listener: cannot accept, error={error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Ends when the listener stops; never, when nobody can tell any more.
+async fn stopped(stopping: &mut watch::Receiver<bool>) {
+    if stopping.wait_for(|stopping| *stopping).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn serve_one<F, R>(
+    stream: TcpStream,
+    from: SocketAddr,
+    conf: ListenerConf,
+    mut stopping: watch::Receiver<bool>,
+    handler: Arc<F>,
+) where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    if let Err(error) = set_options(&stream, conf.silence_ms) {
+        log::debug!("listener: cannot set options, from={from} error={error}");
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request, from);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(conf.idle_ms))
+        .max_buf_size(conf.most_head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stopped(&mut stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("listener: connection ended, from={from} error={error}");
+    }
+}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,11 +1,19 @@
 //! Where the product meets libraries: HTTP servers and clients.
 
+mod connection_pool;
 mod http_client;
+mod http_listener;
 mod http_server;
 
+pub use connection_pool::ConnectionPool;
+pub use connection_pool::PoolConf;
+pub use connection_pool::WholeAnswer;
+pub use connection_pool::read_whole;
 pub use http_client::HttpClient;
 pub use http_client::http_client;
 pub use http_client::http_client_from;
+pub use http_listener::ListenerConf;
+pub use http_listener::serve_http;
 pub use http_server::Body;
 pub use http_server::bind;
 pub use http_server::empty_body;
--- a/src/core/outcome.rs
+++ b/src/core/outcome.rs
@@ -61,6 +61,8 @@
         Draining => "draining",
         /// The backend server shed the call itself, before it started it.
         BackendShed => "backend_shed",
+        /// Another incarnation of the backend server stands at the address; it did not run the call.
+        BackendReplaced => "backend_replaced",
         /// The backend server could not be connected to.
         BackendDown => "backend_down",
         /// The backend server broke off in the middle of the call.
--- /dev/null
+++ b/src/desired/mod.rs
@@ -0,0 +1,20 @@
+//! The desired state of an operator: which request goes to which service, and on what terms.
+//!
+//! Pure data and pure look-ups. An adapter decodes a deployment's own format into these types once;
+//! nothing here knows that format. See [docs/PLATFORM.md](../../docs/PLATFORM.md).
+
+mod client_limits;
+mod desired_state;
+mod route;
+mod route_table;
+mod split;
+
+pub use client_limits::ClientLimits;
+pub use desired_state::DesiredState;
+pub use desired_state::ServiceConf;
+pub use route::Repeatability;
+pub use route::Route;
+pub use route::WeightedService;
+pub use route_table::RouteInForce;
+pub use route_table::RouteTable;
+pub use split::Split;
--- a/src/node/caller_headers.rs
+++ b/src/node/caller_headers.rs
@@ -26,7 +26,7 @@
 
 /// Removes what must not be passed on: connection headers, those that `Connection` names, and
 /// every header of the product.
-pub(super) fn strip(map: &mut HeaderMap) {
+pub(crate) fn strip(map: &mut HeaderMap) {
     let named: Vec<HeaderName> = map
         .get_all(http::header::CONNECTION)
         .iter()
@@ -52,7 +52,7 @@
 
 /// Does the same for an answer. The answer to `HEAD` says how long the body would be, so its
 /// length is kept there.
-pub(super) fn strip_answer(map: &mut HeaderMap, method: &Method) {
+pub(crate) fn strip_answer(map: &mut HeaderMap, method: &Method) {
     let len = map.get(CONTENT_LENGTH).cloned();
     strip(map);
     if let (&Method::HEAD, Some(len)) = (method, len) {
@@ -61,7 +61,7 @@
 }
 
 /// Counts the headers that a caller forged, on purpose or not.
-pub(super) fn count_forged(map: &HeaderMap) -> usize {
+pub(crate) fn count_forged(map: &HeaderMap) -> usize {
     let may_set = |name: &HeaderName| headers::CALLER_MAY_SET.contains(&name.as_str());
     map.keys()
         .filter(|name| is_internal(name) && !may_set(name))
@@ -69,14 +69,14 @@
 }
 
 /// The size of all headers in bytes, as they travel.
-pub(super) fn header_bytes(map: &HeaderMap) -> usize {
+pub(crate) fn header_bytes(map: &HeaderMap) -> usize {
     map.iter()
         .map(|(name, value)| name.as_str().len() + value.len() + 4)
         .sum()
 }
 
 /// The value of a header as text, if it is there once and is text.
-pub(super) fn text<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(crate) fn text<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
     map.get(name).and_then(|value| value.to_str().ok())
 }
 
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -42,7 +42,7 @@
 }
 
 /// Admission and the calls that wait for it.
-pub(super) struct Gate {
+pub(crate) struct Gate {
     metrics: Arc<Metrics>,
     state: Mutex<GateState>,
     clock: Clock,
@@ -51,7 +51,7 @@
 }
 
 impl Gate {
-    pub(super) fn new(clock: Clock, metrics: Arc<Metrics>, enabled: bool) -> Arc<Self> {
+    pub(crate) fn new(clock: Clock, metrics: Arc<Metrics>, enabled: bool) -> Arc<Self> {
         let admission = Admission::new(AdmissionConf::default(), fastrand::u64(..));
         let state = GateState {
             admission,
@@ -71,7 +71,7 @@
     ///
     /// # Errors
     /// The refusal, at once when admission decides so.
-    pub(super) async fn admit(self: &Arc<Self>, mut call: QueuedCall) -> Word {
+    pub(crate) async fn admit(self: &Arc<Self>, mut call: QueuedCall) -> Word {
         let (_waiting, word) = {
             let mut state = self.lock();
             state.next_ticket += 1;
@@ -97,7 +97,7 @@
     }
 
     /// Lets admission look at the time: starts what there is room for, refuses what waited long.
-    pub(super) fn poll(self: &Arc<Self>) {
+    pub(crate) fn poll(self: &Arc<Self>) {
         let words = {
             let mut state = self.lock();
             let actions = state.admission.poll(self.clock.now());
@@ -110,7 +110,7 @@
     }
 
     /// Takes back the permit of a call that ended.
-    pub(super) fn complete(self: &Arc<Self>, ticket: u64, completion: Completion) {
+    pub(crate) fn complete(self: &Arc<Self>, ticket: u64, completion: Completion) {
         {
             let mut state = self.lock();
             state.in_flight = state.in_flight.saturating_sub(1);
@@ -122,22 +122,22 @@
     }
 
     /// Caps the limit by what the backend server announces or by what it hints at.
-    pub(super) fn set_slots(&self, slots: u32) {
+    pub(crate) fn set_slots(&self, slots: u32) {
         self.lock().admission.set_slots(slots);
     }
 
     /// Takes over how many classes the preset in force has.
-    pub(super) fn set_classes(&self, classes: usize) {
+    pub(crate) fn set_classes(&self, classes: usize) {
         self.lock().admission.set_classes(classes);
     }
 
     /// The lowest priority admitted at present.
-    pub(super) fn level(&self) -> Priority {
+    pub(crate) fn level(&self) -> Priority {
         self.lock().admission.level()
     }
 
     /// First-hand figures.
-    pub(super) fn load(&self) -> LoadReport {
+    pub(crate) fn load(&self) -> LoadReport {
         let state = self.lock();
         let load = state.admission.load();
         LoadReport {
@@ -147,7 +147,7 @@
     }
 
     /// How many calls of each class wait.
-    pub(super) fn queued_by_class(&self) -> BTreeMap<u8, i64> {
+    pub(crate) fn queued_by_class(&self) -> BTreeMap<u8, i64> {
         let mut queued = BTreeMap::new();
         for waiting in self.lock().waiting.values() {
             *queued.entry(waiting.class).or_default() += 1;
--- a/src/node/permit.rs
+++ b/src/node/permit.rs
@@ -7,16 +7,16 @@
 use crate::node::gate::Gate;
 
 /// Counts as in flight until it is dropped, however the call ends.
-pub(super) struct Permit {
+pub(crate) struct Permit {
     gate: Arc<Gate>,
     ticket: u64,
     /// When the call was let in, in microseconds.
-    pub(super) since_us: u64,
+    pub(crate) since_us: u64,
     completion: Completion,
 }
 
 impl Permit {
-    pub(super) fn new(gate: Arc<Gate>, ticket: u64, since_us: u64) -> Self {
+    pub(crate) fn new(gate: Arc<Gate>, ticket: u64, since_us: u64) -> Self {
         Self {
             gate,
             ticket,
@@ -30,7 +30,7 @@
     }
 
     /// Notes how the call ended; without a word it counts as cancelled.
-    pub(super) fn note(&mut self, completion: Completion) {
+    pub(crate) fn note(&mut self, completion: Completion) {
         self.completion = completion;
     }
 }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -33,21 +33,31 @@
 }
 
 /// Shared by all calls. Bounded by the view: what is not in it any more is evicted.
-pub(super) struct Targets {
+pub(crate) struct Targets {
     known: Mutex<Known>,
     conf: PickerConf,
+    budget_percent: u32,
+    budget_burst: u32,
 }
 
 impl Targets {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
+        Self::with_budget(BUDGET_PERCENT, BUDGET_BURST)
+    }
+
+    /// Targets whose services get this many retries per hundred first attempts, and this many
+    /// without first attempts in between.
+    pub(crate) fn with_budget(percent: u32, burst: u32) -> Self {
         Self {
             known: Mutex::new(Known::default()),
             conf: PickerConf::default(),
+            budget_percent: percent,
+            budget_burst: burst,
         }
     }
 
     /// Chooses a target that was not tried and counts the call as in flight there.
-    pub(super) fn take(
+    pub(crate) fn take(
         &self,
         view: &View,
         service: &str,
@@ -72,18 +82,18 @@
     }
 
     /// Counts a call as in flight at a target that was chosen otherwise.
-    pub(super) fn enter(&self, node: &Name, now: TimeMs) {
+    pub(crate) fn enter(&self, node: &Name, now: TimeMs) {
         self.lock().stats_of(node, now).in_flight += 1;
     }
 
     /// How long answers of a target take; 0 while nothing is known.
-    pub(super) fn usual_latency_ms(&self, node: &Name) -> u64 {
+    pub(crate) fn usual_latency_ms(&self, node: &Name) -> u64 {
         let known = self.lock();
         known.stats.get(node).map_or(0, TargetStats::latency_ms)
     }
 
     /// Whether a target that was not tried has room, as far as is known.
-    pub(super) fn has_room(&self, view: &View, service: &str, tried: &[Name], now: TimeMs) -> bool {
+    pub(crate) fn has_room(&self, view: &View, service: &str, tried: &[Name], now: TimeMs) -> bool {
         let known = self.lock();
         view.targets(service)
             .iter()
@@ -95,7 +105,7 @@
     }
 
     /// Takes in the end of an attempt.
-    pub(super) fn ended(&self, node: &Name, end: AttemptNews, now: TimeMs) {
+    pub(crate) fn ended(&self, node: &Name, end: AttemptNews, now: TimeMs) {
         let mut known = self.lock();
         let Some(stats) = known.stats.get_mut(node) else {
             return;
@@ -115,13 +125,17 @@
     }
 
     /// Notes a first attempt in the budget of its service.
-    pub(super) fn first_attempt(&self, service: &Name) {
-        self.lock().budget_of(service).first_attempt();
+    pub(crate) fn first_attempt(&self, service: &Name) {
+        let (percent, burst) = (self.budget_percent, self.budget_burst);
+        self.lock()
+            .budget_of(service, percent, burst)
+            .first_attempt();
     }
 
     /// Takes a retry out of the budget of its service.
-    pub(super) fn try_retry(&self, service: &Name) -> bool {
-        self.lock().budget_of(service).try_retry()
+    pub(crate) fn try_retry(&self, service: &Name) -> bool {
+        let (percent, burst) = (self.budget_percent, self.budget_burst);
+        self.lock().budget_of(service, percent, burst).try_retry()
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -136,10 +150,10 @@
             .or_insert_with(|| TargetStats::new(now))
     }
 
-    fn budget_of(&mut self, service: &Name) -> &mut RetryBudget {
+    fn budget_of(&mut self, service: &Name, percent: u32, burst: u32) -> &mut RetryBudget {
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(BUDGET_PERCENT, BUDGET_BURST))
+            .or_insert_with(|| RetryBudget::new(percent, burst))
     }
 
     fn evict_gone(&mut self, view: &View) {
@@ -155,17 +169,17 @@
 
 /// What an attempt showed of its target.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct AttemptNews {
-    report: Option<LoadReport>,
-    took_ms: u64,
+pub(crate) struct AttemptNews {
+    pub(crate) report: Option<LoadReport>,
+    pub(crate) took_ms: u64,
     /// The target was not reached or fell silent.
-    is_lost: bool,
+    pub(crate) is_lost: bool,
     /// Its guard takes no work at all: it drains, or its backend server is down.
-    is_closed: bool,
+    pub(crate) is_closed: bool,
 }
 
 /// An attempt counted as in flight at its target until it has ended, however it ends.
-pub(super) struct InFlightAt {
+pub(crate) struct InFlightAt {
     node: Arc<Node>,
     target: Name,
     since: TimeMs,
@@ -173,7 +187,7 @@
 }
 
 impl InFlightAt {
-    pub(super) fn new(node: Arc<Node>, target: Name) -> Self {
+    pub(crate) fn new(node: Arc<Node>, target: Name) -> Self {
         node.metrics.entry_in_flight.inc();
         Self {
             since: node.inputs.clock.now(),
@@ -183,7 +197,7 @@
         }
     }
 
-    pub(super) fn reported(&mut self, header: &AnswerHeader) {
+    pub(crate) fn reported(&mut self, header: &AnswerHeader) {
         let reason = header.refusal.map(|refusal| refusal.reason);
         self.news.report = Some(header.load);
         self.news.took_ms = self.node.inputs.clock.now().since(self.since);
@@ -193,7 +207,7 @@
         );
     }
 
-    pub(super) fn lost(&mut self) {
+    pub(crate) fn lost(&mut self) {
         self.news.is_lost = true;
     }
 }
--- a/src/retry/decision.rs
+++ b/src/retry/decision.rs
@@ -60,6 +60,7 @@
         RefusalReason::Revoked => Some(RetryReason::SilentConnection),
         RefusalReason::Draining
         | RefusalReason::BackendDown
+        | RefusalReason::BackendReplaced
         | RefusalReason::NoTarget
         | RefusalReason::PeerVersion => Some(RetryReason::NotRun),
         _ => None,
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,22 @@
+//! The port to a store of rows that outlives all processes: reads, conditional transactions and a
+//! feed of changes, whoever provides it.
+//!
+//! An implementation only speaks a store's protocol. What has to be right whatever the store is
+//! stands here once: reading anew when the history is gone, pauses after failures, and finding out
+//! what became of a write whose answer was lost.
+
+mod port;
+mod row_keeper;
+mod rows;
+mod table_watch;
+
+pub use port::Store;
+pub use row_keeper::KeptRow;
+pub use row_keeper::RowKeeper;
+pub use rows::Changes;
+pub use rows::RowChange;
+pub use rows::RowName;
+pub use rows::RowPut;
+pub use rows::StoredRow;
+pub use table_watch::TableWatch;
+pub use table_watch::WatchPause;
--- /dev/null
+++ b/src/store/port.rs
@@ -0,0 +1,31 @@
+//! What a store offers.
+
+use futures::future::BoxFuture;
+
+use crate::core::Name;
+use crate::errors::StoreError;
+use crate::store::Changes;
+use crate::store::RowPut;
+use crate::store::StoredRow;
+
+/// A store of rows. Every call ends within a bounded time, and is sent once: callers decide about
+/// another try.
+pub trait Store: Send + Sync {
+    /// All rows of one part of a table as of one moment, and the store's version at that moment.
+    fn read_part(
+        &self,
+        table: Name,
+        part: Name,
+    ) -> BoxFuture<'_, Result<(Vec<StoredRow>, u64), StoreError>>;
+
+    /// The changes of a table after a version, as soon as there are any; none after `wait_ms`.
+    fn changes(
+        &self,
+        table: Name,
+        after: u64,
+        wait_ms: u64,
+    ) -> BoxFuture<'_, Result<Changes, StoreError>>;
+
+    /// Writes a row if it is still at the expected version. Answers its new version.
+    fn put(&self, put: RowPut) -> BoxFuture<'_, Result<u64, StoreError>>;
+}
--- /dev/null
+++ b/src/traffic/admin.rs
@@ -0,0 +1,97 @@
+//! Readiness, reports of the backend server, and metrics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::adapters::read_whole;
+use crate::traffic::AdminProtocol;
+use crate::traffic::AdminRequest;
+use crate::traffic::ServerReport;
+use crate::traffic::traffic::Traffic;
+
+/// The longest body of a request here; a report has a few hundred bytes.
+const MOST_BODY_BYTES: usize = 16 * 1024;
+/// How long it may take to arrive.
+const BODY_WITHIN: Duration = Duration::from_secs(2);
+
+/// Serves one request on the readiness or the report listener.
+pub(super) async fn serve_admin(
+    traffic: Arc<Traffic>,
+    protocol: AdminProtocol,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let body = match timeout(BODY_WITHIN, read_whole(body, MOST_BODY_BYTES)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return told(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(_) => return told(StatusCode::REQUEST_TIMEOUT, "the body is late".to_owned()),
+    };
+    let decoded = (protocol.decode)(&parts.method, parts.uri.path(), &body);
+    match decoded {
+        Ok(AdminRequest::Readiness) => readiness(&traffic),
+        Ok(AdminRequest::Report(report)) => {
+            take_report(&traffic, &report);
+            acknowledged(&protocol)
+        }
+        Ok(AdminRequest::Metrics) => metrics(&traffic),
+        Ok(AdminRequest::Unknown) => told(StatusCode::NOT_FOUND, "not served here".to_owned()),
+        Err(error) => {
+            log::warn!("local: a report was not taken, error={error}");
+            told(StatusCode::BAD_REQUEST, error.to_string())
+        }
+    }
+}
+
+/// Ready is who knows where requests go and has not begun to stop.
+fn readiness(traffic: &Traffic) -> Response<Full<Bytes>> {
+    let is_ready = traffic.desired.version() > 0 && !traffic.is_stopping();
+    let status = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    told(status, String::new())
+}
+
+fn take_report(traffic: &Traffic, report: &ServerReport) {
+    let now = traffic.clock.now();
+    traffic.change_local(|local| local.take(now, report));
+}
+
+fn acknowledged(protocol: &AdminProtocol) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(protocol.acknowledgement.clone()));
+    let content_type = HeaderValue::from_static(protocol.content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+fn metrics(traffic: &Traffic) -> Response<Full<Bytes>> {
+    let load = traffic.gate.load();
+    traffic
+        .metrics
+        .guard_in_flight
+        .set(i64::from(load.in_flight));
+    traffic.metrics.guard_limit.set(i64::from(load.limit));
+    let version = traffic.desired.version();
+    traffic.metrics.config_version.set(version as i64);
+    told(
+        StatusCode::OK,
+        String::from_utf8_lossy(&traffic.metrics.render()).into_owned(),
+    )
+}
+
+fn told(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/traffic/attempt.rs
@@ -0,0 +1,43 @@
+//! What came of an attempt to run a call at one target.
+
+use crate::adapters::WholeAnswer;
+use crate::core::Priority;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::wire::LoadReport;
+
+/// What the guard said beside its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct GuardNews {
+    pub load: LoadReport,
+    /// The lowest priority admitted there and behind it.
+    pub admit: Priority,
+    /// The version of the desired state in force there.
+    pub config_version: u64,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub(super) struct AttemptEnd {
+    pub result: Result<WholeAnswer, Refusal>,
+    /// The backend server was sent the call, as far as is known.
+    pub reached_backend: bool,
+    /// `None` when the guard did not answer.
+    pub news: Option<GuardNews>,
+}
+
+impl AttemptEnd {
+    /// The guard did not answer.
+    pub(super) fn lost(refusal: Refusal, reached_backend: bool) -> Self {
+        Self {
+            result: Err(refusal),
+            reached_backend,
+            news: None,
+        }
+    }
+
+    /// Why it was refused, if it was.
+    pub(super) fn reason(&self) -> Option<RefusalReason> {
+        self.result.as_ref().err().map(|refusal| refusal.reason)
+    }
+}
--- /dev/null
+++ b/src/traffic/backend.rs
@@ -0,0 +1,151 @@
+//! Running an admitted call at the local backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use crate::adapters::WholeAnswer;
+use crate::admission::Completion;
+use crate::admission::Verdict;
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::errors::SendError;
+use crate::node::permit::Permit;
+use crate::traffic::backend_answer::check;
+use crate::traffic::backend_answer::is_for;
+use crate::traffic::call::GuardedCall;
+use crate::traffic::call::Progress;
+use crate::traffic::guard::not_run;
+use crate::traffic::passed_headers::strip_answer;
+use crate::traffic::traffic::Traffic;
+
+/// When to come back after the backend server failed, in milliseconds.
+const FAILED_RETRY_AFTER_MS: u64 = 300;
+
+/// What came of a call at the backend server.
+pub(super) struct BackendEnd {
+    pub result: Result<WholeAnswer, Refusal>,
+    pub reached_backend: bool,
+}
+
+impl BackendEnd {
+    /// It was not sent.
+    pub(super) fn not_sent(refusal: Refusal) -> Self {
+        Self {
+            result: Err(refusal),
+            reached_backend: false,
+        }
+    }
+
+    fn sent(result: Result<WholeAnswer, Refusal>) -> Self {
+        Self {
+            result,
+            reached_backend: true,
+        }
+    }
+}
+
+/// Runs a call until its deadline. Dropped, it closes the connection to the backend server, which
+/// then stops working on the call.
+pub(super) async fn run(
+    traffic: &Arc<Traffic>,
+    call: GuardedCall,
+    incarnation: Name,
+    mut permit: Permit,
+    progress: &Progress,
+) -> BackendEnd {
+    let _running = traffic.running.enter(call.message.route());
+    let left_ms = call.deadline.since(traffic.clock.now());
+    let exchange = exchange(traffic, &call, &incarnation, left_ms, progress);
+    let end = match timeout(Duration::from_millis(left_ms), exchange).await {
+        Ok(end) => end,
+        Err(_) => BackendEnd::sent(Err(unknown(RefusalReason::DeadlineExceeded))),
+    };
+    let verdict = match &end.result {
+        Ok(answer) if answer.status.is_server_error() => Verdict::Failed,
+        Ok(_) => Verdict::Ok,
+        Err(refusal) if refusal.reason == RefusalReason::BackendShed => Verdict::Shed,
+        Err(refusal) if refusal.reason == RefusalReason::DeadlineExceeded => Verdict::Cancelled,
+        Err(_) => Verdict::Failed,
+    };
+    let service_us = traffic.clock.now_us().saturating_sub(permit.since_us);
+    let seconds = service_us as f64 / 1e6;
+    traffic.metrics.backend_latency.observe(seconds);
+    permit.note(Completion {
+        service_us,
+        child_us: 0,
+        verdict,
+    });
+    end
+}
+
+async fn exchange(
+    traffic: &Arc<Traffic>,
+    call: &GuardedCall,
+    incarnation: &Name,
+    left_ms: u64,
+    progress: &Progress,
+) -> BackendEnd {
+    let names = &traffic.settings.header_names;
+    let Some(request) = request(traffic, call, incarnation, left_ms) else {
+        return BackendEnd::not_sent(not_run(RefusalReason::BadRequest));
+    };
+    let id = call.message.headers.get(&names.request_id);
+    progress.sent();
+    let address = traffic.settings.backend_address;
+    let sent = traffic
+        .backend
+        .send(address, request, |response| is_for(names, id, response))
+        .await;
+    match sent {
+        Ok(mut answer) => {
+            let result = check(traffic, incarnation, id, &answer);
+            strip_answer(&mut answer.headers, &call.message.method);
+            BackendEnd::sent(result.map(|()| answer))
+        }
+        Err(error) => {
+            log::debug!("guard: lost the backend server, error={error}");
+            lost(traffic, incarnation, &error)
+        }
+    }
+}
+
+fn request(
+    traffic: &Traffic,
+    call: &GuardedCall,
+    incarnation: &Name,
+    left_ms: u64,
+) -> Option<Request<Full<Bytes>>> {
+    let names = &traffic.settings.header_names;
+    let message = &call.message;
+    let mut request = Request::new(Full::new(message.body.clone()));
+    *request.method_mut() = message.method.clone();
+    *request.uri_mut() = message.path_and_query.clone().into();
+    let mut map = message.headers.clone();
+    map.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
+    let incarnation = HeaderValue::from_str(incarnation).ok()?;
+    map.insert(names.expected_incarnation.clone(), incarnation);
+    let caller = HeaderValue::from_str(&call.hop.caller_service).ok()?;
+    map.insert(names.caller_service.clone(), caller);
+    *request.headers_mut() = map;
+    Some(request)
+}
+
+fn lost(traffic: &Traffic, incarnation: &Name, error: &SendError) -> BackendEnd {
+    if error.is_unsent() {
+        traffic.change_local(|local| local.note_refused(incarnation));
+        return BackendEnd::not_sent(not_run(RefusalReason::BackendDown));
+    }
+    BackendEnd::sent(Err(unknown(RefusalReason::BackendBroke)))
+}
+
+fn unknown(reason: RefusalReason) -> Refusal {
+    let retry_after_ms = FAILED_RETRY_AFTER_MS + fastrand::u64(..FAILED_RETRY_AFTER_MS);
+    Refusal::unknown(reason, retry_after_ms)
+}
--- /dev/null
+++ b/src/traffic/call.rs
@@ -0,0 +1,77 @@
+//! A call on its way: as the entry took it, and as the guard runs it.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::uri::PathAndQuery;
+
+use crate::admission::route_of;
+use crate::core::Name;
+use crate::core::Priority;
+use crate::core::TimeMs;
+use crate::desired::Repeatability;
+use crate::wire::HopCall;
+
+/// What is passed on unchanged.
+#[derive(Clone, Debug)]
+pub(super) struct Message {
+    pub method: Method,
+    pub path_and_query: PathAndQuery,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Message {
+    /// The part of the path by which admission levels are told apart.
+    pub(super) fn route(&self) -> &str {
+        route_of(self.path_and_query.path())
+    }
+}
+
+/// A call that the entry has taken and classified.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub message: Message,
+    pub service: Name,
+    pub repeatability: Repeatability,
+    /// To how many backend servers it may be sent at most.
+    pub max_attempts: u32,
+    pub priority: Priority,
+    /// 0 for a caller's own call, 1 for one of the local backend server.
+    pub depth: u8,
+    pub deadline: TimeMs,
+    pub config_version: u64,
+}
+
+/// A call that has reached the guard beside its target.
+#[derive(Clone, Debug)]
+pub(super) struct GuardedCall {
+    pub message: Message,
+    pub hop: HopCall,
+    pub deadline: TimeMs,
+}
+
+/// Whether a call may have begun to run, for whoever gives it up.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    may_run: AtomicBool,
+}
+
+impl Progress {
+    /// From now on it may run.
+    pub(super) fn sent(&self) {
+        self.may_run.store(true, Ordering::Relaxed);
+    }
+
+    /// It was certainly not run by whoever it was sent to.
+    pub(super) fn not_run(&self) {
+        self.may_run.store(false, Ordering::Relaxed);
+    }
+
+    pub(super) fn may_run(&self) -> bool {
+        self.may_run.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/src/traffic/caller_response.rs
@@ -0,0 +1,70 @@
+//! Answers to callers.
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::RETRY_AFTER;
+use http_body_util::Full;
+
+use crate::adapters::WholeAnswer;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RunState;
+use crate::traffic::traffic::Traffic;
+
+/// Passes a backend server's answer on as it is.
+pub(super) fn answer_response(answer: WholeAnswer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// Tells a caller that its request was given up. Only a request that was certainly not run, and
+/// will not be, gets 503 and a time to come back.
+pub(super) fn refusal_response(
+    traffic: &Traffic,
+    refusal: Refusal,
+    request_id: Option<HeaderValue>,
+) -> Response<Full<Bytes>> {
+    traffic.metrics.count_entry_refusal(refusal.reason);
+    log::debug!(
+        "entry: refused, request={} reason={} outcome={} retry_after_ms={}",
+        request_id
+            .as_ref()
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or(""),
+        refusal.reason.as_str(),
+        refusal.run_state.as_str(),
+        refusal.retry_after_ms,
+    );
+    let status = match (refusal.run_state, refusal.reason) {
+        (RunState::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, RefusalReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let mut response = status_response(traffic, status, request_id);
+    if refusal.run_state == RunState::NotRun {
+        let seconds = refusal.retry_after_ms as f64 / 1_000.0;
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// An answer of this node's own without a body.
+pub(super) fn status_response(
+    traffic: &Traffic,
+    status: StatusCode,
+    request_id: Option<HeaderValue>,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    if let Some(id) = request_id {
+        let name = traffic.settings.header_names.request_id.clone();
+        response.headers_mut().insert(name, id);
+    }
+    response
+}
--- /dev/null
+++ b/src/traffic/entry.rs
@@ -0,0 +1,189 @@
+//! The entry: requests of local callers, and calls of the local backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::HOST;
+use http::uri::PathAndQuery;
+use http_body::Body as _;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::adapters::read_whole;
+use crate::admission::route_of;
+use crate::core::Priority;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RequestId;
+use crate::core::TimeMs;
+use crate::desired::RouteInForce;
+use crate::errors::SendError;
+use crate::traffic::InForce;
+use crate::traffic::call::Call;
+use crate::traffic::call::Message;
+use crate::traffic::caller_response::answer_response;
+use crate::traffic::caller_response::refusal_response;
+use crate::traffic::caller_response::status_response;
+use crate::traffic::forward::forward;
+use crate::traffic::passed_headers::strip_request;
+use crate::traffic::traffic::Traffic;
+
+/// When to come back while nothing is known yet, in milliseconds.
+const LATER_MS: u64 = 500;
+/// The deadline of a request that names none and whose route is not known either.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+/// The class of calls of backend servers: work has been done for them already, so they go before
+/// every caller's own request.
+const DEEP_CLASS: u8 = 0;
+
+/// Why a request is not forwarded.
+enum Rejected {
+    /// It may be sent again.
+    Refusal(Refusal),
+    /// Sending it again would not help.
+    Status(StatusCode),
+}
+
+/// Serves one request from its arrival to its answer. Dropped, it gives the request up.
+pub(super) async fn serve_caller(
+    traffic: Arc<Traffic>,
+    request: Request<Incoming>,
+    from: SocketAddr,
+) -> Response<Full<Bytes>> {
+    let _in_progress = traffic.enter();
+    traffic.metrics.entry_calls.inc();
+    let started_us = traffic.clock.now_us();
+    let request_id = request
+        .headers()
+        .get(&traffic.settings.header_names.request_id)
+        .cloned();
+    let response = match take(&traffic, request, from).await {
+        Ok(call) => match forward(&traffic, call).await {
+            Ok(answer) => answer_response(answer),
+            Err(refusal) => refusal_response(&traffic, refusal, request_id),
+        },
+        Err(Rejected::Refusal(refusal)) => refusal_response(&traffic, refusal, request_id),
+        Err(Rejected::Status(status)) => status_response(&traffic, status, request_id),
+    };
+    let took_us = traffic.clock.now_us() - started_us;
+    traffic.metrics.entry_latency.observe(took_us as f64 / 1e6);
+    response
+}
+
+/// Takes in a whole request and classifies it.
+async fn take(
+    traffic: &Arc<Traffic>,
+    request: Request<Incoming>,
+    from: SocketAddr,
+) -> Result<Call, Rejected> {
+    let now = traffic.clock.now();
+    let (mut parts, body) = request.into_parts();
+    let in_force = traffic.desired.load();
+    let asked_ms = asked_deadline_ms(traffic, &parts.headers)?;
+    let found = in_force
+        .as_ref()
+        .and_then(|in_force| find(in_force, &parts.headers, parts.uri.path()).cloned());
+    let left_ms = match &found {
+        Some(found) => asked_ms.map_or(found.route.timeout_ms, |ms| ms.min(found.route.timeout_ms)),
+        None => asked_ms.unwrap_or(DEFAULT_DEADLINE_MS),
+    };
+    let deadline = now + left_ms;
+    let body = take_body(traffic, body, left_ms).await?;
+    let Some(in_force) = in_force else {
+        return Err(not_run(RefusalReason::NoPreset));
+    };
+    let found = found.ok_or(Rejected::Status(StatusCode::NOT_FOUND))?;
+    let depth = u8::from(from.ip() == traffic.settings.backend_address.ip());
+    let priority = priority(traffic, &found, depth, &parts.headers);
+    let service = found.split.next_service();
+    let route = route_of(parts.uri.path());
+    if depth == 0 && !traffic.levels.may_pass(now, &service, route, priority) {
+        return Err(not_run(RefusalReason::ShedAtEntry));
+    }
+    if depth > 0
+        && let Some(parent) = traffic.running.only()
+    {
+        traffic.levels.note_child(now, &parent, &service, route);
+    }
+    strip_request(&mut parts.headers);
+    let path_and_query = parts.uri.path_and_query().cloned();
+    Ok(Call {
+        message: Message {
+            method: parts.method,
+            path_and_query: path_and_query.unwrap_or_else(|| PathAndQuery::from_static("/")),
+            headers: parts.headers,
+            body,
+        },
+        service,
+        repeatability: found.route.repeatability,
+        max_attempts: found.route.max_attempts,
+        priority,
+        depth,
+        deadline,
+        config_version: in_force.state.version,
+    })
+}
+
+fn find<'a>(
+    in_force: &'a InForce,
+    headers: &HeaderMap,
+    path: &str,
+) -> Option<&'a Arc<RouteInForce>> {
+    let host = headers.get(HOST)?.to_str().ok()?;
+    in_force.routes.find(host, path)
+}
+
+fn asked_deadline_ms(traffic: &Traffic, headers: &HeaderMap) -> Result<Option<u64>, Rejected> {
+    let Some(value) = headers.get(&traffic.settings.header_names.deadline_ms) else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok();
+    let asked_ms = text.and_then(|text| text.trim().parse::<f64>().ok());
+    asked_ms
+        .filter(|ms| ms.is_finite() && *ms >= 0.0)
+        .map(|ms| Some(ms as u64))
+        .ok_or(Rejected::Status(StatusCode::BAD_REQUEST))
+}
+
+/// Within a class, requests are ranked by their identifiers, so that every node keeps the same.
+fn priority(traffic: &Traffic, found: &RouteInForce, depth: u8, headers: &HeaderMap) -> Priority {
+    let class = if depth > 0 {
+        DEEP_CLASS
+    } else {
+        found.route.rank.saturating_add(DEEP_CLASS + 1)
+    };
+    let id = headers.get(&traffic.settings.header_names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
+    Priority::new(class, RequestId::of_key("", id).rank())
+}
+
+async fn take_body(traffic: &Traffic, body: Incoming, left_ms: u64) -> Result<Bytes, Rejected> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most_bytes = traffic.desired.limits().max_body_bytes;
+    let reading = read_whole(body, most_bytes);
+    match timeout(Duration::from_millis(left_ms), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(SendError::TooLong { .. })) => Err(Rejected::Status(StatusCode::PAYLOAD_TOO_LARGE)),
+        Ok(Err(_)) => Err(Rejected::Status(StatusCode::BAD_REQUEST)),
+        Err(_) => Err(Rejected::Status(StatusCode::REQUEST_TIMEOUT)),
+    }
+}
+
+fn not_run(reason: RefusalReason) -> Rejected {
+    let retry_after_ms = LATER_MS + fastrand::u64(..LATER_MS);
+    Rejected::Refusal(Refusal::not_run(reason, retry_after_ms))
+}
+
+/// The moment by which the guard has to have answered, so that its word arrives in time here.
+pub(super) fn guard_deadline(deadline: TimeMs, margin_ms: u64) -> TimeMs {
+    deadline - margin_ms
+}
--- /dev/null
+++ b/src/traffic/forward.rs
@@ -0,0 +1,178 @@
+//! Forwarding a call: choose a target, send, and perhaps try once more.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::adapters::WholeAnswer;
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::core::RetryReason;
+use crate::core::RunState;
+use crate::core::Target;
+use crate::retry::Failure;
+use crate::retry::Situation;
+use crate::retry::retry_reason;
+use crate::routing::Pick;
+use crate::traffic::attempt::AttemptEnd;
+use crate::traffic::call::Call;
+use crate::traffic::call::Progress;
+use crate::traffic::guard;
+use crate::traffic::hop;
+use crate::traffic::in_flight::InFlightAt;
+use crate::traffic::traffic::Traffic;
+
+/// When to come back when no target takes work, in milliseconds.
+const NO_TARGET_RETRY_AFTER_MS: u64 = 400;
+/// How long a call waits for a first target to become known, in milliseconds: a node that has just
+/// started hears of all targets within this time.
+const FIRST_TARGET_WAIT_MS: u64 = 1_000;
+/// How often it looks.
+const FIRST_TARGET_LOOK_MS: u64 = 50;
+/// Targets tried in vain at most, counting those that were never sent the call: each costs a round
+/// trip.
+const MOST_TRIED: usize = 6;
+
+/// Forwards a call until it is answered, given up, or its deadline has come.
+///
+/// # Errors
+/// The refusal to give to the caller.
+pub(super) async fn forward(traffic: &Arc<Traffic>, call: Call) -> Result<WholeAnswer, Refusal> {
+    let progress = Progress::default();
+    let left_ms = call.deadline.since(traffic.clock.now());
+    let answering = attempts(traffic, &call, &progress);
+    match timeout(Duration::from_millis(left_ms), answering).await {
+        Ok(result) => result,
+        Err(_) if progress.may_run() => Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0)),
+        Err(_) => Err(Refusal::not_run(
+            RefusalReason::DeadlineExceeded,
+            no_target_ms(),
+        )),
+    }
+}
+
+async fn attempts(
+    traffic: &Arc<Traffic>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<WholeAnswer, Refusal> {
+    let mut tried: Vec<Name> = Vec::new();
+    let mut last: Option<Refusal> = None;
+    let mut sends = 0;
+    traffic.targets.first_attempt(&call.service);
+    wait_for_first_target(traffic, call).await;
+    loop {
+        let Some(target) = choose(traffic, call, &tried) else {
+            return Err(last.unwrap_or_else(no_target));
+        };
+        let end = attempt(traffic, call, &target, progress).await;
+        sends += u32::from(end.reached_backend);
+        let refusal = match end.result {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        if refusal.run_state == RunState::NotRun {
+            progress.not_run();
+        }
+        tried.push(target.node.clone());
+        let Some(reason) = next_attempt(traffic, call, refusal, &tried, sends) else {
+            return Err(refusal);
+        };
+        traffic.metrics.count_retry(reason);
+        log::debug!(
+            "entry: tries again, service={} after={} reason={}",
+            call.service,
+            refusal.reason.as_str(),
+            reason.as_str(),
+        );
+        last = Some(refusal);
+    }
+}
+
+/// Guards against refusing everything for a moment after a start, before gossip has told of any
+/// target. It shows as a burst of refusals after each restart of a node.
+async fn wait_for_first_target(traffic: &Traffic, call: &Call) {
+    let latest = traffic.clock.now() + FIRST_TARGET_WAIT_MS;
+    while traffic.view.load().targets(&call.service).is_empty() {
+        if traffic.clock.now() >= latest {
+            return;
+        }
+        sleep(Duration::from_millis(FIRST_TARGET_LOOK_MS)).await;
+    }
+}
+
+fn choose(traffic: &Traffic, call: &Call, tried: &[Name]) -> Option<Arc<Target>> {
+    let view = traffic.view.load();
+    let now = traffic.clock.now();
+    let domain = &traffic.settings.domain;
+    match traffic
+        .targets
+        .take(&view, &call.service, domain, tried, now)
+    {
+        Pick::Take(target) => Some(target),
+        Pick::NoneTakesWork | Pick::Unknown => None,
+    }
+}
+
+async fn attempt(
+    traffic: &Arc<Traffic>,
+    call: &Call,
+    target: &Target,
+    progress: &Progress,
+) -> AttemptEnd {
+    let mut in_flight = InFlightAt::new(traffic.clone(), target.node.clone());
+    let end = if target.node == traffic.settings.node {
+        guard::run_own(traffic, call, progress).await
+    } else {
+        hop::send(traffic, call, target, progress).await
+    };
+    in_flight.ended(&end);
+    if let Some(news) = end.news {
+        let now = traffic.clock.now();
+        let route = call.message.route();
+        traffic
+            .levels
+            .note_answer(now, &call.service, route, news.admit);
+    }
+    end
+}
+
+/// Decides on a further attempt. One after which a backend server gets the call a second time is
+/// paid for out of the service's budget; a guard that refused without sending costs nothing.
+fn next_attempt(
+    traffic: &Traffic,
+    call: &Call,
+    refusal: Refusal,
+    tried: &[Name],
+    sends: u32,
+) -> Option<RetryReason> {
+    if tried.len() >= MOST_TRIED || sends >= call.max_attempts {
+        return None;
+    }
+    let now = traffic.clock.now();
+    let view = traffic.view.load();
+    let failure = Failure {
+        reason: refusal.reason,
+        run_state: refusal.run_state,
+    };
+    let situation = Situation {
+        non_idempotent: !call.repeatability.may_repeat(),
+        body_is_held: true,
+        room_elsewhere: traffic.targets.has_room(&view, &call.service, tried, now),
+        deadline_left_ms: call.deadline.since(now),
+    };
+    let reason = retry_reason(failure, situation)?;
+    let paid = sends == 0 || traffic.targets.try_retry(&call.service);
+    paid.then_some(reason)
+}
+
+fn no_target() -> Refusal {
+    Refusal::not_run(RefusalReason::NoTarget, no_target_ms())
+}
+
+fn no_target_ms() -> u64 {
+    NO_TARGET_RETRY_AFTER_MS + fastrand::u64(..NO_TARGET_RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/src/traffic/guard.rs
@@ -0,0 +1,199 @@
+//! The guard: the only way to the local backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use http::uri::PathAndQuery;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::adapters::WholeAnswer;
+use crate::adapters::read_whole;
+use crate::admission::QueuedCall;
+use crate::core::Name;
+use crate::core::Refusal;
+use crate::core::RefusalReason;
+use crate::traffic::attempt::AttemptEnd;
+use crate::traffic::attempt::GuardNews;
+use crate::traffic::backend;
+use crate::traffic::backend::BackendEnd;
+use crate::traffic::call::Call;
+use crate::traffic::call::GuardedCall;
+use crate::traffic::call::Message;
+use crate::traffic::call::Progress;
+use crate::traffic::caller_response::answer_response;
+use crate::traffic::hop::hop_call;
+use crate::traffic::traffic::Traffic;
+use crate::wire::HopAnswer;
+use crate::wire::HopCall;
+use crate::wire::headers;
+
+/// When to come back after a refusal that says nothing about load, in milliseconds.
+const LATER_MS: u64 = 300;
+
+/// Serves one forwarded call. Dropped, it gives the call up.
+pub(super) async fn serve_peer(
+    traffic: Arc<Traffic>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let _in_progress = traffic.enter();
+    traffic.metrics.guard_calls.inc();
+    let end = match take(&traffic, request).await {
+        Ok(call) => run(&traffic, call, &Progress::default()).await,
+        Err(refusal) => AttemptEnd::lost(refusal, false),
+    };
+    if let Some(reason) = end.reason() {
+        traffic.metrics.count_guard_refusal(reason);
+    }
+    response(&traffic, end)
+}
+
+/// Runs a call of this node's own entry, without the network between.
+pub(super) async fn run_own(
+    traffic: &Arc<Traffic>,
+    call: &Call,
+    progress: &Progress,
+) -> AttemptEnd {
+    let guarded = GuardedCall {
+        message: call.message.clone(),
+        hop: hop_call(traffic, call),
+        deadline: call.deadline,
+    };
+    run(traffic, guarded, progress).await
+}
+
+async fn take(traffic: &Traffic, request: Request<Incoming>) -> Result<GuardedCall, Refusal> {
+    let (mut parts, body) = request.into_parts();
+    let hop = HopCall::from_headers(&parts.headers).map_err(|error| {
+        log::warn!("guard: a call cannot be read, error={error}");
+        not_run(RefusalReason::PeerVersion)
+    })?;
+    let left = Duration::from_millis(u64::from(hop.deadline_left_ms));
+    let deadline = traffic.clock.now() + u64::from(hop.deadline_left_ms);
+    let most_bytes = traffic.desired.limits().max_body_bytes;
+    let body = timeout(left, read_whole(body, most_bytes))
+        .await
+        .map_err(|_| not_run(RefusalReason::DeadlineExceeded))?
+        .map_err(|_| not_run(RefusalReason::BodyCutShort))?;
+    for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
+        parts.headers.remove(name);
+    }
+    parts.headers.remove(headers::HOP);
+    let path_and_query = parts.uri.path_and_query().cloned();
+    Ok(GuardedCall {
+        message: Message {
+            method: parts.method,
+            path_and_query: path_and_query.unwrap_or_else(|| PathAndQuery::from_static("/")),
+            headers: parts.headers,
+            body,
+        },
+        hop,
+        deadline,
+    })
+}
+
+/// Waits for admission and runs the call.
+async fn run(traffic: &Arc<Traffic>, call: GuardedCall, progress: &Progress) -> AttemptEnd {
+    let route = Name::from(call.message.route());
+    let end = admit_and_run(traffic, call, progress).await;
+    AttemptEnd {
+        result: end.result,
+        reached_backend: end.reached_backend,
+        news: Some(news(traffic, &route)),
+    }
+}
+
+async fn admit_and_run(
+    traffic: &Arc<Traffic>,
+    call: GuardedCall,
+    progress: &Progress,
+) -> BackendEnd {
+    if let Err(refusal) = incarnation(traffic, &call) {
+        return BackendEnd::not_sent(refusal);
+    }
+    let now = traffic.clock.now();
+    let queued = QueuedCall {
+        ticket: 0,
+        priority: call.hop.priority,
+        depth: call.hop.depth,
+        wait_ms: call.deadline.since(now) as u32,
+        deadline: call.deadline,
+    };
+    let arrived_us = traffic.clock.now_us();
+    let permit = match traffic.gate.admit(queued).await {
+        Ok(permit) => permit,
+        Err(refusal) => return BackendEnd::not_sent(refusal),
+    };
+    let waited_us = permit.since_us.saturating_sub(arrived_us);
+    traffic.metrics.guard_wait.observe(waited_us as f64 / 1e6);
+    // It may have changed while the call waited.
+    match incarnation(traffic, &call) {
+        Ok(incarnation) => backend::run(traffic, call, incarnation, permit, progress).await,
+        Err(refusal) => BackendEnd::not_sent(refusal),
+    }
+}
+
+/// The incarnation of the backend server that may be sent the call.
+fn incarnation(traffic: &Traffic, call: &GuardedCall) -> Result<Name, Refusal> {
+    if *traffic.guard_closed.borrow() {
+        return Err(not_run(RefusalReason::Draining));
+    }
+    let local = traffic.local();
+    if local
+        .service()
+        .is_some_and(|service| *service != call.hop.service)
+    {
+        return Err(not_run(RefusalReason::NoTarget));
+    }
+    match local.takes_work(&call.hop.service) {
+        Some(incarnation) => Ok(incarnation.clone()),
+        None if local.leaving().is_some() => Err(not_run(RefusalReason::Draining)),
+        None => Err(not_run(RefusalReason::BackendDown)),
+    }
+}
+
+fn news(traffic: &Traffic, route: &str) -> GuardNews {
+    let now = traffic.clock.now();
+    GuardNews {
+        load: traffic.gate.load(),
+        admit: traffic.levels.level_on(now, route, traffic.gate.level()),
+        config_version: traffic.desired.version(),
+    }
+}
+
+fn response(traffic: &Traffic, end: AttemptEnd) -> Response<Full<Bytes>> {
+    let news = end.news.unwrap_or_else(|| news(traffic, ""));
+    let header = HopAnswer {
+        refusal: end.result.as_ref().err().copied(),
+        reached_backend: end.reached_backend,
+        admit: news.admit,
+        load: news.load,
+        config_version: news.config_version,
+    };
+    let refused = || WholeAnswer {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        headers: http::HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let mut response = answer_response(end.result.unwrap_or_else(|_| refused()));
+    match HeaderValue::from_str(&header.encode()) {
+        Ok(value) => {
+            response.headers_mut().insert(headers::HOP_ANSWER, value);
+        }
+        Err(error) => log::error!("guard: a header cannot be written, error={error}"),
+    }
+    response
+}
+
+pub(super) fn not_run(reason: RefusalReason) -> Refusal {
+    Refusal::not_run(reason, LATER_MS + fastrand::u64(..LATER_MS))
+}
--- /dev/null
+++ b/src/traffic/in_flight.rs
@@ -0,0 +1,55 @@
+//! An attempt counted as in flight at its target until it has ended, however it ends.
+
+use std::sync::Arc;
+
+use crate::core::Name;
+use crate::core::RefusalReason;
+use crate::core::TimeMs;
+use crate::node::targets::AttemptNews;
+use crate::traffic::attempt::AttemptEnd;
+use crate::traffic::traffic::Traffic;
+
+/// Counted from the choice of the target on.
+pub(super) struct InFlightAt {
+    traffic: Arc<Traffic>,
+    target: Name,
+    since: TimeMs,
+    news: AttemptNews,
+}
+
+impl InFlightAt {
+    /// The choice has already counted the attempt at its target.
+    pub(super) fn new(traffic: Arc<Traffic>, target: Name) -> Self {
+        traffic.metrics.entry_in_flight.inc();
+        Self {
+            since: traffic.clock.now(),
+            traffic,
+            target,
+            news: AttemptNews::default(),
+        }
+    }
+
+    /// Notes how the attempt ended.
+    pub(super) fn ended(&mut self, end: &AttemptEnd) {
+        self.news.report = end.news.map(|news| news.load);
+        self.news.took_ms = self.traffic.clock.now().since(self.since);
+        self.news.is_lost = end.reason() == Some(RefusalReason::PeerLost);
+        self.news.is_closed = matches!(
+            end.reason(),
+            Some(
+                RefusalReason::Draining
+                    | RefusalReason::BackendDown
+                    | RefusalReason::BackendReplaced
+                    | RefusalReason::NoTarget
+            )
+        );
+    }
+}
+
+impl Drop for InFlightAt {
+    fn drop(&mut self) {
+        self.traffic.metrics.entry_in_flight.dec();
+        let now = self.traffic.clock.now();
+        self.traffic.targets.ended(&self.target, self.news, now);
+    }
+}
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,49 @@
+//! The way of a request on a deployment whose operator keeps the desired state in a store: entry,
+//! the hop between nodes, and the guard beside the backend server.
+//!
+//! Callers and the local backend server send to the entry ([`entry`]). It finds the route, chooses
+//! a target ([`forward`]) and hands the call to that target's guard, over the network ([`hop`]) or
+//! directly. The guard ([`guard`]) waits for admission and runs the call at the local backend
+//! server ([`backend`]). Decisions are those of `admission`, `routing`, `retry` and `membership`.
+//! See [docs/PLATFORM.md](../../docs/PLATFORM.md).
+
+mod admin;
+mod admin_protocol;
+mod attempt;
+mod backend;
+mod backend_answer;
+mod call;
+mod caller_response;
+mod desired_in_force;
+mod desired_task;
+mod entry;
+mod forward;
+mod guard;
+mod header_names;
+mod hop;
+mod in_flight;
+mod local_server;
+mod passed_headers;
+mod process;
+mod roster;
+mod running_routes;
+mod server_report;
+mod settings;
+mod stop;
+mod traffic;
+
+pub use admin_protocol::AdminProtocol;
+pub use admin_protocol::AdminRequest;
+pub use desired_in_force::DesiredInForce;
+pub use desired_in_force::InForce;
+pub use desired_task::DesiredSource;
+pub use header_names::HeaderNames;
+pub use local_server::LocalServer;
+pub use local_server::Reported;
+pub use process::TrafficInputs;
+pub use process::TrafficProcess;
+pub use roster::RosterRow;
+pub use server_report::ReportedState;
+pub use server_report::ServerReport;
+pub use settings::RetryShare;
+pub use settings::TrafficSettings;
--- /dev/null
+++ b/src/traffic/stop.rs
@@ -0,0 +1,60 @@
+//! A planned stop: callers are sent elsewhere, what is in progress is finished, then the node
+//! leaves.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::core::TargetState;
+use crate::traffic::TrafficProcess;
+
+/// How long the guard goes on taking calls: until other nodes have heard that it stops.
+const GUARD_OPEN: Duration = Duration::from_millis(800);
+/// How long the entry goes on at least: until readiness has been asked for twice and callers go
+/// elsewhere.
+const ENTRY_OPEN: Duration = Duration::from_millis(3_200);
+/// For how long nothing must have been in progress, so that the last answers have left.
+const QUIET: Duration = Duration::from_millis(250);
+/// How often requests in progress are counted.
+const LOOK: Duration = Duration::from_millis(25);
+
+impl TrafficProcess {
+    /// Stops as planned, within the time of the settings.
+    pub async fn stop(self) {
+        log::info!("node: stops");
+        let started = Instant::now();
+        let latest = started + Duration::from_millis(self.traffic.settings.stop_within_ms);
+        self.traffic.stopping.send_replace(true);
+        self.control.set_state(TargetState::Draining);
+        sleep(GUARD_OPEN).await;
+        self.traffic.guard_closed.send_replace(true);
+        self.finish(started, latest).await;
+        log::info!(
+            "node: leaves, in_progress={}",
+            self.traffic.requests_in_progress()
+        );
+        let control = self.control.clone();
+        if tokio::task::spawn_blocking(move || control.leave())
+            .await
+            .is_err()
+        {
+            log::error!("node: the control thread could not be stopped");
+        }
+    }
+
+    async fn finish(&self, started: Instant, latest: Instant) {
+        let mut last_busy = started;
+        loop {
+            let now = Instant::now();
+            if self.traffic.requests_in_progress() > 0 {
+                last_busy = now;
+            }
+            let is_quiet = now - last_busy >= QUIET && now - started >= ENTRY_OPEN;
+            if is_quiet || now >= latest {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic/traffic.rs
@@ -0,0 +1,175 @@
+//! What all parts of the way of a request share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::watch;
+
+use crate::adapters::ConnectionPool;
+use crate::adapters::PoolConf;
+use crate::core::Clock;
+use crate::core::Name;
+use crate::core::Published;
+use crate::core::TargetState;
+use crate::core::View;
+use crate::metrics::Metrics;
+use crate::node::gate::Gate;
+use crate::node::learnt_levels::LearntLevels;
+use crate::node::targets::Targets;
+use crate::traffic::DesiredInForce;
+use crate::traffic::LocalServer;
+use crate::traffic::Reported;
+use crate::traffic::TrafficSettings;
+use crate::traffic::running_routes::RunningRoutes;
+
+/// How long a new connection to another node may take, in milliseconds. A round trip between
+/// failure domains takes a few; a lost first packet is sent again after a second, and by then
+/// another target is the better choice.
+const PEER_CONNECT_MS: u64 = 400;
+/// How long an unused connection to another node is kept.
+const PEER_IDLE_MS: u64 = 10_000;
+/// How long a new connection to the local backend server may take. Its machine is this one, so
+/// only a backend server that is down or has no room takes longer.
+const BACKEND_CONNECT_MS: u64 = 500;
+/// How long an unused connection to the backend server is kept: well below the shortest time after
+/// which backend servers close theirs, for a request that meets the close may have run.
+const BACKEND_IDLE_MS: u64 = 1_500;
+/// Nothing acknowledged for so long ends a connection.
+pub(super) const SILENCE_MS: u64 = 2_000;
+
+/// What nodes are told of the local backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LocalNews {
+    pub service: Name,
+    pub slots: u32,
+    pub state: TargetState,
+    /// The incarnation that has said that it leaves, if it has.
+    pub leaving: Option<Name>,
+}
+
+/// Shared by all listeners.
+pub(super) struct Traffic {
+    pub settings: TrafficSettings,
+    pub clock: Clock,
+    pub metrics: Arc<Metrics>,
+    pub view: Arc<Published<View>>,
+    pub desired: Arc<DesiredInForce>,
+    pub gate: Arc<Gate>,
+    pub targets: Targets,
+    pub levels: LearntLevels,
+    pub running: Arc<RunningRoutes>,
+    pub peers: ConnectionPool,
+    pub backend: ConnectionPool,
+    /// Holds true from the beginning of a planned stop.
+    pub stopping: watch::Sender<bool>,
+    /// Holds true once the guard takes no more calls in a planned stop.
+    pub guard_closed: watch::Sender<bool>,
+    pub local_news: watch::Sender<LocalNews>,
+    local: Mutex<LocalServer>,
+    requests: AtomicUsize,
+}
+
+impl Traffic {
+    pub(super) fn new(
+        settings: TrafficSettings,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+        view: Arc<Published<View>>,
+        desired: Arc<DesiredInForce>,
+    ) -> Self {
+        let pool = |connect_timeout_ms, idle_ms| {
+            let conf = PoolConf {
+                connect_timeout_ms,
+                idle_ms,
+                silence_ms: SILENCE_MS,
+                most_body_bytes: settings.most_answer_bytes,
+            };
+            ConnectionPool::new(conf, clock)
+        };
+        let share = settings.retry_share;
+        let unknown = LocalNews {
+            service: settings.service.clone(),
+            slots: 0,
+            state: TargetState::Starting,
+            leaving: None,
+        };
+        Self {
+            peers: pool(PEER_CONNECT_MS, PEER_IDLE_MS),
+            backend: pool(BACKEND_CONNECT_MS, BACKEND_IDLE_MS),
+            gate: Gate::new(clock, metrics.clone(), true),
+            targets: Targets::with_budget(share.percent, share.burst),
+            levels: LearntLevels::default(),
+            running: Arc::default(),
+            stopping: watch::Sender::new(false),
+            guard_closed: watch::Sender::new(false),
+            local_news: watch::Sender::new(unknown),
+            local: Mutex::new(LocalServer::new(settings.heartbeat_ms)),
+            requests: AtomicUsize::new(0),
+            settings,
+            clock,
+            metrics,
+            view,
+            desired,
+        }
+    }
+
+    /// The local backend server as far as is known. Never held across an await.
+    pub(super) fn local(&self) -> MutexGuard<'_, LocalServer> {
+        self.local.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what is known of the local backend server, and tells the others if it is news.
+    pub(super) fn change_local(&self, change: impl FnOnce(&mut LocalServer) -> Reported) {
+        let news = {
+            let mut local = self.local();
+            if change(&mut local) == Reported::Nothing {
+                return;
+            }
+            LocalNews {
+                service: local
+                    .service()
+                    .cloned()
+                    .unwrap_or_else(|| self.settings.service.clone()),
+                slots: local.slots(),
+                state: local.state(),
+                leaving: local.leaving().cloned(),
+            }
+        };
+        log::info!(
+            "local: backend server, service={} state={:?} slots={}",
+            news.service,
+            news.state,
+            news.slots
+        );
+        self.gate.set_slots(news.slots);
+        self.local_news.send_replace(news);
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Counts a request as in progress until the returned value is dropped.
+    pub(super) fn enter(self: &Arc<Self>) -> InProgress {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        InProgress(self.clone())
+    }
+
+    /// Requests in progress at the entry and at the guard.
+    pub(super) fn requests_in_progress(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+/// A request in progress.
+pub(super) struct InProgress(Arc<Traffic>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/wire/headers.rs
+++ b/src/wire/headers.rs
@@ -18,6 +18,10 @@
 pub const CALL: &str = "sassafrasgap-call";
 /// Between nodes: an encoded `AnswerHeader`.
 pub const ANSWER: &str = "sassafrasgap-answer";
+/// Between nodes: an encoded `HopCall`.
+pub const HOP: &str = "sassafrasgap-hop";
+/// Between nodes: an encoded `HopAnswer`.
+pub const HOP_ANSWER: &str = "sassafrasgap-hop-answer";
 /// From backend servers: `1` on a 503 that was shed before it was started.
 pub const SHED: &str = "sassafrasgap-shed";
 
--- /dev/null
+++ b/src/wire/hop_answer.rs
@@ -0,0 +1,44 @@
+//! What a guard says beside its answer to a call without a key.
+
+use http::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Priority;
+use crate::core::Refusal;
+use crate::errors::WireError;
+use crate::wire::LoadReport;
+use crate::wire::codec;
+use crate::wire::headers;
+
+/// The part of an answer that is meant for the forwarding node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HopAnswer {
+    /// Set when the guard refused instead of answering.
+    pub refusal: Option<Refusal>,
+    /// The backend server was sent the call, whatever it did with it.
+    pub reached_backend: bool,
+    /// The lowest priority that the target and the services behind it admit at present.
+    pub admit: Priority,
+    pub load: LoadReport,
+    /// The version of the desired state in force at the guard.
+    pub config_version: u64,
+}
+
+impl HopAnswer {
+    /// The value of the [`headers::HOP_ANSWER`] header.
+    pub fn encode(&self) -> String {
+        codec::encode(self)
+    }
+
+    /// Reads the header of a guard's answer.
+    ///
+    /// # Errors
+    /// When the header is missing, malformed or of another protocol version.
+    pub fn from_headers(map: &HeaderMap) -> Result<Self, WireError> {
+        let header = headers::HOP_ANSWER;
+        let value = map.get(header).ok_or(WireError::Missing { header })?;
+        codec::decode(header, value.as_bytes())
+    }
+}
--- /dev/null
+++ b/src/wire/hop_call.rs
@@ -0,0 +1,46 @@
+//! What a guard has to know of a call that has no key: the short form of the call header.
+
+use http::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::core::Name;
+use crate::core::Priority;
+use crate::errors::WireError;
+use crate::wire::codec;
+use crate::wire::headers;
+
+/// The context of a call between two nodes. Bytes between failure domains are paid for, so it
+/// carries nothing that the request itself says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HopCall {
+    /// The service that is to run the call; a guard beside another one refuses.
+    pub service: Name,
+    /// The service beside which the call began.
+    pub caller_service: Name,
+    pub priority: Priority,
+    /// 0 for a caller's own call, 1 for a call of a backend server.
+    pub depth: u8,
+    /// What remains of the deadline when the header is written.
+    pub deadline_left_ms: u32,
+    /// The version of the desired state by which the call was routed.
+    pub config_version: u64,
+}
+
+impl HopCall {
+    /// The value of the [`headers::HOP`] header.
+    pub fn encode(&self) -> String {
+        codec::encode(self)
+    }
+
+    /// Reads the header of a forwarded call.
+    ///
+    /// # Errors
+    /// When the header is missing, malformed or of another protocol version.
+    pub fn from_headers(map: &HeaderMap) -> Result<Self, WireError> {
+        let header = headers::HOP;
+        let value = map.get(header).ok_or(WireError::Missing { header })?;
+        codec::decode(header, value.as_bytes())
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,10 +5,14 @@
 mod call_header;
 mod codec;
 pub mod headers;
+mod hop_answer;
+mod hop_call;
 mod owner_hint;
 
 pub use answer_header::AnswerHeader;
 pub use answer_header::LoadReport;
 pub use call_header::CallHeader;
 pub use codec::PROTOCOL_VERSION;
+pub use hop_answer::HopAnswer;
+pub use hop_call::HopCall;
 pub use owner_hint::OwnerHint;
