--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -12,6 +12,7 @@
 use crate::admission::call_queue::Waiting;
 use crate::admission::drain_rate::DrainRate;
 use crate::admission::flow::Flow;
+use crate::admission::latency_limit::LatencyLimit;
 use crate::admission::level_control::LevelControl;
 use crate::admission::limit::Limit;
 use crate::admission::service_time::ServiceTime;
@@ -48,6 +49,7 @@
 pub struct Admission {
     conf: AdmissionConf,
     limit: Limit,
+    latency_limit: LatencyLimit,
     queue: CallQueue,
     /// Calls that run, by ticket. Bounded by the limit.
     running: FastMap<u64, Priority>,
@@ -68,6 +70,7 @@
     pub fn new(conf: AdmissionConf, seed: u64) -> Self {
         Self {
             limit: Limit::new(&conf),
+            latency_limit: LatencyLimit::new(),
             queue: CallQueue::default(),
             running: FastMap::default(),
             displaced: Vec::new(),
@@ -86,6 +89,7 @@
     pub fn offer(&mut self, now: TimeMs, call: QueuedCall) -> Offer {
         self.level.note_offer(call.priority);
         self.flow.arrive(now);
+        self.latency_limit.note_objective(call.due.since(now));
         if !self.can_be_met(&call, now) {
             return Offer::Refuse(self.refusal(RefusalReason::DeadlineExceeded, now));
         }
@@ -94,6 +98,7 @@
             return Offer::Run;
         }
         self.limit.note_full();
+        self.latency_limit.note_full();
         if self.queue.len() >= self.queue_bound() {
             if !self.queue.outranks_last(&call) {
                 return Offer::Refuse(self.refusal(RefusalReason::Overloaded, now));
@@ -114,6 +119,8 @@
         self.flow.end(now);
         self.limit.note(&completion, now);
         if completion.verdict == Verdict::Ok {
+            let cap = self.limit.get();
+            self.latency_limit.note_end(now, completion.service_us, cap);
             self.run_us = (self.run_us * (RUN_WEIGHT - 1) + completion.service_us) / RUN_WEIGHT;
             self.service_time
                 .note(priority.class(), completion.service_us, now);
@@ -164,7 +171,7 @@
     pub fn load(&self) -> LoadReport {
         LoadReport {
             in_flight: self.running.len() as u32,
-            limit: self.limit.get(),
+            limit: self.limit(),
             queued: self.queue.len() as u32,
         }
     }
@@ -179,8 +186,8 @@
     /// The wait is worked out from how long calls run and how many run at once, not from how many have lately
     /// ended: just after a start or a stall none have, and the pressure would look endless.
     pub fn pressure_permille(&self) -> u32 {
-        let limit = u64::from(self.limit.get().max(1));
-        let wait_us = self.queue.len() as u64 * self.run_us / limit;
+        let limit = u64::from(self.limit().max(1));
+        let wait_us = self.wait_us();
         let mut taken = self.running.len() as u64 * 1_000 / limit;
         if self.queue.len() as u64 > limit / STANDING_PART {
             taken = (taken as f32 * self.flow.ratio()) as u64;
@@ -201,8 +208,28 @@
         self.level.set_classes(classes);
     }
 
+    /// In what time a call that arrives now may expect to be started.
+    pub fn expected_wait_ms(&self) -> u64 {
+        self.wait_us() / 1_000
+    }
+
+    /// Says whether a service that the backend server calls is the bottleneck; see
+    /// [`LatencyLimit`].
+    pub fn set_deep_pressed(&mut self, is_pressed: bool) {
+        self.latency_limit.set_deep_pressed(is_pressed);
+    }
+
+    fn wait_us(&self) -> u64 {
+        self.queue.len() as u64 * self.run_us / u64::from(self.limit().max(1))
+    }
+
+    /// How many calls may run at once.
+    fn limit(&self) -> u32 {
+        self.limit.get().min(self.latency_limit.get())
+    }
+
     fn has_room(&self) -> bool {
-        self.running.len() < self.limit.get() as usize
+        self.running.len() < self.limit() as usize
     }
 
     fn queue_bound(&self) -> usize {
@@ -218,7 +245,7 @@
     fn start(&mut self, ticket: u64, priority: Priority, at_once: bool) {
         self.running.insert(ticket, priority);
         self.level.note_start(at_once);
-        debug_assert!(self.running.len() <= self.limit.get() as usize);
+        debug_assert!(self.running.len() <= self.limit() as usize);
     }
 
     fn start_or_give_up(&mut self, waiting: &Waiting, now: TimeMs) -> Action {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -9,6 +9,7 @@
 mod dependencies;
 mod drain_rate;
 mod flow;
+mod latency_limit;
 mod level_control;
 mod levels;
 mod limit;
--- a/src/admission/pressures.rs
+++ b/src/admission/pressures.rs
@@ -96,6 +96,15 @@
             .max_by_key(|pressure| pressure.permille)
     }
 
+    /// The highest pressure behind any of the routes of the local service.
+    pub fn deepest_permille(&self, now: TimeMs, routes: &[Name]) -> u32 {
+        let children = routes
+            .iter()
+            .flat_map(|route| self.dependencies.children(now, route));
+        let behind = children.filter_map(|(service, route)| self.behind(now, service, route));
+        behind.map(|pressure| pressure.permille).max().unwrap_or(0)
+    }
+
     fn evict(&mut self, now: TimeMs) {
         for routes in self.heard.values_mut() {
             routes.retain(|_, heard| now.since(heard.at) <= FRESH_MS);
--- a/src/admission/root_control.rs
+++ b/src/admission/root_control.rs
@@ -88,10 +88,14 @@
         }
     }
 
-    /// Whether nothing that presses on the service is refused at present.
-    pub fn is_open(&self, service: &str) -> bool {
-        let level = self.levels.get(service);
-        level.is_none_or(|level| level.open >= full())
+    /// The services for whose sake requests are refused at present, each with its pressure and the
+    /// share of the wanted requests that is let in.
+    pub fn closed(&self) -> impl Iterator<Item = (&Name, f32, f32)> {
+        let closed = self.levels.iter().filter(|(_, level)| level.open < full());
+        closed.map(|(service, level)| {
+            let wanted: f32 = level.demand.iter().sum();
+            (service, level.pressure, level.sum_open() / wanted.max(0.01))
+        })
     }
 
     fn level(&mut self, now: TimeMs, service: &Name) -> Option<&mut Level> {
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -30,6 +30,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Datagrams taken in before commands and ticks get their turn.
 const MAX_BATCH: usize = 64;
+/// How many of the seeds that it is told are asked for all members at once.
+const JOIN_SEEDS: usize = 8;
 /// The largest datagram that UDP carries.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
@@ -120,7 +122,7 @@
             Command::SetSlotMapVersion { service, version } => {
                 self.membership.set_slot_map_version(&service, version);
             }
-            Command::AddSeeds(seeds) => self.membership.add_seeds(&seeds),
+            Command::AddSeeds(seeds) => self.join(&seeds),
             Command::Exchange { members, answer } => {
                 let from = self.membership.own().control_address;
                 let (held, actions) = self.membership.answer_exchange(now, from, &members);
@@ -136,6 +138,19 @@
         }
     }
 
+    /// Asks some of the seeds for all members at once. Guards against a node that knows the others'
+    /// addresses and still takes seconds to hear who is there: after a restart of many, each of
+    /// them knows few.
+    fn join(&mut self, seeds: &[SocketAddr]) {
+        self.membership.add_seeds(seeds);
+        let mut others: Vec<SocketAddr> = seeds.to_vec();
+        others.retain(|seed| *seed != self.membership.own().control_address);
+        fastrand::shuffle(&mut others);
+        for seed in others.into_iter().take(JOIN_SEEDS) {
+            self.exchange(seed);
+        }
+    }
+
     fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -146,6 +146,16 @@
         self.lock().admission.pressure_permille()
     }
 
+    /// In what time a call that arrives now may expect to be started.
+    pub(crate) fn expected_wait_ms(&self) -> u64 {
+        self.lock().admission.expected_wait_ms()
+    }
+
+    /// Says whether a service that the backend server calls is the bottleneck.
+    pub(crate) fn set_deep_pressed(&self, is_pressed: bool) {
+        self.lock().admission.set_deep_pressed(is_pressed);
+    }
+
     /// First-hand figures.
     pub(crate) fn load(&self) -> LoadReport {
         let state = self.lock();
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -39,6 +39,8 @@
 use crate::wire::HopCall;
 use crate::wire::headers;
 
+/// A root may wait for one part in this of its latency objective.
+const ROOT_WAIT_PART: u64 = 4;
 /// When to come back after a refusal that says nothing about load, in milliseconds.
 const LATER_MS: u64 = 300;
 
@@ -111,7 +113,10 @@
         .origins
         .note(&view, &route, &call.hop.caller_service);
     drop(view);
-    let end = admit_and_run(traffic, call, progress).await;
+    let end = match refuse_root(traffic, &call, origin) {
+        Some(refusal) => BackendEnd::not_sent(refusal),
+        None => admit_and_run(traffic, call, progress).await,
+    };
     AttemptEnd {
         result: end.result,
         reached_backend: end.reached_backend,
@@ -119,6 +124,26 @@
     }
 }
 
+/// Guards against roots that queue while their entries still believe that there is room: those hear
+/// of the pressure only with answers, and answers come late when everything waits. Nothing has been
+/// done for a root yet, so it is refused at once, and with the refusal its entry hears.
+fn refuse_root(
+    traffic: &Traffic,
+    call: &GuardedCall,
+    origin: Option<RouteOrigin>,
+) -> Option<Refusal> {
+    if origin != Some(RouteOrigin::Callers) {
+        return None;
+    }
+    let wait_ms = traffic.gate.expected_wait_ms();
+    let most_ms = u64::from(call.hop.objective_ms) / ROOT_WAIT_PART;
+    if wait_ms <= most_ms {
+        return None;
+    }
+    let later_ms = wait_ms + fastrand::u64(..wait_ms.max(1));
+    Some(Refusal::not_run(RefusalReason::Overloaded, later_ms))
+}
+
 async fn admit_and_run(
     traffic: &Arc<Traffic>,
     call: GuardedCall,
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -50,6 +50,10 @@
 const BUSY_GATE_LOOK: Duration = Duration::from_millis(20);
 /// The same while none waits.
 const IDLE_GATE_LOOK: Duration = Duration::from_millis(100);
+/// From this pressure on a service that the backend server calls counts as the bottleneck.
+const DEEP_PRESSED_PERMILLE: u32 = 900;
+/// How often admission of roots is logged while some are refused.
+const ADMISSION_LOG: Duration = Duration::from_secs(1);
 /// Classes of priority: calls of backend servers, and callers' requests by rank.
 const CLASSES: usize = 8;
 
@@ -142,6 +146,7 @@
             tasks.spawn(serve_admins(traffic.clone(), admin.clone(), listener));
         }
         tasks.spawn(poll_gate(traffic.clone()));
+        tasks.spawn(log_admission(traffic.clone()));
         log::info!(
             "node: serves, node={} callers={caller_address} peers={peer_address}",
             settings.node
@@ -295,6 +300,35 @@
     serve_http(listener, conf, stopping, handler).await;
 }
 
+fn note_deep_pressure(traffic: &Traffic) {
+    let running = traffic.running.all();
+    let deepest = traffic
+        .roots
+        .deepest_permille(traffic.clock.now(), &running);
+    traffic
+        .gate
+        .set_deep_pressed(deepest >= DEEP_PRESSED_PERMILLE);
+}
+
+/// What entries believe of pressure is said once a second while it has requests refused, and what
+/// waits at the guard while anything does.
+async fn log_admission(traffic: Arc<Traffic>) {
+    loop {
+        tokio::time::sleep(ADMISSION_LOG).await;
+        traffic.roots.log_closed();
+        let load = traffic.gate.load();
+        if load.queued > 0 {
+            log::info!(
+                "guard: calls wait, queued={} in_flight={} limit={} pressure_permille={}",
+                load.queued,
+                load.in_flight,
+                load.limit,
+                traffic.gate.pressure_permille()
+            );
+        }
+    }
+}
+
 /// Waiting calls give up in time also when nothing else happens at the guard.
 async fn poll_gate(traffic: Arc<Traffic>) {
     loop {
@@ -305,6 +339,7 @@
             IDLE_GATE_LOOK
         };
         tokio::time::sleep(look).await;
+        note_deep_pressure(&traffic);
         traffic.gate.poll();
     }
 }
--- a/src/traffic/root_admission.rs
+++ b/src/traffic/root_admission.rs
@@ -88,6 +88,20 @@
         self.lock().pressures.on_answer(now, route, own)
     }
 
+    /// The highest pressure behind any of these routes of the local service.
+    pub(super) fn deepest_permille(&self, now: TimeMs, routes: &[Name]) -> u32 {
+        self.lock().pressures.deepest_permille(now, routes)
+    }
+
+    /// Logs for whose sake requests are refused at present.
+    pub(super) fn log_closed(&self) {
+        for (service, pressure, admitted) in self.lock().control.closed() {
+            log::info!(
+                "entry: refuses roots, service={service} pressure={pressure:.2} admitted={admitted:.2}"
+            );
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Learnt> {
         self.learnt.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -26,9 +26,10 @@
 
 /// The table with a row for each node.
 const TABLE: &str = "nodes";
-/// After these pauses in milliseconds the rows are read again, so that nodes that start together
+/// After these pauses in milliseconds the rows are read: at once, for after a restart of all nodes
+/// the rows of before tell where the others are, and again, so that nodes that start together
 /// find each other whoever wrote first. Later on, gossip alone tells of new nodes.
-const READ_AGAIN_MS: [u64; 3] = [700, 2_000, 6_000];
+const READ_AGAIN_MS: [u64; 4] = [0, 400, 1_000, 3_000];
 /// How long what is known from before a restart is waited for.
 const OWN_ROW_WITHIN: Duration = Duration::from_millis(1_500);
 
@@ -73,9 +74,12 @@
     pub(super) async fn run(self) {
         let name = RowName::new(TABLE, self.traffic.settings.node.clone());
         let mut keeper = RowKeeper::new(self.store.clone(), name);
-        self.recall(&mut keeper).await;
         let news = self.traffic.local_news.subscribe();
-        tokio::join!(self.keep_own(&mut keeper, news), self.find_others());
+        let own = async {
+            self.recall(&mut keeper).await;
+            self.keep_own(&mut keeper, news).await;
+        };
+        tokio::join!(own, self.find_others());
     }
 
     /// Guards against a node that is restarted after its backend server said that it leaves: a
