Spill between failure domains by expected wait, and judge a service by all its targets

A stopping node's target worked for 0.8 s only, though it lives on.

What changed: a call spills when it would wait 25 ms (with a large body 100 ms) and less than half as long elsewhere; a service's pressure is the mean of its targets heard of in the last 500 ms; a stopping guard takes calls for 2.2 s.

--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -74,7 +74,10 @@
     let view = node.inputs.view.load();
     let now = node.inputs.clock.now();
     let domain = &node.settings.domain;
-    match node.targets.take(&view, &call.service, domain, tried, now) {
+    match node
+        .targets
+        .take(&view, &call.service, domain, tried, false, now)
+    {
         Pick::Take(target) => Some(target),
         Pick::NoneTakesWork | Pick::Unknown => None,
     }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -63,6 +63,7 @@
         service: &str,
         own_domain: &str,
         tried: &[Name],
+        is_large: bool,
         now: TimeMs,
     ) -> Pick {
         let mut known = self.lock();
@@ -73,6 +74,7 @@
             own_domain,
             cut_off_domains: &view.cut_off_domains,
             tried,
+            is_large,
         };
         let picked = pick(&choice, &self.conf, now, |n| fastrand::usize(..n));
         if let Pick::Take(target) = &picked {
@@ -86,6 +88,27 @@
         self.lock().stats_of(node, now).in_flight += 1;
     }
 
+    /// Takes in how hard calls press on one target of a service, and answers how hard they press on
+    /// the service: the mean of all targets heard of lately, for a call may go to any of them.
+    pub(crate) fn note_pressure(
+        &self,
+        view: &View,
+        service: &str,
+        node: &Name,
+        permille: u32,
+        now: TimeMs,
+    ) -> u32 {
+        let mut known = self.lock();
+        known.stats_of(node, now).note_pressure(permille, now);
+        let targets = view.targets(service).iter();
+        let heard = targets.filter_map(|target| {
+            let stats = known.stats.get(&target.node)?;
+            stats.pressure_permille(now)
+        });
+        let (sum, count) = heard.fold((0, 0), |(sum, count), each| (sum + each, count + 1));
+        u32::checked_div(sum, count).unwrap_or(permille)
+    }
+
     /// How long answers of a target take; 0 while nothing is known.
     pub(crate) fn usual_latency_ms(&self, node: &Name) -> u64 {
         let known = self.lock();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,5 +6,6 @@
 pub use picker::Choice;
 pub use picker::Pick;
 pub use picker::PickerConf;
+pub use picker::Spill;
 pub use picker::pick;
 pub use target_stats::TargetStats;
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -8,13 +8,20 @@
 use crate::core::TimeMs;
 use crate::routing::TargetStats;
 
+/// When a call goes to another failure domain though a target of its own takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spill {
+    /// From this load per slot on, in thousandths, if the other one is less loaded.
+    ByLoad { permille: u64 },
+    /// From this expected wait on, if it is less than half as long there: for deployments in which
+    /// bytes between failure domains are dear. A large body has a time of its own.
+    ByWait { wait_ms: u64, large_wait_ms: u64 },
+}
+
 /// How targets are chosen.
 #[derive(Clone, Debug)]
 pub struct PickerConf {
-    /// Load per slot, in thousandths, from which calls spill into other failure domains.
-    pub spill_permille: u64,
-    /// By how much less loaded a target in another failure domain has to be, in thousandths.
-    pub spill_margin_permille: u64,
+    pub spill: Spill,
     /// How long a new target counts as more loaded than it is, falling linearly to nothing.
     pub slow_start_ms: u64,
     /// The largest share of a service's targets that may be ejected at a time, in percent.
@@ -24,8 +31,7 @@
 impl Default for PickerConf {
     fn default() -> Self {
         Self {
-            spill_permille: 700,
-            spill_margin_permille: 0,
+            spill: Spill::ByLoad { permille: 700 },
             slow_start_ms: 5_000,
             eject_percent: 50,
         }
@@ -50,6 +56,8 @@
     pub cut_off_domains: &'a [Name],
     /// Nodes already tried by this call.
     pub tried: &'a [Name],
+    /// The call has a large body.
+    pub is_large: bool,
 }
 
 /// Chooses a target. `random` supplies the two draws, so that tests can fix them.
@@ -73,9 +81,11 @@
     let mut best_far = || least_of_two(&far, choice, conf, now, &mut random);
     match best_near {
         None => best_far().map_or(Pick::NoneTakesWork, |(target, _)| Pick::Take(target)),
-        Some((target, load)) if load < conf.spill_permille => Pick::Take(target),
+        Some((target, load)) if !may_spill(choice, conf, now, &target, load) => Pick::Take(target),
         Some((target, load)) => match best_far() {
-            Some((other, other_load)) if other_load + conf.spill_margin_permille < load => {
+            Some((other, other_load))
+                if is_better(choice, conf, now, (&other, other_load), (&target, load)) =>
+            {
                 Pick::Take(other)
             }
             _ => Pick::Take(target),
@@ -83,6 +93,43 @@
     }
 }
 
+fn may_spill(
+    choice: &Choice<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    near: &Target,
+    load: u64,
+) -> bool {
+    match conf.spill {
+        Spill::ByLoad { permille } => load >= permille,
+        Spill::ByWait { large_wait_ms, .. } if choice.is_large => {
+            wait_ms(choice, near, now) >= large_wait_ms
+        }
+        Spill::ByWait {
+            wait_ms: most_ms, ..
+        } => wait_ms(choice, near, now) >= most_ms,
+    }
+}
+
+/// Whether the first one, in another failure domain, is worth the way.
+fn is_better(
+    choice: &Choice<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    far: (&Target, u64),
+    near: (&Target, u64),
+) -> bool {
+    match conf.spill {
+        Spill::ByLoad { .. } => far.1 < near.1,
+        Spill::ByWait { .. } => wait_ms(choice, far.0, now) * 2 < wait_ms(choice, near.0, now),
+    }
+}
+
+fn wait_ms(choice: &Choice<'_>, target: &Target, now: TimeMs) -> u64 {
+    let stats = choice.stats.get(&target.node);
+    stats.map_or(0, |stats| stats.wait_ms(target.slots, now))
+}
+
 /// Targets that take work, less those ejected, unless too many are: then ejection says more about
 /// this node than about them, and it is ignored.
 fn open_targets(choice: &Choice<'_>, conf: &PickerConf, now: TimeMs) -> Vec<Arc<Target>> {
--- a/src/routing/target_stats.rs
+++ b/src/routing/target_stats.rs
@@ -13,6 +13,8 @@
 const LATENCY_SHARE: u64 = 8;
 /// How old a piggybacked report may be and still count.
 const REPORT_FRESH_MS: u64 = 1_000;
+/// The same for pressure, which decides about more than one call.
+const PRESSURE_FRESH_MS: u64 = 500;
 
 /// Calls in flight from here, the latest report heard from the target, and its failures in a row.
 #[derive(Clone, Debug, Default)]
@@ -25,6 +27,8 @@
     failures_in_row: u32,
     ejections: u32,
     ejected_until: TimeMs,
+    pressure_permille: u32,
+    pressed_at: TimeMs,
 }
 
 impl TargetStats {
@@ -82,6 +86,26 @@
         now < self.ejected_until
     }
 
+    /// How long a call that is sent now may expect to wait there, in milliseconds. What is beyond the
+    /// limit waits for those before it, each of which takes as long as calls usually do.
+    pub fn wait_ms(&self, limit_hint: u32, now: TimeMs) -> u64 {
+        let load_permille = self.load_permille(limit_hint, now);
+        load_permille.saturating_sub(1_000) * self.latency_ms() / 1_000
+    }
+
+    /// Takes in how hard calls press on the target, as its guard said.
+    pub fn note_pressure(&mut self, permille: u32, now: TimeMs) {
+        self.pressure_permille = permille;
+        self.pressed_at = now;
+    }
+
+    /// How hard calls press on the target, if its guard has said so lately.
+    pub fn pressure_permille(&self, now: TimeMs) -> Option<u32> {
+        let is_fresh =
+            self.pressed_at != TimeMs(0) && now.since(self.pressed_at) <= PRESSURE_FRESH_MS;
+        is_fresh.then_some(self.pressure_permille)
+    }
+
     /// Load per slot in thousandths, the larger of what is known first hand and what was reported.
     pub fn load_permille(&self, limit_hint: u32, now: TimeMs) -> u64 {
         let fresh = now.since(self.reported_at) <= REPORT_FRESH_MS && self.report.limit > 0;
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use crate::adapters::WholeAnswer;
+use crate::admission::Pressure;
 use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Refusal;
@@ -33,6 +34,8 @@
 const FIRST_TARGET_WAIT_MS: u64 = 1_000;
 /// How often it looks.
 const FIRST_TARGET_LOOK_MS: u64 = 50;
+/// From this length on a body counts as large when it would cross between failure domains.
+const LARGE_BODY_BYTES: usize = 16 * 1024;
 /// Targets tried in vain at most, counting those that were never sent the call: each costs a round
 /// trip.
 const MOST_TRIED: usize = 6;
@@ -109,9 +112,10 @@
     let view = traffic.view.load();
     let now = traffic.clock.now();
     let domain = &traffic.settings.domain;
+    let is_large = call.message.body.len() >= LARGE_BODY_BYTES;
     match traffic
         .targets
-        .take(&view, &call.service, domain, tried, now)
+        .take(&view, &call.service, domain, tried, is_large, now)
     {
         Pick::Take(target) => Some(target),
         Pick::NoneTakesWork | Pick::Unknown => None,
@@ -133,16 +137,37 @@
     in_flight.ended(&end);
     if let Some(news) = &end.news {
         let now = traffic.clock.now();
-        let pressure = news.pressure.as_ref();
+        let pressure = service_pressure(traffic, call, target, news.pressure.clone());
         let is_root = call.origin == Some(RouteOrigin::Callers);
         traffic
             .roots
-            .note_answer(now, &call.service, &call.route, pressure, is_root);
+            .note_answer(now, &call.service, &call.route, pressure.as_ref(), is_root);
         traffic.origins.take(&call.route, news.origin);
     }
     end
 }
 
+/// What one target says of itself counts as its part of the whole service; what it says of services
+/// behind it holds as it is.
+fn service_pressure(
+    traffic: &Traffic,
+    call: &Call,
+    target: &Target,
+    pressure: Option<Pressure>,
+) -> Option<Pressure> {
+    let mut pressure = pressure?;
+    if pressure.service == call.service {
+        let view = traffic.view.load();
+        let now = traffic.clock.now();
+        let (service, permille) = (&call.service, pressure.permille);
+        pressure.permille =
+            traffic
+                .targets
+                .note_pressure(&view, service, &target.node, permille, now);
+    }
+    Some(pressure)
+}
+
 /// Decides on a further attempt. One after which a backend server gets the call a second time is
 /// paid for out of the service's budget; a guard that refused without sending costs nothing.
 fn next_attempt(
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Request;
@@ -249,7 +250,7 @@
     let mut news = traffic.local_news.subscribe();
     loop {
         let local = news.borrow_and_update().clone();
-        let state = if traffic.is_stopping() {
+        let state = if traffic.is_leaving.load(Ordering::Relaxed) {
             TargetState::Draining
         } else {
             local.state
--- a/src/traffic/stop.rs
+++ b/src/traffic/stop.rs
@@ -10,8 +10,11 @@
 use crate::core::TargetState;
 use crate::traffic::TrafficProcess;
 
+/// How long the node is still told to others as one that takes calls: its backend server works on,
+/// and its slots would be missing for the whole stop.
+const UNTOLD: Duration = Duration::from_millis(1_400);
 /// How long the guard goes on taking calls: until other nodes have heard that it stops.
-const GUARD_OPEN: Duration = Duration::from_millis(800);
+const GUARD_OPEN: Duration = Duration::from_millis(2_200);
 /// How long the entry goes on taking requests: until readiness has been asked for twice and callers
 /// go elsewhere. Those that come still are refused, for they could not be finished any more.
 const ENTRY_OPEN: Duration = Duration::from_millis(2_900);
@@ -27,8 +30,10 @@
         let started = Instant::now();
         let latest = started + Duration::from_millis(self.traffic.settings.stop_within_ms);
         self.traffic.stopping.send_replace(true);
+        sleep(UNTOLD).await;
+        self.traffic.is_leaving.store(true, Ordering::Relaxed);
         self.control.set_state(TargetState::Draining);
-        sleep(GUARD_OPEN).await;
+        sleep(GUARD_OPEN - UNTOLD).await;
         self.traffic.guard_closed.send_replace(true);
         sleep(ENTRY_OPEN.saturating_sub(started.elapsed())).await;
         self.traffic.entry_closed.store(true, Ordering::Relaxed);
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -22,6 +22,7 @@
 use crate::node::gate::Gate;
 use crate::node::targets::Targets;
 use crate::routing::PickerConf;
+use crate::routing::Spill;
 use crate::traffic::DesiredInForce;
 use crate::traffic::LocalServer;
 use crate::traffic::Reported;
@@ -51,11 +52,11 @@
 /// The wait in the queue that is aimed at, in milliseconds: long enough to keep a small backend
 /// server busy, short against the objective of a call some levels deep.
 const WAIT_TARGET_MS: u64 = 10;
-/// Load from which calls spill into other failure domains, in thousandths of the limit. Bytes
-/// between failure domains are dear, and a fifth of a limit waits for a fifth of a run only.
-const SPILL_PERMILLE: u64 = 1_200;
-/// By how much less loaded the other one has to be.
-const SPILL_MARGIN_PERMILLE: u64 = 300;
+/// The wait from which calls spill into other failure domains, in milliseconds. Bytes between
+/// failure domains are dear, and a call some levels deep may wait so long a few times.
+const SPILL_WAIT_MS: u64 = 25;
+/// The same for a call with a large body.
+const SPILL_LARGE_WAIT_MS: u64 = 100;
 
 /// Many backend servers slow down when their last slots are taken, by more than these bring.
 const SPARE_SLOT_PART: u32 = 16;
@@ -80,8 +81,10 @@
 
 fn picker_conf() -> PickerConf {
     PickerConf {
-        spill_permille: SPILL_PERMILLE,
-        spill_margin_permille: SPILL_MARGIN_PERMILLE,
+        spill: Spill::ByWait {
+            wait_ms: SPILL_WAIT_MS,
+            large_wait_ms: SPILL_LARGE_WAIT_MS,
+        },
         ..PickerConf::default()
     }
 }
@@ -114,6 +117,8 @@
     pub stopping: watch::Sender<bool>,
     /// Holds true once the guard takes no more calls in a planned stop.
     pub guard_closed: watch::Sender<bool>,
+    /// Holds true once others are told that this node stops.
+    pub is_leaving: AtomicBool,
     /// Holds true once the entry takes no more requests in a planned stop.
     pub entry_closed: AtomicBool,
     pub local_news: watch::Sender<LocalNews>,
@@ -155,6 +160,7 @@
             running: Arc::default(),
             stopping: watch::Sender::new(false),
             guard_closed: watch::Sender::new(false),
+            is_leaving: AtomicBool::new(false),
             entry_closed: AtomicBool::new(false),
             local_news: watch::Sender::new(unknown),
             local: Mutex::new(LocalServer::new(settings.heartbeat_ms)),
