Say not run only of a call none of whose attempts may have run

Cause, found by reading the way of a call as a newcomer: an idempotent call whose first attempt was lost and whose second was refused was answered 503, which promises that it was not run. A time-out after a refused attempt said the same.

--- a/src/node/learnt_levels.rs
+++ b/src/node/learnt_levels.rs
@@ -17,24 +17,24 @@
 
 /// Shared by entry and guard. Both parts bound themselves.
 #[derive(Default)]
-pub(crate) struct LearntLevels {
+pub(super) struct LearntLevels {
     learnt: Mutex<Learnt>,
 }
 
 impl LearntLevels {
     /// Takes in what an answer of a service said.
-    pub(crate) fn note_answer(&self, now: TimeMs, service: &Name, route: &str, admit: Priority) {
+    pub(super) fn note_answer(&self, now: TimeMs, service: &Name, route: &str, admit: Priority) {
         self.lock().levels.note(now, service, route, admit);
     }
 
     /// Notes that work on `route` of the local service calls `child_route` of `service`.
-    pub(crate) fn note_child(&self, now: TimeMs, route: &str, service: &Name, child_route: &str) {
+    pub(super) fn note_child(&self, now: TimeMs, route: &str, service: &Name, child_route: &str) {
         let mut learnt = self.lock();
         learnt.dependencies.note(now, route, service, child_route);
     }
 
     /// Whether the service and those behind it would admit a call, as far as is known.
-    pub(crate) fn may_pass(
+    pub(super) fn may_pass(
         &self,
         now: TimeMs,
         service: &str,
@@ -46,7 +46,7 @@
 
     /// The level to tell with an answer on `route`: `own`, or less where a service behind admits
     /// less.
-    pub(crate) fn level_on(&self, now: TimeMs, route: &str, own: Priority) -> Priority {
+    pub(super) fn level_on(&self, now: TimeMs, route: &str, own: Priority) -> Priority {
         let learnt = self.lock();
         learnt.dependencies.level(now, route, own, &learnt.levels)
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,7 +27,7 @@
 mod kept_answer;
 mod keyed_forward;
 mod keyed_guard;
-pub(crate) mod learnt_levels;
+mod learnt_levels;
 mod listeners;
 mod live_calls;
 mod local_backend;
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -11,6 +11,8 @@
 use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Priority;
+use crate::core::Refusal;
+use crate::core::RunState;
 use crate::core::TimeMs;
 use crate::desired::Repeatability;
 use crate::wire::HopCall;
@@ -54,7 +56,10 @@
 /// Whether a call may have begun to run, for whoever gives it up.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
+    /// The attempt under way may run.
     may_run: AtomicBool,
+    /// An attempt that has ended may have run.
+    may_have_run: AtomicBool,
 }
 
 impl Progress {
@@ -63,12 +68,27 @@
         self.may_run.store(true, Ordering::Relaxed);
     }
 
-    /// It was certainly not run by whoever it was sent to.
-    pub(super) fn not_run(&self) {
+    /// An attempt has ended without an answer.
+    pub(super) fn ended(&self, run_state: RunState) {
         self.may_run.store(false, Ordering::Relaxed);
+        if run_state != RunState::NotRun {
+            self.may_have_run.store(true, Ordering::Relaxed);
+        }
     }
 
-    pub(super) fn may_run(&self) -> bool {
-        self.may_run.load(Ordering::Relaxed)
+    /// Whether any attempt runs or may have run.
+    pub(super) fn is_in_doubt(&self) -> bool {
+        self.may_run.load(Ordering::Relaxed) || self.may_have_run.load(Ordering::Relaxed)
+    }
+
+    /// What to say of the whole call when its last attempt was refused.
+    ///
+    /// Guards against a refusal that says `not_run` for a call of which an earlier attempt was lost
+    /// and may have run.
+    pub(super) fn of_all_attempts(&self, mut refusal: Refusal) -> Refusal {
+        if refusal.run_state == RunState::NotRun && self.may_have_run.load(Ordering::Relaxed) {
+            refusal.run_state = RunState::Unknown;
+        }
+        refusal
     }
 }
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -22,7 +22,6 @@
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::RequestId;
-use crate::core::TimeMs;
 use crate::desired::RouteInForce;
 use crate::errors::SendError;
 use crate::traffic::InForce;
@@ -89,10 +88,8 @@
     let found = in_force
         .as_ref()
         .and_then(|in_force| find(in_force, &parts.headers, parts.uri.path()).cloned());
-    let left_ms = match &found {
-        Some(found) => asked_ms.map_or(found.route.timeout_ms, |ms| ms.min(found.route.timeout_ms)),
-        None => asked_ms.unwrap_or(DEFAULT_DEADLINE_MS),
-    };
+    let most_ms = found.as_ref().map(|found| found.route.timeout_ms);
+    let left_ms = shorter(asked_ms, most_ms).unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = now + left_ms;
     let body = take_body(traffic, body, left_ms).await?;
     if traffic.entry_closed.load(Ordering::Relaxed) {
@@ -114,6 +111,7 @@
             let parents = traffic.running.all();
             traffic.roots.note_child(now, &parents, &service, route);
         }
+        // Nothing is refused on a route of which it is not known yet who uses it.
         Some(RouteOrigin::Callers) | None => {}
     }
     strip_request(&mut parts.headers);
@@ -137,6 +135,13 @@
     })
 }
 
+fn shorter(one_ms: Option<u64>, other_ms: Option<u64>) -> Option<u64> {
+    match (one_ms, other_ms) {
+        (Some(one_ms), Some(other_ms)) => Some(one_ms.min(other_ms)),
+        (one_ms, other_ms) => one_ms.or(other_ms),
+    }
+}
+
 fn find<'a>(
     in_force: &'a InForce,
     headers: &HeaderMap,
@@ -201,8 +206,3 @@
     let retry_after_ms = LATER_MS + fastrand::u64(..LATER_MS);
     Rejected::Refusal(Refusal::not_run(reason, retry_after_ms))
 }
-
-/// The moment by which the guard has to have answered, so that its word arrives in time here.
-pub(super) fn guard_deadline(deadline: TimeMs, margin_ms: u64) -> TimeMs {
-    deadline - margin_ms
-}
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -13,7 +13,6 @@
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::RetryReason;
-use crate::core::RunState;
 use crate::core::Target;
 use crate::retry::Failure;
 use crate::retry::Situation;
@@ -49,8 +48,10 @@
     let left_ms = call.deadline.since(traffic.clock.now());
     let answering = attempts(traffic, &call, &progress);
     match timeout(Duration::from_millis(left_ms), answering).await {
-        Ok(result) => result,
-        Err(_) if progress.may_run() => Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0)),
+        Ok(result) => result.map_err(|refusal| progress.of_all_attempts(refusal)),
+        Err(_) if progress.is_in_doubt() => {
+            Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0))
+        }
         Err(_) => Err(Refusal::not_run(
             RefusalReason::DeadlineExceeded,
             no_target_ms(),
@@ -78,9 +79,7 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        if refusal.run_state == RunState::NotRun {
-            progress.not_run();
-        }
+        progress.ended(refusal.run_state);
         tried.push(target.node.clone());
         let Some(reason) = next_attempt(traffic, call, refusal, &tried, sends) else {
             return Err(refusal);
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -18,7 +18,6 @@
 use crate::traffic::attempt::GuardNews;
 use crate::traffic::call::Call;
 use crate::traffic::call::Progress;
-use crate::traffic::entry::guard_deadline;
 use crate::traffic::traffic::Traffic;
 use crate::wire::HopAnswer;
 use crate::wire::HopCall;
@@ -32,7 +31,7 @@
 
 /// The context of a call for the guard of its target.
 pub(super) fn hop_call(traffic: &Traffic, call: &Call) -> HopCall {
-    let deadline = guard_deadline(call.deadline, GUARD_MARGIN_MS);
+    let deadline = call.deadline - GUARD_MARGIN_MS;
     HopCall {
         service: call.service.clone(),
         route: call.route.clone(),
