Bound what all bodies of a node take together

Cause: each body was bounded (max_body_bytes, up to 64 MiB), their sum was not, and at the second piece of a body its announced length was set aside. Sixty slow callers could hold any memory; a process over its machine's memory is killed.

Ruled out: a bound on connections (small requests would suffer from large ones); counting the announced length (two callers that announce 64 MiB would shut the node for everybody without sending a byte).

A request beyond it is told not_run (body_memory, 503) at once.

Also the comment of set_options said probes come every third of the time: each second, two of them.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -5,18 +5,16 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http_body::Body as _;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::Builder;
@@ -26,6 +24,8 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
+use crate::adapters::BodyBudget;
+use crate::adapters::read_whole;
 use crate::core::Clock;
 use crate::core::FastMap;
 use crate::core::TimeMs;
@@ -67,15 +67,17 @@
 pub struct ConnectionPool {
     conf: PoolConf,
     clock: Clock,
+    bodies: Arc<BodyBudget>,
     idle: Mutex<FastMap<SocketAddr, Vec<Idle>>>,
 }
 
 impl ConnectionPool {
-    /// An empty pool.
-    pub fn new(conf: PoolConf, clock: Clock) -> Self {
+    /// An empty pool whose answers count against the budget of bodies.
+    pub fn new(conf: PoolConf, clock: Clock, bodies: Arc<BodyBudget>) -> Self {
         Self {
             conf,
             clock,
+            bodies,
             idle: Mutex::new(FastMap::default()),
         }
     }
@@ -97,7 +99,7 @@
         let (sender, response) = self.send_head(address, request).await?;
         let keep = is_sound(&response);
         let (parts, body) = response.into_parts();
-        let body = read_whole(body, self.conf.most_body_bytes).await?;
+        let body = read_whole(body, self.conf.most_body_bytes, &self.bodies).await?;
         if keep && !is_closing(&parts.headers) && !sender.is_closed() {
             self.give_back(address, sender);
         }
@@ -185,8 +187,8 @@
 /// Small messages go out at once, and a connection on which nothing is acknowledged ends.
 ///
 /// Guards against connections that go silent for good, without a reset: a request on one would be
-/// waited for until its deadline. It holds because an unused or waiting connection is probed every
-/// third of the time, and sent data that is not acknowledged in time ends it.
+/// waited for until its deadline. It holds because a connection on which nothing comes is probed each
+/// second, twice, and sent data that is not acknowledged in time ends it.
 pub(super) fn set_options(stream: &TcpStream, silence_ms: u64) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -203,35 +205,3 @@
     let value = headers.get(http::header::CONNECTION);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
-
-/// Reads a body to its end.
-///
-/// # Errors
-/// When it is cut short, or longer than `most_bytes`.
-pub async fn read_whole(mut body: Incoming, most_bytes: usize) -> Result<Bytes, SendError> {
-    let announced = body.size_hint().lower();
-    if announced > most_bytes as u64 {
-        return Err(SendError::TooLong { most_bytes });
-    }
-    let mut first: Option<Bytes> = None;
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        if whole.len() + first.as_ref().map_or(0, Bytes::len) + data.len() > most_bytes {
-            return Err(SendError::TooLong { most_bytes });
-        }
-        match first.take() {
-            None if whole.is_empty() => first = Some(data),
-            earlier => {
-                if let Some(earlier) = earlier {
-                    whole.reserve((announced as usize).max(earlier.len() + data.len()));
-                    whole.extend_from_slice(&earlier);
-                }
-                whole.extend_from_slice(&data);
-            }
-        }
-    }
-    Ok(first.unwrap_or_else(|| whole.freeze()))
-}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,14 +1,16 @@
 //! Where the product meets libraries: HTTP servers and clients.
 
+mod body_budget;
 mod connection_pool;
 mod http_client;
 mod http_listener;
 mod http_server;
+mod whole_body;
 
+pub use body_budget::BodyBudget;
 pub use connection_pool::ConnectionPool;
 pub use connection_pool::PoolConf;
 pub use connection_pool::WholeAnswer;
-pub use connection_pool::read_whole;
 pub use http_client::HttpClient;
 pub use http_client::http_client;
 pub use http_client::http_client_from;
@@ -19,3 +21,4 @@
 pub use http_server::empty_body;
 pub use http_server::full_body;
 pub use http_server::serve;
+pub use whole_body::read_whole;
--- a/src/core/outcome.rs
+++ b/src/core/outcome.rs
@@ -95,6 +95,8 @@
         BodyCutShort => "body_cut_short",
         /// The headers or the body are larger than the settings allow.
         TooLarge => "too_large",
+        /// Bodies take all the memory that they may at this node.
+        BodyMemory => "body_memory",
         /// The request is malformed.
         BadRequest => "bad_request",
         /// A peer speaks another version of the protocol.
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -521,6 +521,9 @@
     /// The body of the answer is longer than may be held.
     #[error("the answer is longer than {most_bytes} bytes")]
     TooLong { most_bytes: usize },
+    /// All bodies together may not take more memory.
+    #[error("bodies take all of the {most_bytes} bytes that they may")]
+    NoMemory { most_bytes: usize },
 }
 
 impl SendError {
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -31,7 +31,8 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    let body = match timeout(BODY_WITHIN, read_whole(body, MOST_BODY_BYTES)).await {
+    let reading = read_whole(body, MOST_BODY_BYTES, &traffic.bodies);
+    let body = match timeout(BODY_WITHIN, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => return told(StatusCode::BAD_REQUEST, error.to_string()),
         Err(_) => return told(StatusCode::REQUEST_TIMEOUT, "the body is late".to_owned()),
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -185,10 +185,11 @@
         return Ok(Bytes::new());
     }
     let most_bytes = traffic.desired.limits().max_body_bytes;
-    let reading = read_whole(body, most_bytes);
+    let reading = read_whole(body, most_bytes, &traffic.bodies);
     match timeout(Duration::from_millis(left_ms), reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(SendError::TooLong { .. })) => Err(Rejected::Status(StatusCode::PAYLOAD_TOO_LARGE)),
+        Ok(Err(SendError::NoMemory { .. })) => Err(not_run(RefusalReason::BodyMemory)),
         Ok(Err(_)) => Err(Rejected::Status(StatusCode::BAD_REQUEST)),
         Err(_) => Err(Rejected::Status(StatusCode::REQUEST_TIMEOUT)),
     }
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -24,6 +24,7 @@
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::errors::SendError;
 use crate::traffic::attempt::AttemptEnd;
 use crate::traffic::attempt::GuardNews;
 use crate::traffic::backend;
@@ -84,10 +85,13 @@
     let left = Duration::from_millis(u64::from(hop.deadline_left_ms));
     let deadline = traffic.clock.now() + u64::from(hop.deadline_left_ms);
     let most_bytes = traffic.desired.limits().max_body_bytes;
-    let body = timeout(left, read_whole(body, most_bytes))
+    let body = timeout(left, read_whole(body, most_bytes, &traffic.bodies))
         .await
         .map_err(|_| not_run(RefusalReason::DeadlineExceeded))?
-        .map_err(|_| not_run(RefusalReason::BodyCutShort))?;
+        .map_err(|error| match error {
+            SendError::NoMemory { .. } => not_run(RefusalReason::BodyMemory),
+            _ => not_run(RefusalReason::BodyCutShort),
+        })?;
     for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
         parts.headers.remove(name);
     }
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -41,6 +41,6 @@
     pub retry_share: RetryShare,
     /// How long a planned stop may take.
     pub stop_within_ms: u64,
-    /// The longest answer body that is held.
-    pub most_answer_bytes: usize,
+    /// How many bytes of bodies are held at once, in sum.
+    pub held_body_bytes: usize,
 }
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::watch;
 
+use crate::adapters::BodyBudget;
 use crate::adapters::ConnectionPool;
 use crate::adapters::PoolConf;
 use crate::admission::AdmissionConf;
@@ -111,6 +112,8 @@
     pub roots: RootAdmission,
     pub origins: KnownOrigins,
     pub running: Arc<RunningRoutes>,
+    /// What bodies of requests and answers take of the memory.
+    pub bodies: Arc<BodyBudget>,
     pub peers: ConnectionPool,
     pub backend: ConnectionPool,
     /// Holds true from the beginning of a planned stop.
@@ -134,14 +137,15 @@
         view: Arc<Published<View>>,
         desired: Arc<DesiredInForce>,
     ) -> Self {
+        let bodies = BodyBudget::new(settings.held_body_bytes);
         let pool = |connect_timeout_ms, idle_ms| {
             let conf = PoolConf {
                 connect_timeout_ms,
                 idle_ms,
                 silence_ms: SILENCE_MS,
-                most_body_bytes: settings.most_answer_bytes,
+                most_body_bytes: settings.held_body_bytes,
             };
-            ConnectionPool::new(conf, clock)
+            ConnectionPool::new(conf, clock, bodies.clone())
         };
         let share = settings.retry_share;
         let unknown = LocalNews {
@@ -158,6 +162,7 @@
             roots: RootAdmission::default(),
             origins: KnownOrigins::default(),
             running: Arc::default(),
+            bodies,
             stopping: watch::Sender::new(false),
             guard_closed: watch::Sender::new(false),
             is_leaving: AtomicBool::new(false),
