Reload settings while a node serves, with a signal or without one

Cause: a changed settings file was only checked, on SIGHUP; it held from the next start on, and a change without a signal was never noticed.

Change: settings that can change (LiveSettings: address of the backend server, heartbeat, share of retries, time of a stop, memory for bodies) are put into force at once; identity and listeners hold until the next start, and the log names both by field.

--- a/src/adapters/body_budget.rs
+++ b/src/adapters/body_budget.rs
@@ -15,7 +15,7 @@
 /// ends it. It holds because every byte is counted before it is kept, until the body is dropped.
 #[derive(Debug)]
 pub struct BodyBudget {
-    most_bytes: usize,
+    most_bytes: AtomicUsize,
     held_bytes: AtomicUsize,
 }
 
@@ -23,11 +23,16 @@
     /// A budget of which nothing is used.
     pub fn new(most_bytes: usize) -> Arc<Self> {
         Arc::new(Self {
-            most_bytes,
+            most_bytes: AtomicUsize::new(most_bytes),
             held_bytes: AtomicUsize::new(0),
         })
     }
 
+    /// Changes the bound. What is held already stays.
+    pub fn set_most_bytes(&self, most_bytes: usize) {
+        self.most_bytes.store(most_bytes, Ordering::Relaxed);
+    }
+
     /// How many bytes are held at present.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes.load(Ordering::Relaxed)
@@ -54,16 +59,15 @@
     /// # Errors
     /// When the budget has not so many left; the share then stays as it was.
     pub(super) fn grow(&mut self, bytes: usize) -> Result<(), SendError> {
+        let most_bytes = self.budget.most_bytes.load(Ordering::Relaxed);
         let before = self.budget.held_bytes.fetch_add(bytes, Ordering::Relaxed);
         self.bytes += bytes;
-        if before + bytes <= self.budget.most_bytes {
+        if before + bytes <= most_bytes {
             return Ok(());
         }
         self.budget.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
         self.bytes -= bytes;
-        Err(SendError::NoMemory {
-            most_bytes: self.budget.most_bytes,
-        })
+        Err(SendError::NoMemory { most_bytes })
     }
 
     /// Ties the share to the body: it is given back when the last reference to the body goes.
--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -46,8 +46,6 @@
     /// Nothing acknowledged for so long ends a connection, with requests on it as well. A network
     /// that drops packets without a word shows in nothing else.
     pub silence_ms: u64,
-    /// The longest answer body that is held.
-    pub most_body_bytes: usize,
 }
 
 /// A whole answer.
@@ -99,7 +97,7 @@
         let (sender, response) = self.send_head(address, request).await?;
         let keep = is_sound(&response);
         let (parts, body) = response.into_parts();
-        let body = read_whole(body, self.conf.most_body_bytes, &self.bodies).await?;
+        let body = read_whole(body, usize::MAX, &self.bodies).await?;
         if keep && !is_closing(&parts.headers) && !sender.is_closed() {
             self.give_back(address, sender);
         }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -30,14 +30,29 @@
     budgets: FastMap<Name, RetryBudget>,
     /// The change of the view up to which targets that are gone have been evicted.
     evicted_at_change: u64,
+    share: Share,
+}
+
+/// What the budget of each service gets.
+#[derive(Clone, Copy)]
+struct Share {
+    percent: u32,
+    burst: u32,
+}
+
+impl Default for Share {
+    fn default() -> Self {
+        Self {
+            percent: BUDGET_PERCENT,
+            burst: BUDGET_BURST,
+        }
+    }
 }
 
 /// Shared by all calls. Bounded by the view: what is not in it any more is evicted.
 pub(crate) struct Targets {
     known: Mutex<Known>,
     conf: PickerConf,
-    budget_percent: u32,
-    budget_burst: u32,
 }
 
 impl Targets {
@@ -49,10 +64,11 @@
     /// without first attempts in between.
     pub(crate) fn with_conf(conf: PickerConf, percent: u32, burst: u32) -> Self {
         Self {
-            known: Mutex::new(Known::default()),
+            known: Mutex::new(Known {
+                share: Share { percent, burst },
+                ..Known::default()
+            }),
             conf,
-            budget_percent: percent,
-            budget_burst: burst,
         }
     }
 
@@ -149,18 +165,24 @@
         }
     }
 
+    /// Changes what services get. Their budgets begin anew, empty: what was spent before is not
+    /// given twice.
+    pub(crate) fn set_retry_share(&self, percent: u32, burst: u32) {
+        let mut known = self.lock();
+        known.share = Share { percent, burst };
+        for budget in known.budgets.values_mut() {
+            *budget = RetryBudget::empty(percent, burst);
+        }
+    }
+
     /// Notes a first attempt in the budget of its service.
     pub(crate) fn first_attempt(&self, service: &Name) {
-        let (percent, burst) = (self.budget_percent, self.budget_burst);
-        self.lock()
-            .budget_of(service, percent, burst)
-            .first_attempt();
+        self.lock().budget_of(service).first_attempt();
     }
 
     /// Takes a retry out of the budget of its service.
     pub(crate) fn try_retry(&self, service: &Name) -> bool {
-        let (percent, burst) = (self.budget_percent, self.budget_burst);
-        self.lock().budget_of(service, percent, burst).try_retry()
+        self.lock().budget_of(service).try_retry()
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -175,7 +197,8 @@
             .or_insert_with(|| TargetStats::new(now))
     }
 
-    fn budget_of(&mut self, service: &Name, percent: u32, burst: u32) -> &mut RetryBudget {
+    fn budget_of(&mut self, service: &Name) -> &mut RetryBudget {
+        let Share { percent, burst } = self.share;
         self.budgets
             .entry(service.clone())
             .or_insert_with(|| RetryBudget::new(percent, burst))
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -15,8 +15,6 @@
     pub pressure: Option<Pressure>,
     /// Who uses the call's route.
     pub origin: Option<RouteOrigin>,
-    /// The version of the desired state in force there.
-    pub config_version: u64,
 }
 
 /// The end of an attempt.
--- a/src/traffic/backend.rs
+++ b/src/traffic/backend.rs
@@ -62,7 +62,7 @@
 ) -> BackendEnd {
     let _running = traffic.running.enter(&call.hop.route);
     let left_ms = call.deadline.since(traffic.clock.now());
-    let exchange = exchange(traffic, &call, &incarnation, left_ms, progress);
+    let exchange = exchange(traffic, call, &incarnation, left_ms, progress);
     let end = match timeout(Duration::from_millis(left_ms), exchange).await {
         Ok(end) => end,
         Err(_) => BackendEnd::sent(Err(unknown(RefusalReason::DeadlineExceeded))),
@@ -87,18 +87,20 @@
 
 async fn exchange(
     traffic: &Arc<Traffic>,
-    call: &GuardedCall,
+    call: GuardedCall,
     incarnation: &Name,
     left_ms: u64,
     progress: &Progress,
 ) -> BackendEnd {
     let names = &traffic.settings.header_names;
+    let id = call.message.headers.get(&names.request_id).cloned();
+    let id = id.as_ref();
+    let method = call.message.method.clone();
     let Some(request) = request(traffic, call, incarnation, left_ms) else {
         return BackendEnd::not_sent(not_run(RefusalReason::BadRequest));
     };
-    let id = call.message.headers.get(&names.request_id);
     progress.sent();
-    let address = traffic.settings.backend_address;
+    let address = traffic.live().backend_address;
     let sent = traffic
         .backend
         .send(address, request, |response| is_for(names, id, response))
@@ -106,7 +108,7 @@
     match sent {
         Ok(mut answer) => {
             let result = check(traffic, incarnation, id, &answer);
-            strip_answer(&mut answer.headers, &call.message.method);
+            strip_answer(&mut answer.headers, &method);
             BackendEnd::sent(result.map(|()| answer))
         }
         Err(error) => {
@@ -118,16 +120,16 @@
 
 fn request(
     traffic: &Traffic,
-    call: &GuardedCall,
+    call: GuardedCall,
     incarnation: &Name,
     left_ms: u64,
 ) -> Option<Request<Full<Bytes>>> {
     let names = &traffic.settings.header_names;
-    let message = &call.message;
-    let mut request = Request::new(Full::new(message.body.clone()));
-    *request.method_mut() = message.method.clone();
-    *request.uri_mut() = message.path_and_query.clone().into();
-    let mut map = message.headers.clone();
+    let message = call.message;
+    let mut request = Request::new(Full::new(message.body));
+    *request.method_mut() = message.method;
+    *request.uri_mut() = message.path_and_query.into();
+    let mut map = message.headers;
     map.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
     let incarnation = HeaderValue::from_str(incarnation).ok()?;
     map.insert(names.expected_incarnation.clone(), incarnation);
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -42,7 +42,6 @@
     /// The time within which an answer is worth most.
     pub objective_ms: u32,
     pub deadline: TimeMs,
-    pub config_version: u64,
 }
 
 /// A call that has reached the guard beside its target.
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -95,9 +95,9 @@
     if traffic.entry_closed.load(Ordering::Relaxed) {
         return Err(not_run(RefusalReason::Draining));
     }
-    let Some(in_force) = in_force else {
+    if in_force.is_none() {
         return Err(not_run(RefusalReason::NoPreset));
-    };
+    }
     let found = found.ok_or(Rejected::Status(StatusCode::NOT_FOUND))?;
     let route = &found.route.name;
     let origin = traffic.origins.of(route);
@@ -131,7 +131,6 @@
         origin,
         objective_ms: found.route.objective_ms as u32,
         deadline,
-        config_version: in_force.state.version,
     })
 }
 
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -208,7 +208,6 @@
         load: traffic.gate.load(),
         pressure: traffic.roots.on_answer(now, route, own),
         origin,
-        config_version: traffic.desired.version(),
     }
 }
 
@@ -220,7 +219,6 @@
         pressure: news.pressure,
         origin: news.origin,
         load: news.load,
-        config_version: news.config_version,
     };
     let refused = || WholeAnswer {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -39,7 +39,6 @@
         priority: call.priority,
         objective_ms: call.objective_ms,
         deadline_left_ms: deadline.since(traffic.clock.now()) as u32,
-        config_version: call.config_version,
     }
 }
 
@@ -105,7 +104,6 @@
             load: hop.load,
             pressure: hop.pressure,
             origin: hop.origin,
-            config_version: hop.config_version,
         }),
     }
 }
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -30,7 +30,6 @@
     /// It takes no connections: it crashed, or has not opened its port yet.
     is_down: bool,
     heard_at: TimeMs,
-    cold_until: TimeMs,
 }
 
 /// Whether a report brought news.
@@ -64,6 +63,11 @@
         }
     }
 
+    /// Changes how often reports are expected.
+    pub fn set_heartbeat_ms(&mut self, heartbeat_ms: u64) {
+        self.heartbeat_ms = heartbeat_ms;
+    }
+
     /// An incarnation is known to have said that it leaves, from before this process started.
     pub fn note_gone(&mut self, incarnation: &Name) {
         if self.gone.contains(incarnation) {
@@ -106,7 +110,6 @@
             present.heard_at = now;
             present.slots = report.slots.unwrap_or(present.slots);
             present.service = report.service.clone().unwrap_or(present.service.clone());
-            present.cold_until = now + report.cold_remaining_ms;
             present.is_down = false;
         }
         let is_news = before.is_leaving != present.is_leaving
@@ -145,7 +148,6 @@
             is_leaving: report.state != ReportedState::Ready,
             is_down: false,
             heard_at: now,
-            cold_until: now + report.cold_remaining_ms,
         });
     }
 
@@ -209,11 +211,4 @@
         let present = self.present.as_ref()?;
         present.is_leaving.then_some(&present.incarnation)
     }
-
-    /// For how long it is slow yet after its start.
-    pub fn cold_ms(&self, now: TimeMs) -> u64 {
-        self.present
-            .as_ref()
-            .map_or(0, |present| present.cold_until.since(now))
-    }
 }
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -149,8 +149,10 @@
         tasks.spawn(poll_gate(traffic.clone()));
         tasks.spawn(log_admission(traffic.clone()));
         log::info!(
-            "node: serves, node={} callers={caller_address} peers={peer_address}",
-            settings.node
+            "node: serves, node={} version={} callers={caller_address} peers={peer_address} \
+             ready={ready_address} reports={report_address}",
+            settings.node,
+            env!("CARGO_PKG_VERSION")
         );
         Self {
             traffic,
--- a/src/traffic/server_report.rs
+++ b/src/traffic/server_report.rs
@@ -23,6 +23,4 @@
     pub service: Option<Name>,
     /// How many requests it says it runs at once; an upper bound, not the truth.
     pub slots: Option<u32>,
-    /// For how long it stays slow after its start.
-    pub cold_remaining_ms: u64,
 }
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -14,7 +14,21 @@
     pub burst: u32,
 }
 
-/// The checked settings of a node.
+/// Settings that can change while the node serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LiveSettings {
+    /// Where the backend server beside this node serves.
+    pub backend_address: SocketAddr,
+    /// How often the backend server reports.
+    pub heartbeat_ms: u64,
+    pub retry_share: RetryShare,
+    /// How long a planned stop may take.
+    pub stop_within_ms: u64,
+    /// How many bytes of bodies are held at once, in sum.
+    pub held_body_bytes: usize,
+}
+
+/// The checked settings of a node. Identity and addresses hold from its start to its end.
 #[derive(Clone, Debug)]
 pub struct TrafficSettings {
     pub node: Name,
@@ -23,8 +37,6 @@
     pub domain: Name,
     /// The service of the backend server beside this node.
     pub service: Name,
-    /// Where that backend server serves.
-    pub backend_address: SocketAddr,
     /// Where local callers and the backend server send requests.
     pub caller_address: SocketAddr,
     /// Where other nodes forward calls.
@@ -36,11 +48,5 @@
     /// Where the backend server reports.
     pub report_address: SocketAddr,
     pub header_names: HeaderNames,
-    /// How often the backend server reports.
-    pub heartbeat_ms: u64,
-    pub retry_share: RetryShare,
-    /// How long a planned stop may take.
-    pub stop_within_ms: u64,
-    /// How many bytes of bodies are held at once, in sum.
-    pub held_body_bytes: usize,
+    pub live: LiveSettings,
 }
--- a/src/traffic/stop.rs
+++ b/src/traffic/stop.rs
@@ -28,7 +28,7 @@
     pub async fn stop(self) {
         log::info!("node: stops");
         let started = Instant::now();
-        let latest = started + Duration::from_millis(self.traffic.settings.stop_within_ms);
+        let latest = started + Duration::from_millis(self.traffic.live().stop_within_ms);
         self.traffic.stopping.send_replace(true);
         sleep(UNTOLD).await;
         self.traffic.is_leaving.store(true, Ordering::Relaxed);
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -25,8 +25,10 @@
 use crate::routing::PickerConf;
 use crate::routing::Spill;
 use crate::traffic::DesiredInForce;
+use crate::traffic::LiveSettings;
 use crate::traffic::LocalServer;
 use crate::traffic::Reported;
+use crate::traffic::RetryShare;
 use crate::traffic::TrafficSettings;
 use crate::traffic::root_admission::RootAdmission;
 use crate::traffic::route_origins::KnownOrigins;
@@ -125,6 +127,7 @@
     /// Holds true once the entry takes no more requests in a planned stop.
     pub entry_closed: AtomicBool,
     pub local_news: watch::Sender<LocalNews>,
+    live: Published<LiveSettings>,
     local: Mutex<LocalServer>,
     requests: AtomicUsize,
 }
@@ -137,17 +140,16 @@
         view: Arc<Published<View>>,
         desired: Arc<DesiredInForce>,
     ) -> Self {
-        let bodies = BodyBudget::new(settings.held_body_bytes);
+        let bodies = BodyBudget::new(settings.live.held_body_bytes);
         let pool = |connect_timeout_ms, idle_ms| {
             let conf = PoolConf {
                 connect_timeout_ms,
                 idle_ms,
                 silence_ms: SILENCE_MS,
-                most_body_bytes: settings.held_body_bytes,
             };
             ConnectionPool::new(conf, clock, bodies.clone())
         };
-        let share = settings.retry_share;
+        let share = settings.live.retry_share;
         let unknown = LocalNews {
             service: settings.service.clone(),
             slots: 0,
@@ -168,8 +170,9 @@
             is_leaving: AtomicBool::new(false),
             entry_closed: AtomicBool::new(false),
             local_news: watch::Sender::new(unknown),
-            local: Mutex::new(LocalServer::new(settings.heartbeat_ms)),
+            local: Mutex::new(LocalServer::new(settings.live.heartbeat_ms)),
             requests: AtomicUsize::new(0),
+            live: Published::from_pointee(settings.live),
             settings,
             clock,
             metrics,
@@ -178,6 +181,22 @@
         }
     }
 
+    /// The settings that can change.
+    pub(super) fn live(&self) -> LiveSettings {
+        **self.live.load()
+    }
+
+    /// Puts changed settings into force.
+    pub(super) fn set_live(&self, live: LiveSettings) {
+        self.bodies.set_most_bytes(live.held_body_bytes);
+        if live.retry_share != self.live().retry_share {
+            let RetryShare { percent, burst } = live.retry_share;
+            self.targets.set_retry_share(percent, burst);
+        }
+        self.local().set_heartbeat_ms(live.heartbeat_ms);
+        self.live.store(Arc::new(live));
+    }
+
     /// The local backend server as far as is known. Never held across an await.
     pub(super) fn local(&self) -> MutexGuard<'_, LocalServer> {
         self.local.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/wire/hop_answer.rs
+++ b/src/wire/hop_answer.rs
@@ -25,8 +25,6 @@
     /// Who uses the call's route, as far as this guard knows.
     pub origin: Option<RouteOrigin>,
     pub load: LoadReport,
-    /// The version of the desired state in force at the guard.
-    pub config_version: u64,
 }
 
 impl HopAnswer {
--- a/src/wire/hop_call.rs
+++ b/src/wire/hop_call.rs
@@ -26,8 +26,6 @@
     pub objective_ms: u32,
     /// What remains of the deadline when the header is written.
     pub deadline_left_ms: u32,
-    /// The version of the desired state by which the call was routed.
-    pub config_version: u64,
 }
 
 impl HopCall {
--- a/tests/traffic_local_server.rs
+++ b/tests/traffic_local_server.rs
@@ -18,7 +18,6 @@
         sequence: Some(sequence),
         service: Some(Name::from("s")),
         slots: Some(10),
-        cold_remaining_ms: 0,
     }
 }
 
