Ask the store for changes closely on one node a failure domain

Cause: every node asked for changes with questions of 1.5 s, 52 calls a node and minute.

Change: WatchPace. The first living node of a domain asks with 2 s, so that a swallowed question is noticed before the store counts as calm again; the others with 8 s and longer pauses after failures. They hear of changes from their own question while the store works, else by gossip.

--- a/src/desired/mod.rs
+++ b/src/desired/mod.rs
@@ -8,6 +8,7 @@
 mod route;
 mod route_table;
 mod split;
+mod watch_pace;
 
 pub use client_limits::ClientLimits;
 pub use desired_state::DesiredState;
@@ -18,3 +19,4 @@
 pub use route_table::RouteInForce;
 pub use route_table::RouteTable;
 pub use split::Split;
+pub use watch_pace::WatchPace;
--- a/src/store/table_watch.rs
+++ b/src/store/table_watch.rs
@@ -9,9 +9,10 @@
 
 /// The pause after a first failure, in milliseconds; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
-/// The longest pause, in milliseconds. All nodes ask for as long as an outage lasts, and every
-/// call is paid for; a second is well within the time in which a change has to be in force.
+/// The longest pause unless another one is asked for, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 1_000;
+/// How often a pause doubles at most, so that it cannot overflow.
+const MOST_DOUBLINGS: u32 = 16;
 
 /// Growing pauses after failures, spread so that nodes that failed together do not return
 /// together.
@@ -23,10 +24,14 @@
 impl WatchPause {
     /// The pause after one more failure. `random` is uniform in 0..1.
     pub fn after_failure(&mut self, random: f64) -> u64 {
-        let longest = FIRST_PAUSE_MS << self.failures.min(5);
-        self.failures += 1;
-        let longest = longest.min(LONGEST_PAUSE_MS) as f64;
-        (longest * (0.5 + random / 2.0)) as u64
+        self.up_to(LONGEST_PAUSE_MS, random)
+    }
+
+    /// The same, at most `longest_ms`.
+    pub fn up_to(&mut self, longest_ms: u64, random: f64) -> u64 {
+        let doubled = FIRST_PAUSE_MS << self.failures;
+        self.failures = (self.failures + 1).min(MOST_DOUBLINGS);
+        (doubled.min(longest_ms) as f64 * (0.5 + random / 2.0)) as u64
     }
 
     /// A call succeeded.
--- a/src/traffic/desired_task.rs
+++ b/src/traffic/desired_task.rs
@@ -8,6 +8,7 @@
 
 use crate::control::PeerClients;
 use crate::desired::DesiredState;
+use crate::desired::WatchPace;
 use crate::errors::DesiredStateError;
 use crate::store::RowChange;
 use crate::store::RowName;
@@ -16,11 +17,6 @@
 use crate::store::WatchPause;
 use crate::traffic::DesiredInForce;
 
-/// How long one question for changes may stay open, in milliseconds. A question that an outage has
-/// swallowed is never answered, and until its time is up this node hears nothing from the store:
-/// so it is shorter than the time in which a change has to be in force.
-const FEED_WAIT_MS: u64 = 1_500;
-
 /// Decodes a desired state from the operator's row.
 pub type DecodeDesired =
     Arc<dyn Fn(&[u8]) -> Result<DesiredState, DesiredStateError> + Send + Sync>;
@@ -35,19 +31,23 @@
 /// Tells all members which version is in force here.
 pub(super) type AnnounceVersion = Arc<dyn Fn(u64) + Send + Sync>;
 
+/// How closely this node has to follow the store at present.
+pub(super) type Pace = Arc<dyn Fn() -> WatchPace + Send + Sync>;
+
 /// Follows the operator's row for good.
 pub(super) async fn watch_store(
     store: Arc<dyn Store>,
     source: DesiredSource,
     desired: Arc<DesiredInForce>,
     announce: AnnounceVersion,
+    pace: Pace,
 ) {
     let (table, part) = (source.row.table.clone(), source.row.part.clone());
     let mut watch = TableWatch::new(store, table, part);
     let mut pause = WatchPause::default();
     let mut was_reached = true;
     loop {
-        match watch.next(FEED_WAIT_MS).await {
+        match watch.next(pace().wait_ms).await {
             Ok(changes) => {
                 pause.reset();
                 if !was_reached {
@@ -61,7 +61,7 @@
                     log::warn!("store: lost, error={error}");
                 }
                 was_reached = false;
-                let pause_ms = pause.after_failure(fastrand::f64());
+                let pause_ms = pause.up_to(pace().longest_pause_ms, fastrand::f64());
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         }
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -22,6 +22,7 @@
 use crate::control::ControlSettings;
 use crate::core::Clock;
 use crate::core::TargetState;
+use crate::desired::WatchPace;
 use crate::errors::TrafficError;
 use crate::membership::MembershipSettings;
 use crate::metrics::Metrics;
@@ -32,6 +33,7 @@
 use crate::traffic::TrafficSettings;
 use crate::traffic::admin::serve_admin;
 use crate::traffic::desired_task::AnnounceVersion;
+use crate::traffic::desired_task::Pace;
 use crate::traffic::desired_task::VersionNews;
 use crate::traffic::desired_task::fetch_news;
 use crate::traffic::desired_task::watch_store;
@@ -112,6 +114,7 @@
             inputs.source,
             desired.clone(),
             announce.clone(),
+            pace(&traffic),
         ));
         runtime.spawn(fetch_news(
             news,
@@ -237,6 +240,18 @@
     }
 }
 
+/// A node without a desired state serves nothing, so it asks as closely as a watcher.
+fn pace(traffic: &Arc<Traffic>) -> Pace {
+    let traffic = traffic.clone();
+    Arc::new(move || {
+        if traffic.desired.version() == 0 {
+            return WatchPace::WATCHER;
+        }
+        let settings = &traffic.settings;
+        WatchPace::of(&traffic.view.load(), &settings.node, &settings.domain)
+    })
+}
+
 /// Held weakly: the tasks that announce live on the control thread, which the handle ends.
 fn announce_version(control: &Arc<ControlHandle>) -> AnnounceVersion {
     let control = Arc::downgrade(control);
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -29,7 +29,7 @@
 /// After these pauses in milliseconds the rows are read: at once, for after a restart of all nodes
 /// the rows of before tell where the others are, and again, so that nodes that start together
 /// find each other whoever wrote first. Later on, gossip alone tells of new nodes.
-const READ_AGAIN_MS: [u64; 4] = [0, 400, 1_000, 3_000];
+const READ_AGAIN_MS: [u64; 3] = [0, 600, 3_000];
 /// How long what is known from before a restart is waited for.
 const OWN_ROW_WITHIN: Duration = Duration::from_millis(1_500);
 
