Spare backend servers that fail far more of their calls than others

Cause: a backend server that refuses, breaks or never answers many of its calls (health check good) is answered fast and looks least loaded, and within its domain it may be the only one: a request with five calls to it hardly ever came through. Only a lost node counted as a failure; what the backend server did was not known to entries.

Ruled out: counting at each entry by itself (67 entries would each pay several failed calls to learn it); ejecting as for lost nodes (when a service behind all of them fails, all would go out in turn); a fixed share alone (the same).

The choice leaves out a target at 12% or more and three times the best one's share, but for one call in 24, which finds out whether it is well again.

--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -154,6 +154,7 @@
         stats.in_flight = stats.in_flight.saturating_sub(1);
         if let Some(report) = end.report {
             stats.note_report(report, now);
+            stats.note_failing(end.failing_permille, now);
         }
         if end.is_closed {
             stats.note_closed(now);
@@ -219,6 +220,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AttemptNews {
     pub(crate) report: Option<LoadReport>,
+    /// Which share of calls fails at the target, in thousandths.
+    pub(crate) failing_permille: u32,
     pub(crate) took_ms: u64,
     /// The target was not reached or fell silent.
     pub(crate) is_lost: bool,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,8 +1,10 @@
 //! Which target gets a call: first-hand figures of each target and the choice among them.
 
+mod failing_share;
 mod picker;
 mod target_stats;
 
+pub use failing_share::FailingShare;
 pub use picker::Choice;
 pub use picker::Pick;
 pub use picker::PickerConf;
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -8,6 +8,14 @@
 use crate::core::TimeMs;
 use crate::routing::TargetStats;
 
+/// A target at which this share of calls fails is spared, in thousandths, if others fail less. Some
+/// failures are ordinary, and a few more do no harm that would be worth the bytes of going elsewhere.
+const SPARE_FROM_PERMILLE: u32 = 120;
+/// How often it must fail for each failure of the best other one.
+const SPARE_RATIO: u32 = 3;
+/// One call in this goes there all the same, to find out whether it is well again.
+const TRIAL_PART: usize = 24;
+
 /// When a call goes to another failure domain though a target of its own takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spill {
@@ -70,10 +78,11 @@
     if choice.targets.is_empty() {
         return Pick::Unknown;
     }
-    let open = open_targets(choice, conf, now);
+    let mut open = open_targets(choice, conf, now);
     if open.is_empty() {
         return Pick::NoneTakesWork;
     }
+    spare_failing(&mut open, choice, now, &mut random);
     let (near, far): (Vec<_>, Vec<_>) = open
         .into_iter()
         .partition(|target| &*target.domain == choice.own_domain);
@@ -158,6 +167,30 @@
         .collect()
 }
 
+/// Leaves out targets at which far more calls fail than at the best one.
+///
+/// Guards against a backend server that takes calls and fails many of them, by refusals, errors or
+/// silence, while its health check is good. It is answered fast and so looks least loaded; a request
+/// of many calls hardly ever comes through. Targets are compared with each other, for when all fail
+/// alike, as with a service behind them, there is nowhere better to go.
+fn spare_failing(
+    open: &mut Vec<Arc<Target>>,
+    choice: &Choice<'_>,
+    now: TimeMs,
+    random: &mut impl FnMut(usize) -> usize,
+) {
+    let failing = |target: &Arc<Target>| {
+        let stats = choice.stats.get(&target.node);
+        stats.map_or(0, |stats| stats.failing_permille(now))
+    };
+    let best = open.iter().map(&failing).min().unwrap_or(0);
+    let worst_spared = (best * SPARE_RATIO).max(SPARE_FROM_PERMILLE);
+    if open.iter().all(|target| failing(target) < worst_spared) || random(TRIAL_PART) == 0 {
+        return;
+    }
+    open.retain(|target| failing(target) < worst_spared);
+}
+
 fn least_of_two(
     targets: &[Arc<Target>],
     choice: &Choice<'_>,
--- a/src/routing/target_stats.rs
+++ b/src/routing/target_stats.rs
@@ -15,6 +15,9 @@
 const REPORT_FRESH_MS: u64 = 1_000;
 /// The same for pressure, which decides about more than one call.
 const PRESSURE_FRESH_MS: u64 = 500;
+/// How long a target's word on its failures counts, in milliseconds: about as long as its guard
+/// itself remembers them.
+const FAILING_FRESH_MS: u64 = 2_000;
 
 /// Calls in flight from here, the latest report heard from the target, and its failures in a row.
 #[derive(Clone, Debug, Default)]
@@ -29,6 +32,8 @@
     ejected_until: TimeMs,
     pressure_permille: u32,
     pressed_at: TimeMs,
+    failing_permille: u32,
+    failing_at: TimeMs,
 }
 
 impl TargetStats {
@@ -106,6 +111,21 @@
         is_fresh.then_some(self.pressure_permille)
     }
 
+    /// Takes in which share of its calls fails at the target, as its guard said.
+    pub fn note_failing(&mut self, permille: u32, now: TimeMs) {
+        self.failing_permille = permille;
+        self.failing_at = now;
+    }
+
+    /// Which share of its calls fails at the target; 0 where its guard has not said so lately.
+    pub fn failing_permille(&self, now: TimeMs) -> u32 {
+        if now.since(self.failing_at) <= FAILING_FRESH_MS {
+            self.failing_permille
+        } else {
+            0
+        }
+    }
+
     /// Load per slot in thousandths, the larger of what is known first hand and what was reported.
     pub fn load_permille(&self, limit_hint: u32, now: TimeMs) -> u64 {
         let fresh = now.since(self.reported_at) <= REPORT_FRESH_MS && self.report.limit > 0;
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct GuardNews {
     pub load: LoadReport,
+    /// Which share of calls fails at the backend server, in thousandths.
+    pub failing_permille: u32,
     /// The most pressed service there and behind it.
     pub pressure: Option<Pressure>,
     /// Who uses the call's route.
--- a/src/traffic/backend.rs
+++ b/src/traffic/backend.rs
@@ -74,6 +74,7 @@
         Err(refusal) if refusal.reason == RefusalReason::DeadlineExceeded => Verdict::Cancelled,
         Err(_) => Verdict::Failed,
     };
+    traffic.note_end(verdict != Verdict::Ok);
     let service_us = traffic.clock.now_us().saturating_sub(permit.since_us);
     let seconds = service_us as f64 / 1e6;
     traffic.metrics.backend_latency.observe(seconds);
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -206,6 +206,7 @@
     };
     GuardNews {
         load: traffic.gate.load(),
+        failing_permille: traffic.failing_permille(now),
         pressure: traffic.roots.on_answer(now, route, own),
         origin,
     }
@@ -219,6 +220,7 @@
         pressure: news.pressure,
         origin: news.origin,
         load: news.load,
+        failing_permille: news.failing_permille,
     };
     let refused = || WholeAnswer {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -102,6 +102,7 @@
         reached_backend: hop.reached_backend,
         news: Some(GuardNews {
             load: hop.load,
+            failing_permille: hop.failing_permille,
             pressure: hop.pressure,
             origin: hop.origin,
         }),
--- a/src/traffic/in_flight.rs
+++ b/src/traffic/in_flight.rs
@@ -32,6 +32,7 @@
     /// Notes how the attempt ended.
     pub(super) fn ended(&mut self, end: &AttemptEnd) {
         self.news.report = end.news.as_ref().map(|news| news.load);
+        self.news.failing_permille = end.news.as_ref().map_or(0, |news| news.failing_permille);
         self.news.took_ms = self.traffic.clock.now().since(self.since);
         self.news.is_lost = end.reason() == Some(RefusalReason::PeerLost);
         self.news.is_closed = matches!(
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -18,10 +18,12 @@
 use crate::core::Name;
 use crate::core::Published;
 use crate::core::TargetState;
+use crate::core::TimeMs;
 use crate::core::View;
 use crate::metrics::Metrics;
 use crate::node::gate::Gate;
 use crate::node::targets::Targets;
+use crate::routing::FailingShare;
 use crate::routing::PickerConf;
 use crate::routing::Spill;
 use crate::traffic::DesiredInForce;
@@ -129,6 +131,7 @@
     pub local_news: watch::Sender<LocalNews>,
     live: Published<LiveSettings>,
     local: Mutex<LocalServer>,
+    failing: Mutex<FailingShare>,
     requests: AtomicUsize,
 }
 
@@ -170,6 +173,7 @@
             is_leaving: AtomicBool::new(false),
             entry_closed: AtomicBool::new(false),
             local_news: watch::Sender::new(unknown),
+            failing: Mutex::default(),
             local: Mutex::new(LocalServer::new(settings.live.heartbeat_ms)),
             requests: AtomicUsize::new(0),
             live: Published::from_pointee(settings.live),
@@ -202,6 +206,21 @@
         self.local.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes the end of a call at the local backend server.
+    pub(super) fn note_end(&self, has_failed: bool) {
+        let now = self.clock.now();
+        self.failing().note(now, has_failed);
+    }
+
+    /// Which share of calls fails at the local backend server, in thousandths.
+    pub(super) fn failing_permille(&self, now: TimeMs) -> u32 {
+        self.failing().permille(now)
+    }
+
+    fn failing(&self) -> MutexGuard<'_, FailingShare> {
+        self.failing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Changes what is known of the local backend server, and tells the others if it is news.
     pub(super) fn change_local(&self, change: impl FnOnce(&mut LocalServer) -> Reported) {
         let news = {
--- a/src/wire/hop_answer.rs
+++ b/src/wire/hop_answer.rs
@@ -25,6 +25,8 @@
     /// Who uses the call's route, as far as this guard knows.
     pub origin: Option<RouteOrigin>,
     pub load: LoadReport,
+    /// Which share of calls fails at the backend server lately, in thousandths.
+    pub failing_permille: u32,
 }
 
 impl HopAnswer {
--- /dev/null
+++ b/tests/routing_failing.rs
@@ -0,0 +1,116 @@
+//! Targets that take calls and fail many of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rstest::rstest;
+use sassafrasgap::core::FastMap;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Target;
+use sassafrasgap::core::TargetState;
+use sassafrasgap::core::TimeMs;
+use sassafrasgap::routing::Choice;
+use sassafrasgap::routing::FailingShare;
+use sassafrasgap::routing::Pick;
+use sassafrasgap::routing::PickerConf;
+use sassafrasgap::routing::TargetStats;
+use sassafrasgap::routing::pick;
+
+const NOW: TimeMs = TimeMs(60_000);
+const CALLS: u32 = 2_000;
+
+fn target(name: &str, domain: &str) -> Arc<Target> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Arc::new(Target {
+        node: Name::from(name),
+        service: Name::from("s"),
+        region: Name::from("r"),
+        domain: Name::from(domain),
+        peer_address: address,
+        control_address: address,
+        incarnation: 1,
+        state: TargetState::Up,
+        slots: 10,
+    })
+}
+
+/// How many of the calls from domain `a` go to each target, by the share that fails there.
+fn spread(targets: &[(&str, &str, u32)]) -> FastMap<Name, u32> {
+    let mut stats = FastMap::default();
+    for (name, _, failing_permille) in targets {
+        let mut known = TargetStats::new(TimeMs(0));
+        known.note_failing(*failing_permille, NOW);
+        stats.insert(Name::from(*name), known);
+    }
+    let targets: Vec<Arc<Target>> = targets
+        .iter()
+        .map(|(name, domain, _)| target(name, domain))
+        .collect();
+    let choice = Choice {
+        targets: &targets,
+        stats: &stats,
+        own_domain: "a",
+        cut_off_domains: &[],
+        tried: &[],
+        is_large: false,
+    };
+    let mut random = fastrand::Rng::with_seed(7);
+    let mut sent = FastMap::default();
+    for _ in 0..CALLS {
+        let picked = pick(&choice, &PickerConf::default(), NOW, |n| random.usize(..n));
+        let Pick::Take(target) = picked else {
+            panic!("a target takes work");
+        };
+        *sent.entry(target.node.clone()).or_default() += 1;
+    }
+    sent
+}
+
+fn sent(spread: &FastMap<Name, u32>, name: &str) -> u32 {
+    spread.get(name).copied().unwrap_or(0)
+}
+
+/// One target refuses or breaks nearly half of its calls. It answers fast and so looks free, and it
+/// is the only one of its callers' domain. It gets a call now and then, to see whether it is well.
+#[rstest]
+fn a_failing_target_is_spared_but_tried() {
+    let spread = spread(&[("a1", "a", 450), ("b1", "b", 4), ("c1", "c", 0)]);
+    let tried = sent(&spread, "a1");
+    assert!(tried > 0 && tried < CALLS / 12, "{tried}");
+}
+
+/// A service behind all of them fails, and so do they. Nowhere is it better, so none is spared and
+/// calls stay in their domain.
+#[rstest]
+fn targets_that_fail_alike_share_the_calls() {
+    let spread = spread(&[("a1", "a", 550), ("b1", "b", 400), ("c1", "c", 610)]);
+    assert_eq!(sent(&spread, "a1"), CALLS);
+}
+
+/// Some calls always fail. A target of the own domain is not left for that.
+#[rstest]
+fn ordinary_failures_do_no_harm() {
+    let spread = spread(&[("a1", "a", 60), ("b1", "b", 0)]);
+    assert_eq!(sent(&spread, "a1"), CALLS);
+}
+
+/// Nothing is said of a few calls. What was long ago counts less and less, so that a target that is
+/// left alone is forgotten to be a failing one.
+#[rstest]
+fn a_share_needs_calls_and_fades() {
+    let mut share = FailingShare::default();
+    for _ in 0..5 {
+        share.note(TimeMs(1_000), true);
+    }
+    assert_eq!(share.permille(TimeMs(1_000)), 0);
+    for _ in 0..15 {
+        share.note(TimeMs(1_000), false);
+    }
+    assert_eq!(share.permille(TimeMs(1_000)), 250);
+    assert_eq!(share.permille(TimeMs(6_000)), 0);
+    for _ in 0..20 {
+        share.note(TimeMs(6_000), false);
+    }
+    let later = share.permille(TimeMs(6_000));
+    assert!(later < 50, "{later}");
+}
