Spare failing targets only while others have room

Change: a failing target is left for a sound one only if that one's load is below 0.8 a slot, and from a quarter of failures on.

--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -10,11 +10,13 @@
 
 /// A target at which this share of calls fails is spared, in thousandths, if others fail less. Some
 /// failures are ordinary, and a few more do no harm that would be worth the bytes of going elsewhere.
-const SPARE_FROM_PERMILLE: u32 = 120;
+const SPARE_FROM_PERMILLE: u32 = 250;
 /// How often it must fail for each failure of the best other one.
 const SPARE_RATIO: u32 = 3;
 /// One call in this goes there all the same, to find out whether it is well again.
 const TRIAL_PART: usize = 24;
+/// Below this load per slot, in thousandths, another target has room for a failing one's calls.
+const ROOM_PERMILLE: u64 = 800;
 
 /// When a call goes to another failure domain though a target of its own takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,26 +80,69 @@
     if choice.targets.is_empty() {
         return Pick::Unknown;
     }
-    let mut open = open_targets(choice, conf, now);
-    if open.is_empty() {
+    let open = open_targets(choice, conf, now);
+    let Some(usual) = least_loaded(&open, choice, conf, now, &mut random) else {
         return Pick::NoneTakesWork;
+    };
+    let sound = sound_targets(&open, choice, now);
+    if sound.len() == open.len() || sound.contains(&usual) || random(TRIAL_PART) == 0 {
+        return Pick::Take(usual);
+    }
+    match least_loaded(&sound, choice, conf, now, &mut random) {
+        Some(other) if has_room(&other, choice, now) => Pick::Take(other),
+        _ => Pick::Take(usual),
     }
-    spare_failing(&mut open, choice, now, &mut random);
+}
+
+/// The targets at which not far more calls fail than at the best one.
+///
+/// Guards against a backend server that takes calls and fails many of them, by refusals, errors or
+/// silence, while its health check is good. It is answered fast and so looks least loaded; a request
+/// of many calls hardly ever comes through. Targets are compared with each other, for when all fail
+/// alike, as with a service behind them, there is nowhere better to go. Others are only preferred
+/// while they have room: with none to spare, what a failing one still does is worth more than its
+/// failures cost.
+fn sound_targets(open: &[Arc<Target>], choice: &Choice<'_>, now: TimeMs) -> Vec<Arc<Target>> {
+    let failing = |target: &Arc<Target>| {
+        let stats = choice.stats.get(&target.node);
+        stats.map_or(0, |stats| stats.failing_permille(now))
+    };
+    let best = open.iter().map(&failing).min().unwrap_or(0);
+    let spared_from = (best * SPARE_RATIO).max(SPARE_FROM_PERMILLE);
+    let sound = open.iter().filter(|target| failing(target) < spared_from);
+    sound.cloned().collect()
+}
+
+fn has_room(target: &Target, choice: &Choice<'_>, now: TimeMs) -> bool {
+    let stats = choice.stats.get(&target.node);
+    let load = stats.map_or(0, |stats| stats.load_permille(target.slots, now));
+    load < ROOM_PERMILLE
+}
+
+/// The least loaded of two, of the own failure domain unless the way to another one pays.
+fn least_loaded(
+    open: &[Arc<Target>],
+    choice: &Choice<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    mut random: &mut impl FnMut(usize) -> usize,
+) -> Option<Arc<Target>> {
     let (near, far): (Vec<_>, Vec<_>) = open
-        .into_iter()
+        .iter()
+        .cloned()
         .partition(|target| &*target.domain == choice.own_domain);
     let best_near = least_of_two(&near, choice, conf, now, &mut random);
     let mut best_far = || least_of_two(&far, choice, conf, now, &mut random);
     match best_near {
-        None => best_far().map_or(Pick::NoneTakesWork, |(target, _)| Pick::Take(target)),
-        Some((target, load)) if !may_spill(choice, conf, now, &target, load) => Pick::Take(target),
+        None => best_far().map(|(target, _)| target),
+        Some((target, load)) if !may_spill(choice, conf, now, &target, load) => Some(target),
         Some((target, load)) => match best_far() {
             Some((other, other_load))
                 if is_better(choice, conf, now, (&other, other_load), (&target, load)) =>
             {
-                Pick::Take(other)
+                Some(other)
             }
-            _ => Pick::Take(target),
+            _ => Some(target),
         },
     }
 }
@@ -167,30 +212,6 @@
         .collect()
 }
 
-/// Leaves out targets at which far more calls fail than at the best one.
-///
-/// Guards against a backend server that takes calls and fails many of them, by refusals, errors or
-/// silence, while its health check is good. It is answered fast and so looks least loaded; a request
-/// of many calls hardly ever comes through. Targets are compared with each other, for when all fail
-/// alike, as with a service behind them, there is nowhere better to go.
-fn spare_failing(
-    open: &mut Vec<Arc<Target>>,
-    choice: &Choice<'_>,
-    now: TimeMs,
-    random: &mut impl FnMut(usize) -> usize,
-) {
-    let failing = |target: &Arc<Target>| {
-        let stats = choice.stats.get(&target.node);
-        stats.map_or(0, |stats| stats.failing_permille(now))
-    };
-    let best = open.iter().map(&failing).min().unwrap_or(0);
-    let worst_spared = (best * SPARE_RATIO).max(SPARE_FROM_PERMILLE);
-    if open.iter().all(|target| failing(target) < worst_spared) || random(TRIAL_PART) == 0 {
-        return;
-    }
-    open.retain(|target| failing(target) < worst_spared);
-}
-
 fn least_of_two(
     targets: &[Arc<Target>],
     choice: &Choice<'_>,
--- a/tests/routing_failing.rs
+++ b/tests/routing_failing.rs
@@ -36,9 +36,15 @@
 
 /// How many of the calls from domain `a` go to each target, by the share that fails there.
 fn spread(targets: &[(&str, &str, u32)]) -> FastMap<Name, u32> {
+    spread_under(targets, 2)
+}
+
+/// The same while so many of the ten slots of each target are taken.
+fn spread_under(targets: &[(&str, &str, u32)], in_flight: u32) -> FastMap<Name, u32> {
     let mut stats = FastMap::default();
     for (name, _, failing_permille) in targets {
         let mut known = TargetStats::new(TimeMs(0));
+        known.in_flight = in_flight;
         known.note_failing(*failing_permille, NOW);
         stats.insert(Name::from(*name), known);
     }
@@ -87,6 +93,14 @@
     assert_eq!(sent(&spread, "a1"), CALLS);
 }
 
+/// All targets are busy, and one of them fails nearly half of its calls. Sparing it would take what it
+/// still does away from a service that has nothing to spare: calls go on as they would without it.
+#[rstest]
+fn without_room_elsewhere_none_is_spared() {
+    let spread = spread_under(&[("a1", "a", 450), ("b1", "b", 4), ("c1", "c", 0)], 9);
+    assert_eq!(sent(&spread, "a1"), CALLS);
+}
+
 /// Some calls always fail. A target of the own domain is not left for that.
 #[rstest]
 fn ordinary_failures_do_no_harm() {
