Stop requests that crash backend servers after a few crashes, on the platform's path too

Cause: nothing there remembered what ran when a backend server crashed; each return of such a request crashed two more (BUDGET forbids more than three retries after the third crash). The product's own path probes the backend server when a connection breaks; here that would cost a connection for every lost answer, and the caller the time.

Ruled out: a threshold of one crash for non-idempotent work as on the own path: a crash that has another cause would turn away what ran beside it.

Three crashes refuse a content.

--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,10 +1,12 @@
 //! Requests that crash backend servers: who is suspected, who is cleared, who is refused
 //! ([docs/POISON.md](../../docs/POISON.md)).
 
+mod broken_calls;
 mod crash_report;
 mod crashes;
 mod suspects;
 
+pub use broken_calls::BrokenCalls;
 pub use crash_report::Cleared;
 pub use crash_report::CrashId;
 pub use crash_report::CrashReport;
--- a/src/traffic/backend.rs
+++ b/src/traffic/backend.rs
@@ -17,6 +17,7 @@
 use crate::core::RefusalReason;
 use crate::errors::SendError;
 use crate::node::permit::Permit;
+use crate::poison::Running;
 use crate::traffic::backend_answer::check;
 use crate::traffic::backend_answer::is_for;
 use crate::traffic::call::GuardedCall;
@@ -61,6 +62,7 @@
     progress: &Progress,
 ) -> BackendEnd {
     let _running = traffic.running.enter(&call.hop.route);
+    let suspect = call.suspect;
     let left_ms = call.deadline.since(traffic.clock.now());
     let exchange = exchange(traffic, call, &incarnation, left_ms, progress);
     let end = match timeout(Duration::from_millis(left_ms), exchange).await {
@@ -75,6 +77,9 @@
         Err(_) => Verdict::Failed,
     };
     traffic.note_end(verdict != Verdict::Ok);
+    if verdict == Verdict::Ok {
+        traffic.poison.note_success(&suspect);
+    }
     let service_us = traffic.clock.now_us().saturating_sub(permit.since_us);
     let seconds = service_us as f64 / 1e6;
     traffic.metrics.backend_latency.observe(seconds);
@@ -97,6 +102,7 @@
     let id = call.message.headers.get(&names.request_id).cloned();
     let id = id.as_ref();
     let method = call.message.method.clone();
+    let suspect = call.suspect;
     let Some(request) = request(traffic, call, incarnation, left_ms) else {
         return BackendEnd::not_sent(not_run(RefusalReason::BadRequest));
     };
@@ -114,7 +120,7 @@
         }
         Err(error) => {
             log::debug!("guard: lost the backend server, error={error}");
-            lost(traffic, incarnation, &error)
+            lost(traffic, incarnation, suspect, &error)
         }
     }
 }
@@ -140,11 +146,12 @@
     Some(request)
 }
 
-fn lost(traffic: &Traffic, incarnation: &Name, error: &SendError) -> BackendEnd {
+fn lost(traffic: &Traffic, incarnation: &Name, suspect: Running, error: &SendError) -> BackendEnd {
     if error.is_unsent() {
         traffic.change_local(|local| local.note_refused(incarnation));
         return BackendEnd::not_sent(not_run(RefusalReason::BackendDown));
     }
+    traffic.poison.note_broken(suspect);
     BackendEnd::sent(Err(unknown(RefusalReason::BackendBroke)))
 }
 
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -15,6 +15,7 @@
 use crate::core::RunState;
 use crate::core::TimeMs;
 use crate::desired::Repeatability;
+use crate::poison::Running;
 use crate::wire::HopCall;
 
 /// What is passed on unchanged.
@@ -48,6 +49,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct GuardedCall {
     pub message: Message,
+    /// What is held against it should the backend server crash.
+    pub suspect: Running,
     pub hop: HopCall,
     pub deadline: TimeMs,
 }
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -24,6 +24,7 @@
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::core::TimeMs;
 use crate::errors::SendError;
 use crate::traffic::attempt::AttemptEnd;
 use crate::traffic::attempt::GuardNews;
@@ -35,6 +36,7 @@
 use crate::traffic::call::Progress;
 use crate::traffic::caller_response::answer_response;
 use crate::traffic::hop::hop_call;
+use crate::traffic::poison_watch::as_suspect;
 use crate::traffic::traffic::Traffic;
 use crate::wire::HopAnswer;
 use crate::wire::HopCall;
@@ -68,11 +70,8 @@
     call: &Call,
     progress: &Progress,
 ) -> AttemptEnd {
-    let guarded = GuardedCall {
-        message: call.message.clone(),
-        hop: hop_call(traffic, call),
-        deadline: call.deadline,
-    };
+    let (message, hop) = (call.message.clone(), hop_call(traffic, call));
+    let guarded = guarded(traffic, message, hop, call.deadline);
     run(traffic, guarded, progress).await
 }
 
@@ -97,16 +96,26 @@
     }
     parts.headers.remove(headers::HOP);
     let path_and_query = parts.uri.path_and_query().cloned();
-    Ok(GuardedCall {
-        message: Message {
-            method: parts.method,
-            path_and_query: path_and_query.unwrap_or_else(|| PathAndQuery::from_static("/")),
-            headers: parts.headers,
-            body,
-        },
+    let message = Message {
+        method: parts.method,
+        path_and_query: path_and_query.unwrap_or_else(|| PathAndQuery::from_static("/")),
+        headers: parts.headers,
+        body,
+    };
+    Ok(guarded(traffic, message, hop, deadline))
+}
+
+fn guarded(traffic: &Traffic, message: Message, hop: HopCall, deadline: TimeMs) -> GuardedCall {
+    let id = message
+        .headers
+        .get(&traffic.settings.header_names.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
+    GuardedCall {
+        suspect: as_suspect(&message, &hop.caller_service, id),
+        message,
         hop,
         deadline,
-    })
+    }
 }
 
 /// Waits for admission and runs the call.
@@ -153,7 +162,7 @@
     call: GuardedCall,
     progress: &Progress,
 ) -> BackendEnd {
-    if let Err(refusal) = incarnation(traffic, &call) {
+    if let Err(refusal) = may_run(traffic, &call) {
         return BackendEnd::not_sent(refusal);
     }
     let now = traffic.clock.now();
@@ -172,13 +181,26 @@
     };
     let waited_us = permit.since_us.saturating_sub(arrived_us);
     traffic.metrics.guard_wait.observe(waited_us as f64 / 1e6);
-    // It may have changed while the call waited.
-    match incarnation(traffic, &call) {
+    // Both may have changed while the call waited.
+    match may_run(traffic, &call) {
         Ok(incarnation) => backend::run(traffic, call, incarnation, permit, progress).await,
         Err(refusal) => BackendEnd::not_sent(refusal),
     }
 }
 
+/// The incarnation that may be sent the call, unless it would crash it.
+fn may_run(traffic: &Traffic, call: &GuardedCall) -> Result<Name, Refusal> {
+    let incarnation = incarnation(traffic, call)?;
+    if traffic.poison.is_harmless(&call.suspect) {
+        return Ok(incarnation);
+    }
+    log::warn!(
+        "poison: refused, fingerprint={:016x}",
+        call.suspect.fingerprint
+    );
+    Err(not_run(RefusalReason::Poisoned))
+}
+
 /// The incarnation of the backend server that may be sent the call.
 fn incarnation(traffic: &Traffic, call: &GuardedCall) -> Result<Name, Refusal> {
     if *traffic.guard_closed.borrow() {
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -196,6 +196,16 @@
         }
     }
 
+    /// Which incarnation stands there, whatever its state.
+    pub fn incarnation(&self) -> Option<&Name> {
+        self.present.as_ref().map(|present| &present.incarnation)
+    }
+
+    /// Whether it takes no connections.
+    pub fn is_down(&self) -> bool {
+        self.present.as_ref().is_some_and(|present| present.is_down)
+    }
+
     /// The service that it says it belongs to.
     pub fn service(&self) -> Option<&Name> {
         self.present.as_ref().map(|present| &present.service)
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod in_flight;
 mod local_server;
 mod passed_headers;
+mod poison_watch;
 mod process;
 mod reload;
 mod root_admission;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -39,12 +39,17 @@
 use crate::traffic::desired_task::watch_store;
 use crate::traffic::entry::serve_caller;
 use crate::traffic::guard::serve_peer;
+use crate::traffic::poison_watch::PoisonWatch;
+use crate::traffic::poison_watch::take_report;
+use crate::traffic::poison_watch::tell_targets;
 use crate::traffic::roster::Roster;
 use crate::traffic::traffic::SILENCE_MS;
 use crate::traffic::traffic::Traffic;
 
 /// News of versions that wait; more are dropped, since gossip repeats them.
 const MOST_WAITING_NEWS: usize = 64;
+/// Reports of crashes that wait to be passed on; a backend server does not crash more often.
+const MOST_WAITING_REPORTS: usize = 16;
 /// How long a connection between nodes may stay unused: longer than the sender keeps it.
 const PEER_IDLE_MS: u64 = 30_000;
 /// The longest head of a call between nodes: a caller's own, and the context beside it.
@@ -99,12 +104,21 @@
         let metrics = Arc::new(Metrics::new());
         let desired = Arc::new(DesiredInForce::default());
         let (news_sender, news) = channel(MOST_WAITING_NEWS);
-        let handlers = handlers(&desired, news_sender);
+        let (crash_sender, crashes) = channel(MOST_WAITING_REPORTS);
+        let poison = Arc::new(PoisonWatch::new(inputs.clock, crash_sender));
+        let handlers = handlers(&settings, &desired, &poison, news_sender);
         let control_settings = control_settings(&settings, peer_address, inputs.clock);
         let control_metrics = ControlMetrics::new(metrics.registry())?;
         let control = Arc::new(control::start(control_settings, handlers, control_metrics)?);
         let view = control.view.clone();
-        let traffic = Traffic::new(settings, inputs.clock, metrics, view, desired.clone());
+        let traffic = Traffic::new(
+            settings,
+            inputs.clock,
+            metrics,
+            view,
+            desired.clone(),
+            poison,
+        );
         let traffic = Arc::new(traffic);
         traffic.gate.set_classes(CLASSES);
         let announce = announce_version(&control);
@@ -123,6 +137,11 @@
             announce,
         ));
         runtime.spawn(announce_local(control.clone(), traffic.clone()));
+        runtime.spawn(tell_targets(
+            crashes,
+            Arc::downgrade(&traffic),
+            Arc::downgrade(&control),
+        ));
         let roster = Roster {
             store: inputs.store,
             traffic: traffic.clone(),
@@ -224,12 +243,16 @@
 }
 
 fn handlers(
+    settings: &TrafficSettings,
     desired: &Arc<DesiredInForce>,
+    poison: &Arc<PoisonWatch>,
     news: tokio::sync::mpsc::Sender<VersionNews>,
 ) -> ControlHandlers {
     let asked = desired.clone();
     let held = desired.clone();
+    let (poison, service) = (poison.clone(), settings.service.clone());
     ControlHandlers {
+        report_suspects: Arc::new(move |news| take_report(&poison, &service, &news)),
         config_above: Arc::new(move |above| asked.document_above(above)),
         config_news: Arc::new(move |from, version| {
             if version > held.version() && news.try_send(VersionNews { from, version }).is_err() {
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -32,6 +32,7 @@
 use crate::traffic::Reported;
 use crate::traffic::RetryShare;
 use crate::traffic::TrafficSettings;
+use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::root_admission::RootAdmission;
 use crate::traffic::route_origins::KnownOrigins;
 use crate::traffic::running_routes::RunningRoutes;
@@ -116,6 +117,7 @@
     pub roots: RootAdmission,
     pub origins: KnownOrigins,
     pub running: Arc<RunningRoutes>,
+    pub poison: Arc<PoisonWatch>,
     /// What bodies of requests and answers take of the memory.
     pub bodies: Arc<BodyBudget>,
     pub peers: ConnectionPool,
@@ -142,6 +144,7 @@
         metrics: Arc<Metrics>,
         view: Arc<Published<View>>,
         desired: Arc<DesiredInForce>,
+        poison: Arc<PoisonWatch>,
     ) -> Self {
         let bodies = BodyBudget::new(settings.live.held_body_bytes);
         let pool = |connect_timeout_ms, idle_ms| {
@@ -167,6 +170,7 @@
             roots: RootAdmission::default(),
             origins: KnownOrigins::default(),
             running: Arc::default(),
+            poison,
             bodies,
             stopping: watch::Sender::new(false),
             guard_closed: watch::Sender::new(false),
@@ -225,9 +229,13 @@
     pub(super) fn change_local(&self, change: impl FnOnce(&mut LocalServer) -> Reported) {
         let news = {
             let mut local = self.local();
+            let before = local.incarnation().cloned();
             if change(&mut local) == Reported::Nothing {
                 return;
             }
+            if local.is_down() || local.incarnation() != before.as_ref() {
+                self.poison.note_ended();
+            }
             LocalNews {
                 service: local
                     .service()
