Learn who uses a route from calls of the own domain, and do not give it up lightly

A guard took the silence of a service for proof. But calls stay in their failure domain, where a service may have no node, or only one that restarts; and an entry that refuses nearly all requests in an overload is silent as well.

Change: a guard counts calls of its own domain against the services there, and does not judge by one of which a node is missing; proof from 8 to 12 expected calls; senders say what they believe, a new guard takes it over, and changing it takes 200 expected calls.

One or two bytes more on each hop.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -33,5 +33,6 @@
 pub use queued_call::QueuedCall;
 pub use queued_call::Verdict;
 pub use root_control::RootControl;
+pub use route_origins::CallingService;
 pub use route_origins::RouteOrigin;
 pub use route_origins::RouteOrigins;
--- a/src/admission/route_origins.rs
+++ b/src/admission/route_origins.rs
@@ -7,8 +7,15 @@
 use crate::core::Name;
 
 /// Calls from a service that ought to have come by now if callers used the route, so that none
-/// having come proves that they do not: by chance that happens once in some 3,000 times.
-const PROOF: f32 = 8.0;
+/// having come proves that they do not: by chance that happens once in some 160,000 times, and every
+/// guard judges every route anew after each start.
+const PROOF: f32 = 12.0;
+/// The same where the route is known to be callers': an entry that refuses nearly all of them is silent
+/// as well, for as long as an overload lasts.
+const FIRM_PROOF: f32 = 200.0;
+/// Before so many calls have come, a route that is known to be backend servers' stays so: a guard that
+/// has just started may not know of all services yet.
+const FIRM_CALLS: f32 = 200.0;
 /// Counts are halved when they reach this, so that old calls are forgotten.
 const MOST_COUNTED: f32 = 4_000.0;
 /// The verdict is worked out anew after so many calls.
@@ -26,6 +33,16 @@
     Backends,
 }
 
+/// A service beside whose backend servers calls may begin.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallingService {
+    pub service: Name,
+    /// Its part of the nodes whose calls are counted.
+    pub share: f32,
+    /// All its nodes serve callers at present, so that its silence says something.
+    pub is_whole: bool,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Seen {
     by_service: FastMap<Name, f32>,
@@ -46,25 +63,40 @@
 }
 
 impl RouteOrigins {
-    /// Counts a call. `shares` are the services of the deployment, each with its share of nodes.
-    pub fn note<'a>(
+    /// Counts a call. `services` are those of the nodes whose calls are counted.
+    ///
+    /// Guards against taking the silence of a service for proof when none of its callers could be
+    /// heard: its nodes in this failure domain are gone or restart, and calls stay in their domain.
+    /// It shows as a route that is said to be callers' and backend servers' by turns, and callers'
+    /// requests that are let in without bound. So only calls of the guard's own domain are counted,
+    /// with the services of that domain, and one of which a node is missing is not judged by. What
+    /// the sender believes already is taken over by a guard that knows nothing yet, and what is
+    /// believed takes far more to change than to find out.
+    pub fn note(
         &mut self,
         route: &Name,
         caller_service: &Name,
-        shares: impl Fn() -> Vec<(&'a Name, f32)>,
+        believed: Option<RouteOrigin>,
+        services: &[CallingService],
     ) -> Option<RouteOrigin> {
         if self.routes.len() >= MOST_ROUTES && !self.routes.contains_key(route) {
             self.routes.clear();
         }
         let seen = self.routes.entry(route.clone()).or_default();
+        seen.verdict = seen.verdict.or(believed);
         seen.count(caller_service);
         seen.since_judged += 1;
         if seen.since_judged >= JUDGE_EVERY || seen.total < PROOF {
             seen.since_judged = 0;
-            seen.judge(&shares());
+            seen.judge(services);
         }
         seen.verdict
     }
+
+    /// Who uses a route, if that is known.
+    pub fn of(&self, route: &Name) -> Option<RouteOrigin> {
+        self.routes.get(route)?.verdict
+    }
 }
 
 impl Seen {
@@ -81,17 +113,24 @@
 
     /// Only a service from which calls would certainly have come by now says anything by its
     /// silence.
-    fn judge(&mut self, shares: &[(&Name, f32)]) {
-        let is_missing = |(service, share): &&(&Name, f32)| {
-            let heard = self.by_service.get(*service).copied().unwrap_or(0.0);
-            self.total * share >= PROOF && heard < 0.5
+    fn judge(&mut self, services: &[CallingService]) {
+        let proof = match self.verdict {
+            Some(RouteOrigin::Callers) => FIRM_PROOF,
+            _ => PROOF,
         };
-        if shares.iter().any(|each| is_missing(&each)) {
+        let is_missing = |each: &CallingService| {
+            let heard = self.by_service.get(&each.service).copied().unwrap_or(0.0);
+            each.is_whole && self.total * each.share >= proof && heard < 0.5
+        };
+        if services.iter().any(is_missing) {
             self.verdict = Some(RouteOrigin::Backends);
             return;
         }
-        let is_heard = |(service, _): &(&Name, f32)| self.by_service.contains_key(*service);
-        if shares.len() > 1 && shares.iter().all(is_heard) {
+        if self.verdict == Some(RouteOrigin::Backends) && self.total < FIRM_CALLS {
+            return;
+        }
+        let is_heard = |each: &CallingService| self.by_service.contains_key(&each.service);
+        if services.len() > 1 && services.iter().all(is_heard) {
             self.verdict = Some(RouteOrigin::Callers);
         }
     }
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -129,7 +129,7 @@
 ) -> AttemptEnd {
     let mut in_flight = InFlightAt::new(traffic.clone(), target.node.clone());
     let end = if target.node == traffic.settings.node {
-        guard::run_own(traffic, call, progress).await
+        guard::run_own(traffic, call, target, progress).await
     } else {
         hop::send(traffic, call, target, progress).await
     };
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -24,6 +24,7 @@
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::core::Target;
 use crate::core::TimeMs;
 use crate::errors::SendError;
 use crate::traffic::attempt::AttemptEnd;
@@ -68,9 +69,10 @@
 pub(super) async fn run_own(
     traffic: &Arc<Traffic>,
     call: &Call,
+    own: &Target,
     progress: &Progress,
 ) -> AttemptEnd {
-    let (message, hop) = (call.message.clone(), hop_call(traffic, call));
+    let (message, hop) = (call.message.clone(), hop_call(traffic, call, own));
     let guarded = guarded(traffic, message, hop, call.deadline);
     run(traffic, guarded, progress).await
 }
@@ -121,11 +123,7 @@
 /// Waits for admission and runs the call.
 async fn run(traffic: &Arc<Traffic>, call: GuardedCall, progress: &Progress) -> AttemptEnd {
     let route = call.hop.route.clone();
-    let view = traffic.view.load();
-    let origin = traffic
-        .origins
-        .note(&view, &route, &call.hop.caller_service);
-    drop(view);
+    let origin = note_origin(traffic, &call.hop);
     let end = match refuse_root(traffic, &call, origin) {
         Some(refusal) => BackendEnd::not_sent(refusal),
         None => admit_and_run(traffic, call, progress).await,
@@ -137,6 +135,11 @@
     }
 }
 
+fn note_origin(traffic: &Traffic, hop: &HopCall) -> Option<RouteOrigin> {
+    let view = traffic.view.load();
+    traffic.origins.note(&view, &traffic.settings.domain, hop)
+}
+
 /// Guards against roots that queue while their entries still believe that there is room: those hear
 /// of the pressure only with answers, and answers come late when everything waits. Nothing has been
 /// done for a root yet, so it is refused at once, and with the refusal its entry hears.
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -30,12 +30,14 @@
 const LOST_RETRY_AFTER_MS: u64 = 200;
 
 /// The context of a call for the guard of its target.
-pub(super) fn hop_call(traffic: &Traffic, call: &Call) -> HopCall {
+pub(super) fn hop_call(traffic: &Traffic, call: &Call, target: &Target) -> HopCall {
     let deadline = call.deadline - GUARD_MARGIN_MS;
     HopCall {
         service: call.service.clone(),
         route: call.route.clone(),
         caller_service: traffic.settings.service.clone(),
+        is_near: target.domain == traffic.settings.domain,
+        origin: call.origin,
         priority: call.priority,
         objective_ms: call.objective_ms,
         deadline_left_ms: deadline.since(traffic.clock.now()) as u32,
@@ -49,7 +51,7 @@
     target: &Target,
     progress: &Progress,
 ) -> AttemptEnd {
-    let Some(request) = request(traffic, call) else {
+    let Some(request) = request(traffic, call, target) else {
         return AttemptEnd::lost(Refusal::not_run(RefusalReason::BadRequest, 0), false);
     };
     progress.sent();
@@ -69,7 +71,7 @@
     }
 }
 
-fn request(traffic: &Traffic, call: &Call) -> Option<Request<Full<bytes::Bytes>>> {
+fn request(traffic: &Traffic, call: &Call, target: &Target) -> Option<Request<Full<bytes::Bytes>>> {
     let message = &call.message;
     let mut request = Request::new(Full::new(message.body.clone()));
     *request.method_mut() = message.method.clone();
@@ -77,7 +79,7 @@
     let mut map = message.headers.clone();
     // The hop carries what is left, and the guard writes the header anew.
     map.remove(&traffic.settings.header_names.deadline_ms);
-    let value = HeaderValue::from_str(&hop_call(traffic, call).encode()).ok()?;
+    let value = HeaderValue::from_str(&hop_call(traffic, call, target).encode()).ok()?;
     map.insert(headers::HOP, value);
     *request.headers_mut() = map;
     Some(request)
--- a/src/traffic/route_origins.rs
+++ b/src/traffic/route_origins.rs
@@ -3,32 +3,53 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use crate::admission::CallingService;
 use crate::admission::RouteOrigin;
 use crate::admission::RouteOrigins;
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::TargetState;
 use crate::core::View;
+use crate::wire::HopCall;
 
 /// Routes remembered at an entry at most; beyond it all are forgotten and told anew.
 const MOST_ROUTES: usize = 4_096;
 
+/// What a guard has found out.
+#[derive(Debug, Default)]
+struct Seen {
+    origins: RouteOrigins,
+    callers: Callers,
+}
+
+/// The services whose nodes' calls are counted, as of one change of the view.
+#[derive(Debug, Default)]
+struct Callers {
+    at_change: u64,
+    services: Vec<CallingService>,
+    /// The own domain has too few services to tell anything, so all domains are counted.
+    is_everywhere: bool,
+}
+
 /// Both sides' knowledge.
 #[derive(Debug, Default)]
 pub(super) struct KnownOrigins {
-    seen: Mutex<RouteOrigins>,
+    seen: Mutex<Seen>,
     told: Mutex<FastMap<Name, RouteOrigin>>,
 }
 
 impl KnownOrigins {
-    /// Counts a call at the guard, and answers what is known of its route.
-    pub(super) fn note(
-        &self,
-        view: &View,
-        route: &Name,
-        caller_service: &Name,
-    ) -> Option<RouteOrigin> {
+    /// Counts a call at the guard, if it comes from the own domain, and answers what is known of its
+    /// route.
+    pub(super) fn note(&self, view: &View, domain: &str, call: &HopCall) -> Option<RouteOrigin> {
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        seen.note(route, caller_service, || shares(view))
+        let Seen { origins, callers } = &mut *seen;
+        callers.follow(view, domain);
+        if !call.is_near && !callers.is_everywhere {
+            return origins.of(&call.route).or(call.origin);
+        }
+        let (route, service) = (&call.route, &call.caller_service);
+        origins.note(route, service, call.origin, &callers.services)
     }
 
     /// Takes in what a guard said of a route.
@@ -54,12 +75,39 @@
     }
 }
 
-/// Each service's share of the nodes.
-fn shares(view: &View) -> Vec<(&Name, f32)> {
-    let nodes: usize = view.services.values().map(|targets| targets.len()).sum();
-    let share = |targets: usize| targets as f32 / nodes.max(1) as f32;
-    let services = view.services.iter();
-    services
-        .map(|(service, targets)| (service, share(targets.len())))
-        .collect()
+impl Callers {
+    fn follow(&mut self, view: &View, domain: &str) {
+        if self.at_change == view.changes && !self.services.is_empty() {
+            return;
+        }
+        self.at_change = view.changes;
+        self.services = calling_services(view, |other| other == domain);
+        self.is_everywhere = self.services.len() < 2;
+        if self.is_everywhere {
+            self.services = calling_services(view, |_| true);
+        }
+    }
+}
+
+/// The services of the counted domains' nodes, each with its part of them.
+fn calling_services(view: &View, is_counted: impl Fn(&str) -> bool) -> Vec<CallingService> {
+    let mut services: FastMap<&Name, (usize, bool)> = FastMap::default();
+    let mut nodes: usize = 0;
+    for node in view.nodes.values() {
+        let is_gone = matches!(node.state, TargetState::Dead | TargetState::Left);
+        if is_gone || node.service.is_empty() || !is_counted(&node.domain) {
+            continue;
+        }
+        nodes += 1;
+        let (count, is_whole) = services.entry(&node.service).or_insert((0, true));
+        *count += 1;
+        *is_whole &= node.state == TargetState::Up;
+    }
+    let services = services.into_iter();
+    let services = services.map(|(service, (count, is_whole))| CallingService {
+        service: service.clone(),
+        share: count as f32 / nodes as f32,
+        is_whole,
+    });
+    services.collect()
 }
--- a/src/wire/hop_call.rs
+++ b/src/wire/hop_call.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Priority;
 use crate::errors::WireError;
@@ -21,6 +22,10 @@
     pub route: Name,
     /// The service beside which the call began.
     pub caller_service: Name,
+    /// The sender is in the target's failure domain.
+    pub is_near: bool,
+    /// Who uses the call's route, as far as the sender knows.
+    pub origin: Option<RouteOrigin>,
     pub priority: Priority,
     /// The latency objective: the time within which an answer is worth most.
     pub objective_ms: u32,
--- a/tests/admission_origins.rs
+++ b/tests/admission_origins.rs
@@ -3,6 +3,7 @@
 //! calls, callers' requests would be let in without bound.
 
 use rstest::rstest;
+use sassafrasgap::admission::CallingService;
 use sassafrasgap::admission::RouteOrigin;
 use sassafrasgap::admission::RouteOrigins;
 use sassafrasgap::core::Name;
@@ -18,6 +19,12 @@
     let mut origins = RouteOrigins::default();
     let route = Name::from("r");
     let total: f32 = callers.iter().map(|place| shares[*place].1).sum();
+    let whole = |(name, share): &(Name, f32)| CallingService {
+        service: name.clone(),
+        share: *share,
+        is_whole: true,
+    };
+    let services: Vec<CallingService> = shares.iter().map(whole).collect();
     let mut verdict = None;
     for _ in 0..calls {
         let mut draw = random.f32() * total;
@@ -29,9 +36,7 @@
                 break;
             }
         }
-        verdict = origins.note(&route, &shares[place].0, || {
-            shares.iter().map(|(name, share)| (name, *share)).collect()
-        });
+        verdict = origins.note(&route, &shares[place].0, None, &services);
     }
     verdict
 }
@@ -69,3 +74,61 @@
 fn little_proves_nothing(#[values(1, 2, 3)] seed: u64) {
     assert_eq!(learn(&shares(), &[0], 6, seed), None);
 }
+
+/// One service's only node in the domain restarts, and no caller of it is heard. Its silence proves
+/// nothing: the route stays what it was before, or unknown.
+#[rstest]
+fn the_silence_of_a_missing_node_proves_nothing() {
+    let mut origins = RouteOrigins::default();
+    let route = Name::from("r");
+    let services = |leaf_is_whole: bool| {
+        let named = |(name, share): (Name, f32)| CallingService {
+            is_whole: leaf_is_whole || &*name != "leaf",
+            service: name,
+            share,
+        };
+        shares().into_iter().map(named).collect::<Vec<_>>()
+    };
+    let heard = ["front", "front", "front", "middle", "middle", "back"];
+    for _ in 0..100 {
+        for service in heard {
+            let verdict = origins.note(&route, &Name::from(service), None, &services(false));
+            assert_eq!(verdict, None);
+        }
+    }
+    origins.note(&route, &Name::from("leaf"), None, &services(true));
+    for service in heard.iter().cycle().take(40) {
+        origins.note(&route, &Name::from(*service), None, &services(true));
+    }
+    assert_eq!(origins.of(&route), Some(RouteOrigin::Callers));
+}
+
+/// In an overload some entries refuse nearly all requests of a route, and a guard that has just
+/// started does not hear from them. Its senders know whose the route is, and that holds.
+#[rstest]
+#[case(RouteOrigin::Callers)]
+#[case(RouteOrigin::Backends)]
+fn what_is_known_is_not_given_up_lightly(#[case] known: RouteOrigin) {
+    let services: Vec<CallingService> = shares()
+        .into_iter()
+        .map(|(service, share)| CallingService {
+            service,
+            share,
+            is_whole: true,
+        })
+        .collect();
+    let mut origins = RouteOrigins::default();
+    let route = Name::from("r");
+    let heard = match known {
+        RouteOrigin::Callers => vec!["front", "middle"],
+        RouteOrigin::Backends => vec!["front", "middle", "back", "leaf"],
+    };
+    for service in heard.iter().cycle().take(190) {
+        let verdict = origins.note(&route, &Name::from(*service), Some(known), &services);
+        assert_eq!(verdict, Some(known));
+    }
+    for service in heard.iter().cycle().take(8_000) {
+        origins.note(&route, &Name::from(*service), Some(known), &services);
+    }
+    assert_ne!(origins.of(&route), Some(known));
+}
