Log decisions as JSON lines that never hold a request up, and read them with ctl

Cause: a refusal was logged at debug level only, without its inputs; what became of a request could not be found out afterwards. Lines went to standard error by whoever wrote them: a reader that stops reading would have stopped the traffic thread.

Change: the programs beside backend servers log JSON lines on standard output (src/logging): a bounded queue to one thread, lines of an event up to a rate (5 a second, 50 at once), one request in 64 whole at every node it meets, and what was left out is counted and said. Metrics: latency by route, pressure and admitted share by service, store reached, bytes of bodies, share of failures; served on the metrics port of deploy/system.toml.

Tests: tests/logging.rs (a stopped reader, rates, sampling, 256 random messages read back), tests/ctl_story.rs, platform/tests/reload.rs.

--- a/src/bin/sassafrasgap-node.rs
+++ b/src/bin/sassafrasgap-node.rs
@@ -8,6 +8,7 @@
 
 use sassafrasgap::conf::NodeSettings;
 use sassafrasgap::conf::load_node_settings;
+use sassafrasgap::logging::start_logging;
 use sassafrasgap::node::NodeInputs;
 use sassafrasgap::node::NodeProcess;
 
@@ -26,8 +27,7 @@
     let arguments: Arguments = argh::from_env();
     let settings = load_node_settings(&arguments.settings)?;
     let filter = format!("{},tarpc=warn", settings.log_level);
-    let log = env_logger::Env::default().default_filter_or(filter);
-    env_logger::Builder::from_env(log).init();
+    start_logging(&filter)?;
     let inputs = NodeInputs::empty();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
@@ -49,5 +49,6 @@
         interrupted = tokio::signal::ctrl_c() => interrupted?,
     }
     process.stop().await;
+    log::logger().flush();
     Ok(())
 }
--- a/src/ctl/arguments.rs
+++ b/src/ctl/arguments.rs
@@ -52,6 +52,8 @@
     Status(StatusArguments),
     Drain(DrainArguments),
     Presets(PresetsArguments),
+    Story(StoryArguments),
+    Reasons(ReasonsArguments),
 }
 
 /// Check settings of nodes, presets and deployments, without touching anything.
@@ -174,3 +176,44 @@
     #[argh(option)]
     pub platform: Option<SocketAddr>,
 }
+
+/// Tell what became of one request, out of the logs of all nodes.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "story",
+    example = "{command_name} --request 9c41d07be2a35f68 logs/*.log"
+)]
+pub struct StoryArguments {
+    /// identifier of the request, as its caller gave it
+    #[argh(option)]
+    pub request: String,
+
+    /// also show what these nodes said at that time about no request in particular, and so many such
+    /// lines from before
+    #[argh(option, default = "0")]
+    pub around: usize,
+
+    /// logs of nodes, each named after its node; - for the standard input
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Sum up why requests were refused, tried again or failed, over time, out of logs.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "reasons",
+    example = "{command_name} --every-s 5 logs/*.log"
+)]
+pub struct ReasonsArguments {
+    /// length of the spans that are summed up, in seconds
+    #[argh(option, default = "10")]
+    pub every_s: u32,
+
+    /// logs of nodes, each named after its node; - for the standard input
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -15,12 +15,15 @@
 use crate::ctl::CtlArguments;
 use crate::ctl::Exit;
 use crate::ctl::arguments::Command;
+use crate::ctl::arguments::StoryArguments;
 use crate::ctl::check;
 use crate::ctl::drain;
 use crate::ctl::output::Output;
 use crate::ctl::presets;
 use crate::ctl::publish;
+use crate::ctl::reasons;
 use crate::ctl::status;
+use crate::ctl::story;
 use crate::ctl::switch;
 use crate::errors::CtlError;
 use crate::table_service::PlatformClient;
@@ -102,6 +105,12 @@
             drain::run(node, &arguments.name).await
         }
         Command::Presets(arguments) => presets::run(&store(arguments.platform, timeout_ms)?).await,
+        Command::Story(StoryArguments {
+            request,
+            around,
+            files,
+        }) => story::run(&request, around, &files),
+        Command::Reasons(arguments) => reasons::run(arguments.every_s, &arguments.files),
     }
 }
 
--- a/src/ctl/exit.rs
+++ b/src/ctl/exit.rs
@@ -31,6 +31,7 @@
             CtlError::Usage { .. } => Self::Usage,
             CtlError::NodeRefused { .. }
             | CtlError::NodeUnreadable { .. }
+            | CtlError::LogUnreadable { .. }
             | CtlError::Start { .. } => Self::Refused,
         }
     }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -7,12 +7,15 @@
 mod drain;
 mod exit;
 mod http_operator;
+mod log_files;
 mod output;
 mod presets;
 mod publish;
+mod reasons;
 mod status;
 mod status_report;
 mod status_table;
+mod story;
 mod switch;
 mod text_table;
 
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -445,6 +445,8 @@
         node: SocketAddr,
         source: serde_json::Error,
     },
+    #[error("log {file} cannot be read: {source}")]
+    LogUnreadable { file: String, source: io::Error },
     #[error("cannot start: {source}")]
     Start { source: io::Error },
 }
@@ -568,3 +570,13 @@
     #[error("metrics: {0}")]
     Metrics(#[from] prometheus::Error),
 }
+
+/// Why the log cannot be written.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum LoggingError {
+    #[error("the log's thread cannot be started: {0}")]
+    Thread(#[from] io::Error),
+    #[error(transparent)]
+    Taken(#[from] log::SetLoggerError),
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,11 +18,11 @@
 pub mod desired;
 pub mod errors;
 pub mod load;
+pub mod logging;
 pub mod membership;
 pub mod mesh;
 pub mod metrics;
 pub mod node;
-
 pub mod poison;
 pub mod preset;
 pub mod retry;
--- /dev/null
+++ b/src/logging/log_line.rs
@@ -0,0 +1,117 @@
+//! One line of the log.
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+/// A line as a JSON object: when, how grave, which part of the program, what happened, and what it was
+/// decided by.
+///
+/// Messages in the program are written `part: event, field=value field=value`; this is taken apart
+/// here, so that the log is structured and the program's text is still readable.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct LogLine {
+    /// The time of day in RFC 3339, with milliseconds.
+    pub ts: String,
+    pub level: String,
+    /// Which part of the program speaks, for example `entry` or `store`.
+    pub part: String,
+    /// What happened, in fixed words.
+    pub event: String,
+    #[serde(flatten)]
+    pub fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Takes a message apart. `module` stands for the part where a message names none.
+    pub fn new(ts: String, level: &str, module: &str, message: &str) -> Self {
+        let (part, rest) = match message.split_once(": ") {
+            Some((part, rest)) if is_word(part) => (part, rest),
+            _ => (module.rsplit("::").next().unwrap_or(module), message),
+        };
+        let (event, fields) = rest.split_at(first_field(rest));
+        let event = event.trim_end().trim_end_matches(',');
+        Self {
+            ts,
+            level: level.to_owned(),
+            part: part.to_owned(),
+            event: event.to_owned(),
+            fields: split_fields(fields),
+        }
+    }
+
+    /// The line without its end.
+    pub fn encode(&self) -> String {
+        serde_json::to_string(self).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"))
+    }
+
+    /// Reads a line; `None` for one that is of another kind.
+    pub fn parse(text: &str) -> Option<Self> {
+        // Whoever collects logs may put words of its own before each line.
+        let start = text.find('{')?;
+        serde_json::from_str(&text[start..]).ok()
+    }
+
+    /// The text of a field, whatever its type.
+    pub fn field(&self, name: &str) -> Option<String> {
+        let value = self.fields.get(name)?;
+        Some(
+            value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned),
+        )
+    }
+}
+
+fn is_word(text: &str) -> bool {
+    !text.is_empty()
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'_')
+}
+
+/// The name and the rest when a text begins with `name=`.
+fn field_at(text: &str) -> Option<(&str, &str)> {
+    let (name, rest) = text.split_once('=')?;
+    is_word(name).then_some((name, rest))
+}
+
+/// Where the first `name=` begins, or the end of the text.
+fn first_field(text: &str) -> usize {
+    let starts = std::iter::once(0).chain(text.match_indices(' ').map(|(at, _)| at + 1));
+    let mut fields = starts.filter(|at| field_at(&text[*at..]).is_some());
+    fields.next().unwrap_or(text.len())
+}
+
+/// A value goes on until the next `name=`, so that it may hold blanks.
+fn split_fields(text: &str) -> Map<String, Value> {
+    let mut fields: Map<String, Value> = Map::new();
+    let mut last: Option<(&str, String)> = None;
+    for token in text.split(' ') {
+        match (field_at(token), &mut last) {
+            (Some((name, value)), _) => {
+                if let Some((name, value)) = last.replace((name, value.to_owned())) {
+                    fields.insert(name.to_owned(), typed(&value));
+                }
+            }
+            (None, Some((_, value))) => {
+                value.push(' ');
+                value.push_str(token);
+            }
+            (None, None) => {}
+        }
+    }
+    if let Some((name, value)) = last {
+        fields.insert(name.to_owned(), typed(&value));
+    }
+    fields
+}
+
+fn typed(text: &str) -> Value {
+    match text.parse::<i64>() {
+        Ok(number) => Value::from(number),
+        Err(_) => Value::from(text),
+    }
+}
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -12,9 +12,11 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::core::Name;
 use crate::core::RefusalReason;
 use crate::core::RetryReason;
 use crate::metrics::ByReason;
+use crate::metrics::ByRoute;
 
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKETS_S: &[f64] = &[
@@ -52,6 +54,13 @@
     pub ledger_keys: IntGauge,
     pub ledger_answer_bytes: IntGauge,
     pub entry_latency: Histogram,
+    /// The same by route, for requests that were answered by a backend server.
+    pub route_latency: ByRoute,
+    pub store_reached: IntGauge,
+    pub body_bytes: IntGauge,
+    pub failing_permille: IntGauge,
+    pressures: IntGaugeVec,
+    admitted: IntGaugeVec,
     pub guard_wait: Histogram,
     pub backend_latency: Histogram,
 }
@@ -163,6 +172,34 @@
                 "sassafrasgap_entry_latency_seconds",
                 "From the arrival of a call at the entry to the head of its answer.",
             ),
+            route_latency: ByRoute::register(
+                &registry,
+                "sassafrasgap_route_latency_seconds",
+                "From the arrival of a request at the entry to its backend server's answer.",
+                BUCKETS_S,
+            ),
+            store_reached: gauge(
+                "sassafrasgap_store_reached",
+                "1 while the store answers this node, else 0.",
+            ),
+            body_bytes: gauge(
+                "sassafrasgap_body_bytes",
+                "Bytes of bodies of requests and answers that are held.",
+            ),
+            failing_permille: gauge(
+                "sassafrasgap_failing_permille",
+                "The share of calls that failed at the local backend server lately.",
+            ),
+            pressures: gauge_by_service(
+                &registry,
+                "sassafrasgap_pressure_permille",
+                "How hard services are pressed for whose sake this entry refuses requests.",
+            ),
+            admitted: gauge_by_service(
+                &registry,
+                "sassafrasgap_admitted_percent",
+                "The part of callers' requests that is let in for a pressed service's sake.",
+            ),
             guard_wait: histogram(
                 "sassafrasgap_guard_wait_seconds",
                 "The wait of admitted calls in the guard's queue.",
@@ -199,6 +236,19 @@
         }
     }
 
+    /// Sets for which services' sake requests are refused: each with its pressure in thousandths and
+    /// the part that is let in, in percent. At most as many as there are services.
+    pub fn set_pressed(&self, pressed: &[(Name, u32, u32)]) {
+        self.pressures.reset();
+        self.admitted.reset();
+        for (service, permille, percent) in pressed {
+            let pressure = self.pressures.with_label_values(&[&**service]);
+            pressure.set(i64::from(*permille));
+            let admitted = self.admitted.with_label_values(&[&**service]);
+            admitted.set(i64::from(*percent));
+        }
+    }
+
     /// Refusals given so far as entry.
     pub fn entry_refusals(&self, reason: RefusalReason) -> u64 {
         self.entry_refusals.get(reason as usize)
@@ -263,6 +313,15 @@
     gauge
 }
 
+fn gauge_by_service(registry: &Registry, name: &str, help: &str) -> IntGaugeVec {
+    let opts = Opts::new(name, help);
+    let gauge = IntGaugeVec::new(opts, &["service"]).expect("the name of a gauge is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("the name of a gauge is free");
+    gauge
+}
+
 fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
     let opts = HistogramOpts::new(name, help).buckets(BUCKETS_S.to_vec());
     let histogram = Histogram::with_opts(opts).expect("the name of a histogram is valid");
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -2,7 +2,9 @@
 //! [docs/OPERATIONS.md](../../docs/OPERATIONS.md).
 
 mod by_reason;
+mod by_route;
 mod metrics;
 
 pub use by_reason::ByReason;
+pub use by_route::ByRoute;
 pub use metrics::Metrics;
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -83,6 +83,13 @@
         .guard_in_flight
         .set(i64::from(load.in_flight));
     traffic.metrics.guard_limit.set(i64::from(load.limit));
+    let held = traffic.bodies.held_bytes();
+    traffic.metrics.body_bytes.set(held as i64);
+    let failing = traffic.failing_permille(traffic.clock.now());
+    traffic.metrics.failing_permille.set(i64::from(failing));
+    traffic.metrics.set_pressed(&traffic.roots.all_pressed());
+    let queued = traffic.gate.queued_by_class();
+    traffic.metrics.set_guard_queue(&queued);
     let version = traffic.desired.version();
     traffic.metrics.config_version.set(version as i64);
     told(
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -1,5 +1,7 @@
 //! A call on its way: as the entry took it, and as the guard runs it.
 
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
@@ -62,9 +64,31 @@
     may_run: AtomicBool,
     /// An attempt that has ended may have run.
     may_have_run: AtomicBool,
+    trace: Mutex<Trace>,
+}
+
+/// What was tried so far, for the log.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Trace {
+    pub attempts: u32,
+    /// The node beside the target that was tried last.
+    pub target: Option<Name>,
 }
 
 impl Progress {
+    /// An attempt begins.
+    pub(super) fn begins(&self, target: &Name) {
+        let mut trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
+        trace.attempts += 1;
+        trace.target = Some(target.clone());
+    }
+
+    /// What was tried so far.
+    pub(super) fn trace(&self) -> Trace {
+        let trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
+        trace.clone()
+    }
+
     /// From now on it may run.
     pub(super) fn sent(&self) {
         self.may_run.store(true, Ordering::Relaxed);
--- a/src/traffic/caller_response.rs
+++ b/src/traffic/caller_response.rs
@@ -29,16 +29,6 @@
     request_id: Option<HeaderValue>,
 ) -> Response<Full<Bytes>> {
     traffic.metrics.count_entry_refusal(refusal.reason);
-    log::debug!(
-        "entry: refused, request={} reason={} outcome={} retry_after_ms={}",
-        request_id
-            .as_ref()
-            .and_then(|id| id.to_str().ok())
-            .unwrap_or(""),
-        refusal.reason.as_str(),
-        refusal.run_state.as_str(),
-        refusal.retry_after_ms,
-    );
     let status = match (refusal.run_state, refusal.reason) {
         (RunState::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, RefusalReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
--- a/src/traffic/desired_task.rs
+++ b/src/traffic/desired_task.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use prometheus::IntGauge;
 use tokio::sync::mpsc::Receiver;
 
 use crate::control::PeerClients;
@@ -41,6 +42,7 @@
     desired: Arc<DesiredInForce>,
     announce: AnnounceVersion,
     pace: Pace,
+    reached: IntGauge,
 ) {
     let (table, part) = (source.row.table.clone(), source.row.part.clone());
     let mut watch = TableWatch::new(store, table, part);
@@ -50,6 +52,7 @@
         match watch.next(pace().wait_ms).await {
             Ok(changes) => {
                 pause.reset();
+                reached.set(1);
                 if !was_reached {
                     log::info!("store: reached again");
                 }
@@ -57,6 +60,7 @@
                 take_changes(&changes, &source, &desired, &announce);
             }
             Err(error) => {
+                reached.set(0);
                 if was_reached {
                     log::warn!("store: lost, error={error}");
                 }
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::adapters::WholeAnswer;
 use crate::adapters::read_whole;
 use crate::admission::RouteOrigin;
 use crate::core::Priority;
@@ -27,11 +28,13 @@
 use crate::traffic::InForce;
 use crate::traffic::call::Call;
 use crate::traffic::call::Message;
+use crate::traffic::call::Progress;
 use crate::traffic::caller_response::answer_response;
 use crate::traffic::caller_response::refusal_response;
 use crate::traffic::caller_response::status_response;
 use crate::traffic::forward::forward;
 use crate::traffic::passed_headers::strip_request;
+use crate::traffic::story::EntryStory;
 use crate::traffic::traffic::Traffic;
 
 /// When to come back while nothing is known yet, in milliseconds.
@@ -61,24 +64,71 @@
 ) -> Response<Full<Bytes>> {
     let _in_progress = traffic.enter();
     traffic.metrics.entry_calls.inc();
-    let started_us = traffic.clock.now_us();
-    let request_id = request
-        .headers()
-        .get(&traffic.settings.header_names.request_id)
-        .cloned();
-    let response = match take(&traffic, request).await {
-        Ok(call) => match forward(&traffic, call).await {
-            Ok(answer) => answer_response(answer),
-            Err(refusal) => refusal_response(&traffic, refusal, request_id),
-        },
-        Err(Rejected::Refusal(refusal)) => refusal_response(&traffic, refusal, request_id),
-        Err(Rejected::Status(status)) => status_response(&traffic, status, request_id),
+    let names = &traffic.settings.header_names;
+    let id = request.headers().get(&names.request_id).cloned();
+    let mut story = EntryStory::new(&traffic, id);
+    let progress = Progress::default();
+    let response = match serve(&traffic, request, &mut story, &progress).await {
+        Ok(answer) => {
+            story.answered(&traffic, answer.status, &progress);
+            note_route(&traffic, &story);
+            answer_response(answer)
+        }
+        Err(Rejected::Refusal(refusal)) => {
+            story.refused(&traffic, &refusal, &progress);
+            refusal_response(&traffic, refusal, story.id())
+        }
+        Err(Rejected::Status(status)) => {
+            story.rejected(&traffic, status);
+            status_response(&traffic, status, story.id())
+        }
     };
-    let took_us = traffic.clock.now_us() - started_us;
+    let took_us = traffic.clock.now_us() - story.started_us();
     traffic.metrics.entry_latency.observe(took_us as f64 / 1e6);
     response
 }
 
+fn note_route(traffic: &Traffic, story: &EntryStory) {
+    let Some(route) = story.route() else {
+        return;
+    };
+    let took_us = traffic.clock.now_us() - story.started_us();
+    let latencies = &traffic.metrics.route_latency;
+    latencies.observe(route, took_us as f64 / 1e6);
+}
+
+async fn serve(
+    traffic: &Arc<Traffic>,
+    request: Request<Incoming>,
+    story: &mut EntryStory,
+    progress: &Progress,
+) -> Result<WholeAnswer, Rejected> {
+    let call = take(traffic, request).await?;
+    story.taken(&call);
+    admit_root(traffic, &call)?;
+    forward(traffic, call, progress)
+        .await
+        .map_err(Rejected::Refusal)
+}
+
+/// Turns a caller's own request away where a service of its call tree is pressed. A call of a backend
+/// server is noted instead, for what it says of the routes that run there.
+fn admit_root(traffic: &Traffic, call: &Call) -> Result<(), Rejected> {
+    let now = traffic.clock.now();
+    let (service, route) = (&call.service, &call.route);
+    // Nothing is refused on a route of which it is not known yet who uses it.
+    if call.origin == Some(RouteOrigin::Callers)
+        && !traffic.roots.may_pass(now, service, route, call.priority)
+    {
+        return Err(shed());
+    }
+    if call.origin == Some(RouteOrigin::Backends) {
+        let parents = traffic.running.all();
+        traffic.roots.note_child(now, &parents, service, route);
+    }
+    Ok(())
+}
+
 /// Takes in a whole request and classifies it.
 async fn take(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Result<Call, Rejected> {
     let now = traffic.clock.now();
@@ -103,17 +153,6 @@
     let origin = traffic.origins.of(route);
     let priority = priority(traffic, &found, origin, &parts.headers);
     let service = found.split.next_service();
-    match origin {
-        Some(RouteOrigin::Callers) if !traffic.roots.may_pass(now, &service, route, priority) => {
-            return Err(shed());
-        }
-        Some(RouteOrigin::Backends) => {
-            let parents = traffic.running.all();
-            traffic.roots.note_child(now, &parents, &service, route);
-        }
-        // Nothing is refused on a route of which it is not known yet who uses it.
-        Some(RouteOrigin::Callers) | None => {}
-    }
     strip_request(&mut parts.headers);
     let path_and_query = parts.uri.path_and_query().cloned();
     Ok(Call {
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -24,6 +24,7 @@
 use crate::traffic::guard;
 use crate::traffic::hop;
 use crate::traffic::in_flight::InFlightAt;
+use crate::traffic::story::tell_retry;
 use crate::traffic::traffic::Traffic;
 
 /// When to come back when no target takes work, in milliseconds.
@@ -43,10 +44,13 @@
 ///
 /// # Errors
 /// The refusal to give to the caller.
-pub(super) async fn forward(traffic: &Arc<Traffic>, call: Call) -> Result<WholeAnswer, Refusal> {
-    let progress = Progress::default();
+pub(super) async fn forward(
+    traffic: &Arc<Traffic>,
+    call: Call,
+    progress: &Progress,
+) -> Result<WholeAnswer, Refusal> {
     let left_ms = call.deadline.since(traffic.clock.now());
-    let answering = attempts(traffic, &call, &progress);
+    let answering = attempts(traffic, &call, progress);
     match timeout(Duration::from_millis(left_ms), answering).await {
         Ok(result) => result.map_err(|refusal| progress.of_all_attempts(refusal)),
         Err(_) if progress.is_in_doubt() => {
@@ -73,6 +77,7 @@
         let Some(target) = choose(traffic, call, &tried) else {
             return Err(last.unwrap_or_else(no_target));
         };
+        progress.begins(&target.node);
         let end = attempt(traffic, call, &target, progress).await;
         sends += u32::from(end.reached_backend);
         let refusal = match end.result {
@@ -85,12 +90,7 @@
             return Err(refusal);
         };
         traffic.metrics.count_retry(reason);
-        log::debug!(
-            "entry: tries again, service={} after={} reason={}",
-            call.service,
-            refusal.reason.as_str(),
-            reason.as_str(),
-        );
+        tell_retry(traffic, call, &refusal, &target.node);
         last = Some(refusal);
     }
 }
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -38,6 +38,7 @@
 use crate::traffic::caller_response::answer_response;
 use crate::traffic::hop::hop_call;
 use crate::traffic::poison_watch::as_suspect;
+use crate::traffic::story::GuardStory;
 use crate::traffic::traffic::Traffic;
 use crate::wire::HopAnswer;
 use crate::wire::HopCall;
@@ -123,16 +124,19 @@
 /// Waits for admission and runs the call.
 async fn run(traffic: &Arc<Traffic>, call: GuardedCall, progress: &Progress) -> AttemptEnd {
     let route = call.hop.route.clone();
+    let story = GuardStory::new(traffic, &call);
     let origin = note_origin(traffic, &call.hop);
     let end = match refuse_root(traffic, &call, origin) {
         Some(refusal) => BackendEnd::not_sent(refusal),
         None => admit_and_run(traffic, call, progress).await,
     };
-    AttemptEnd {
+    let end = AttemptEnd {
         result: end.result,
         reached_backend: end.reached_backend,
         news: Some(news(traffic, &route, origin)),
-    }
+    };
+    story.ended(traffic, &end);
+    end
 }
 
 fn note_origin(traffic: &Traffic, hop: &HopCall) -> Option<RouteOrigin> {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -34,6 +34,7 @@
 mod server_report;
 mod settings;
 mod stop;
+mod story;
 mod traffic;
 
 pub use admin_protocol::AdminProtocol;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -90,6 +90,7 @@
     peers: TcpListener,
     ready: TcpListener,
     reports: TcpListener,
+    metrics: Option<TcpListener>,
 }
 
 impl TrafficProcess {
@@ -129,6 +130,7 @@
             desired.clone(),
             announce.clone(),
             pace(&traffic),
+            traffic.metrics.store_reached.clone(),
         ));
         runtime.spawn(fetch_news(
             news,
@@ -165,7 +167,12 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(serve_callers(traffic.clone(), listeners.callers));
         tasks.spawn(serve_peers(traffic.clone(), listeners.peers));
-        for listener in [listeners.ready, listeners.reports] {
+        let admins = [
+            Some(listeners.ready),
+            Some(listeners.reports),
+            listeners.metrics,
+        ];
+        for listener in admins.into_iter().flatten() {
             tasks.spawn(serve_admins(traffic.clone(), admin.clone(), listener));
         }
         tasks.spawn(poll_gate(traffic.clone()));
@@ -207,6 +214,7 @@
             peers: open("peers", settings.peer_address).await?,
             ready: open("ready", settings.ready_address).await?,
             reports: open("reports", settings.report_address).await?,
+            metrics: open_metrics(settings.metrics_address).await,
         })
     }
 }
@@ -219,6 +227,17 @@
     })
 }
 
+/// A node without this listener serves all the same.
+async fn open_metrics(address: Option<SocketAddr>) -> Option<TcpListener> {
+    match open("metrics", address?).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            log::warn!("node: metrics are served on the readiness listener only, error={error}");
+            None
+        }
+    }
+}
+
 /// The address with the real port when any was asked for.
 fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
     listener.local_addr().unwrap_or(asked)
--- a/src/traffic/root_admission.rs
+++ b/src/traffic/root_admission.rs
@@ -83,6 +83,21 @@
         learnt.control.may_pass(now, &pressed, priority)
     }
 
+    /// The service that is pressed behind a route, its pressure in thousandths, and the part of the
+    /// wanted requests that is let in for its sake, in percent; `None` while all are.
+    pub(super) fn pressed(&self, service: &str, route: &str) -> Option<(Name, u32, u32)> {
+        let learnt = self.lock();
+        let pressed = learnt.pressures.pressed_service(service, route)?;
+        let mut closed = learnt.control.closed();
+        closed.find(|(name, _, _)| *name == pressed).map(in_parts)
+    }
+
+    /// All services for whose sake requests are refused, as [`Self::pressed`] tells of one.
+    pub(super) fn all_pressed(&self) -> Vec<(Name, u32, u32)> {
+        let learnt = self.lock();
+        learnt.control.closed().map(in_parts).collect()
+    }
+
     /// The pressure to tell with an answer on `route` of the local service.
     pub(super) fn on_answer(&self, now: TimeMs, route: &str, own: Pressure) -> Option<Pressure> {
         self.lock().pressures.on_answer(now, route, own)
@@ -95,9 +110,10 @@
 
     /// Logs for whose sake requests are refused at present.
     pub(super) fn log_closed(&self) {
-        for (service, pressure, admitted) in self.lock().control.closed() {
+        for (service, permille, percent) in self.all_pressed() {
             log::info!(
-                "entry: refuses roots, service={service} pressure={pressure:.2} admitted={admitted:.2}"
+                "entry: refuses roots, service={service} pressure_permille={permille} \
+                 admitted_percent={percent}"
             );
         }
     }
@@ -106,3 +122,8 @@
         self.learnt.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn in_parts((name, pressure, admitted): (&Name, f32, f32)) -> (Name, u32, u32) {
+    let (permille, percent) = (pressure * 1_000.0, admitted * 100.0);
+    (name.clone(), permille as u32, percent as u32)
+}
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -47,6 +47,8 @@
     pub ready_address: SocketAddr,
     /// Where the backend server reports.
     pub report_address: SocketAddr,
+    /// Where metrics are served, besides under their path on the readiness listener.
+    pub metrics_address: Option<SocketAddr>,
     pub header_names: HeaderNames,
     pub live: LiveSettings,
 }
