--- a/src/adapters/http_listener.rs
+++ b/src/adapters/http_listener.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::adapters::connection_pool::set_options;
 
@@ -49,7 +50,7 @@
     pub silence_ms: u64,
 }
 
-/// Serves until the task is dropped. Once `stopping` holds true, connections are closed after the
+/// Serves until the task is dropped, which ends all its connections. Once `stopping` holds true, connections are closed after the
 /// answer that is under way, and new ones get one answer each.
 ///
 /// The bounds are asked for at each new connection, so that changed ones hold from then on. A
@@ -64,17 +65,23 @@
     R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let handler = Arc::new(handler);
+    let mut connections = JoinSet::new();
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
                 let serving = serve_one(stream, from, conf(), stopping.clone(), handler.clone());
-                tokio::spawn(serving);
+                connections.spawn(serving);
             }
             Err(error) => {
                 log::warn!("listener: cannot accept, error={error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
+        while let Some(ended) = connections.try_join_next() {
+            if let Err(error) = ended {
+                log::error!("listener: a connection's task failed, error={error}");
+            }
+        }
     }
 }
 
