--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -1,6 +1,8 @@
 //! From the command line to a command, and from its result to the terminal.
 
 use std::env;
+use std::io::ErrorKind;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::SystemTime;
@@ -65,13 +67,21 @@
 }
 
 fn print(output: &Output, as_json: bool) {
-    if as_json {
-        println!("{:#}", output.json);
-        return;
-    }
-    match output.exit {
-        Exit::Ok => println!("{}", output.text),
-        _ => eprintln!("{}", output.text),
+    let text = if as_json {
+        format!("{:#}", output.json)
+    } else {
+        output.text.clone()
+    };
+    let written = if as_json || output.exit == Exit::Ok {
+        writeln!(std::io::stdout(), "{text}")
+    } else {
+        writeln!(std::io::stderr(), "{text}")
+    };
+    match written {
+        Ok(()) => {}
+        // Whoever reads has seen enough, as `head` has.
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => {}
+        Err(error) => log::error!("ctl: the result cannot be written, error={error}"),
     }
 }
 
