--- /dev/null
+++ b/src/errors/settings.rs
@@ -0,0 +1,46 @@
+//! Settings files, with every problem told at once.
+
+use std::fmt;
+
+use serde::Serialize;
+use thiserror::Error;
+
+/// One thing that is wrong in a settings, preset or deployment file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct Problem {
+    /// Path of the field, such as `rules[2].class`; empty for the document as a whole.
+    pub field: String,
+    /// The value as written, shortened.
+    pub value: String,
+    /// What would be right.
+    pub expected: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let field = if self.field.is_empty() {
+            "(document)"
+        } else {
+            &self.field
+        };
+        write!(f, "{field}: is {}; {}", self.value, self.expected)
+    }
+}
+
+/// A file that cannot be used, with everything that is wrong in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error, Serialize)]
+#[error("{}", list_problems(file, problems))]
+pub struct SettingsError {
+    pub file: String,
+    pub problems: Vec<Problem>,
+}
+
+fn list_problems(file: &str, problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems
+        .iter()
+        .map(|problem| format!("{file}: {problem}"))
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/traffic/control_link.rs
@@ -0,0 +1,103 @@
+//! What joins the traffic of a node to its control thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::mpsc::Sender;
+
+use crate::control::ControlHandle;
+use crate::control::ControlHandlers;
+use crate::control::ControlSettings;
+use crate::core::Clock;
+use crate::core::TargetState;
+use crate::desired::WatchPace;
+use crate::membership::MembershipSettings;
+use crate::traffic::DesiredInForce;
+use crate::traffic::TrafficSettings;
+use crate::traffic::desired_task::AnnounceVersion;
+use crate::traffic::desired_task::Pace;
+use crate::traffic::desired_task::VersionNews;
+use crate::traffic::poison_watch::PoisonWatch;
+use crate::traffic::poison_watch::take_report;
+use crate::traffic::traffic::Traffic;
+
+/// What the control thread has to know of this node.
+pub(super) fn control_settings(
+    settings: &TrafficSettings,
+    peer_address: SocketAddr,
+    clock: Clock,
+) -> ControlSettings {
+    ControlSettings {
+        node: settings.node.clone(),
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        peer_address,
+        control_address: settings.control_address,
+        advertised_address: settings.control_address,
+        seeds: Vec::new(),
+        membership: MembershipSettings::default(),
+        clock,
+    }
+}
+
+/// What peers may ask and tell.
+pub(super) fn handlers(
+    settings: &TrafficSettings,
+    desired: &Arc<DesiredInForce>,
+    poison: &Arc<PoisonWatch>,
+    news: Sender<VersionNews>,
+) -> ControlHandlers {
+    let asked = desired.clone();
+    let held = desired.clone();
+    let (poison, service) = (poison.clone(), settings.service.clone());
+    ControlHandlers {
+        report_suspects: Arc::new(move |news| take_report(&poison, &service, &news)),
+        config_above: Arc::new(move |above| asked.document_above(above)),
+        config_news: Arc::new(move |from, version| {
+            if version > held.version() && news.try_send(VersionNews { from, version }).is_err() {
+                log::debug!("config: news were dropped, version={version}");
+            }
+        }),
+        ..ControlHandlers::default()
+    }
+}
+
+/// A node without a desired state serves nothing, so it asks as closely as a watcher.
+pub(super) fn pace(traffic: &Arc<Traffic>) -> Pace {
+    let traffic = traffic.clone();
+    Arc::new(move || {
+        if traffic.desired.version() == 0 {
+            return WatchPace::WATCHER;
+        }
+        let settings = &traffic.settings;
+        WatchPace::of(&traffic.view.load(), &settings.node, &settings.domain)
+    })
+}
+
+/// Held weakly: the tasks that announce live on the control thread, which the handle ends.
+pub(super) fn announce_version(control: &Arc<ControlHandle>) -> AnnounceVersion {
+    let control = Arc::downgrade(control);
+    Arc::new(move |version| {
+        if let Some(control) = control.upgrade() {
+            control.set_config_version(version);
+        }
+    })
+}
+
+/// Tells all members what is known of the local backend server, at each change.
+pub(super) async fn announce_local(control: Arc<ControlHandle>, traffic: Arc<Traffic>) {
+    let mut news = traffic.local_news.subscribe();
+    loop {
+        let local = news.borrow_and_update().clone();
+        let state = if traffic.is_leaving.load(Ordering::Relaxed) {
+            TargetState::Draining
+        } else {
+            local.state
+        };
+        control.announce(&local.service, local.slots, state);
+        if news.changed().await.is_err() {
+            return;
+        }
+    }
+}
