--- a/src/admission/root_control.rs
+++ b/src/admission/root_control.rs
@@ -37,6 +37,19 @@
 /// Services whose pressure is followed at most.
 const MOST_SERVICES: usize = 256;
 
+/// Less than this is wanted of nothing, and the share of it that is let in says nothing.
+const LEAST_WANTED: f32 = 0.01;
+
+/// A service for whose sake an entry refuses callers' requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PressedService {
+    pub service: Name,
+    /// How hard calls press on it, as answers say.
+    pub pressure_permille: u32,
+    /// The part of the wanted requests that is let in.
+    pub admitted_percent: u32,
+}
+
 /// The level of one pressed service.
 #[derive(Clone, Debug)]
 struct Level {
@@ -88,13 +101,17 @@
         }
     }
 
-    /// The services for whose sake requests are refused at present, each with its pressure and the
-    /// share of the wanted requests that is let in.
-    pub fn closed(&self) -> impl Iterator<Item = (&Name, f32, f32)> {
-        let closed = self.levels.iter().filter(|(_, level)| level.open < full());
-        closed.map(|(service, level)| {
+    /// The services for whose sake requests are refused at present.
+    pub fn pressed(&self) -> impl Iterator<Item = PressedService> {
+        let pressed = self.levels.iter().filter(|(_, level)| level.open < full());
+        pressed.map(|(service, level)| {
             let wanted: f32 = level.demand.iter().sum();
-            (service, level.pressure, level.sum_open() / wanted.max(0.01))
+            let admitted = level.sum_open() / wanted.max(LEAST_WANTED);
+            PressedService {
+                service: service.clone(),
+                pressure_permille: (level.pressure * 1_000.0) as u32,
+                admitted_percent: (admitted * 100.0) as u32,
+            }
         })
     }
 
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -12,7 +12,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use crate::core::Name;
+use crate::admission::PressedService;
 use crate::core::RefusalReason;
 use crate::core::RetryReason;
 use crate::metrics::ByReason;
@@ -236,16 +236,16 @@
         }
     }
 
-    /// Sets for which services' sake requests are refused: each with its pressure in thousandths and
-    /// the part that is let in, in percent. At most as many as there are services.
-    pub fn set_pressed(&self, pressed: &[(Name, u32, u32)]) {
+    /// Sets for which services' sake requests are refused. At most as many as there are services.
+    pub fn set_pressed(&self, pressed: &[PressedService]) {
         self.pressures.reset();
         self.admitted.reset();
-        for (service, permille, percent) in pressed {
-            let pressure = self.pressures.with_label_values(&[&**service]);
-            pressure.set(i64::from(*permille));
-            let admitted = self.admitted.with_label_values(&[&**service]);
-            admitted.set(i64::from(*percent));
+        for each in pressed {
+            let label = [&*each.service];
+            let pressure = self.pressures.with_label_values(&label);
+            pressure.set(i64::from(each.pressure_permille));
+            let admitted = self.admitted.with_label_values(&label);
+            admitted.set(i64::from(each.admitted_percent));
         }
     }
 
--- a/src/traffic/root_admission.rs
+++ b/src/traffic/root_admission.rs
@@ -4,6 +4,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use crate::admission::PressedService;
 use crate::admission::Pressure;
 use crate::admission::Pressures;
 use crate::admission::RootControl;
@@ -83,19 +84,17 @@
         learnt.control.may_pass(now, &pressed, priority)
     }
 
-    /// The service that is pressed behind a route, its pressure in thousandths, and the part of the
-    /// wanted requests that is let in for its sake, in percent; `None` while all are.
-    pub(super) fn pressed(&self, service: &str, route: &str) -> Option<(Name, u32, u32)> {
+    /// The service for whose sake requests on a route are refused; `None` while all are let in.
+    pub(super) fn pressed_behind(&self, service: &str, route: &str) -> Option<PressedService> {
         let learnt = self.lock();
-        let pressed = learnt.pressures.pressed_service(service, route)?;
-        let mut closed = learnt.control.closed();
-        closed.find(|(name, _, _)| *name == pressed).map(in_parts)
+        let behind = learnt.pressures.pressed_service(service, route)?;
+        let mut pressed = learnt.control.pressed();
+        pressed.find(|pressed| pressed.service == *behind)
     }
 
-    /// All services for whose sake requests are refused, as [`Self::pressed`] tells of one.
-    pub(super) fn all_pressed(&self) -> Vec<(Name, u32, u32)> {
-        let learnt = self.lock();
-        learnt.control.closed().map(in_parts).collect()
+    /// All services for whose sake requests are refused.
+    pub(super) fn pressed(&self) -> Vec<PressedService> {
+        self.lock().control.pressed().collect()
     }
 
     /// The pressure to tell with an answer on `route` of the local service.
@@ -110,10 +109,12 @@
 
     /// Logs for whose sake requests are refused at present.
     pub(super) fn log_closed(&self) {
-        for (service, permille, percent) in self.all_pressed() {
+        for pressed in self.pressed() {
             log::info!(
-                "entry: refuses roots, service={service} pressure_permille={permille} \
-                 admitted_percent={percent}"
+                "entry: refuses roots, service={} pressure_permille={} admitted_percent={}",
+                pressed.service,
+                pressed.pressure_permille,
+                pressed.admitted_percent
             );
         }
     }
@@ -122,8 +123,3 @@
         self.learnt.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn in_parts((name, pressure, admitted): (&Name, f32, f32)) -> (Name, u32, u32) {
-    let (permille, percent) = (pressure * 1_000.0, admitted * 100.0);
-    (name.clone(), permille as u32, percent as u32)
-}
--- a/src/traffic/story.rs
+++ b/src/traffic/story.rs
@@ -140,9 +140,10 @@
         let (Some(service), Some(route)) = (&self.service, &self.route) else {
             return String::new();
         };
-        match traffic.roots.pressed(service, route) {
-            Some((pressed, permille, admitted)) => format!(
-                " pressed={pressed} pressure_permille={permille} admitted_percent={admitted}"
+        match traffic.roots.pressed_behind(service, route) {
+            Some(pressed) => format!(
+                " pressed={} pressure_permille={} admitted_percent={}",
+                pressed.service, pressed.pressure_permille, pressed.admitted_percent
             ),
             None => String::new(),
         }
