--- a/tests/node_bad_input.rs
+++ b/tests/node_bad_input.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -18,6 +20,7 @@
 use sassafrasgap::adapters::Body;
 use sassafrasgap::adapters::full_body;
 use sassafrasgap::core::RefusalReason;
+use sassafrasgap::wire::PROTOCOL_VERSION;
 
 use support::test_mesh::Got;
 use support::test_mesh::TestMesh;
@@ -165,15 +168,21 @@
     assert_eq!(backend.runs(), 0);
 }
 
+/// A header with a version and no message after it.
+fn version_byte(version: u8) -> String {
+    URL_SAFE_NO_PAD.encode([version])
+}
+
 /// A node of another protocol version forwards a call. Misread, it would run under wrong terms. The
 /// guard refuses it in plain headers, which every version understands.
 #[rstest]
-#[case::other_version("Ag", RefusalReason::PeerVersion)]
-#[case::malformed("AQ", RefusalReason::BadRequest)]
-#[case::no_base64("!!", RefusalReason::BadRequest)]
+#[case::other_version(version_byte(PROTOCOL_VERSION + 1), RefusalReason::PeerVersion)]
+#[case::earlier_version(version_byte(PROTOCOL_VERSION - 1), RefusalReason::PeerVersion)]
+#[case::malformed(version_byte(PROTOCOL_VERSION), RefusalReason::BadRequest)]
+#[case::no_base64("!!".to_owned(), RefusalReason::BadRequest)]
 #[tokio::test]
 async fn a_call_header_that_cannot_be_read_is_refused(
-    #[case] header: &str,
+    #[case] header: String,
     #[case] reason: RefusalReason,
 ) {
     let (mesh, backend) = Backend::mesh().await;
