--- a/src/capacity/protocol_sizes.rs
+++ b/src/capacity/protocol_sizes.rs
@@ -93,6 +93,7 @@
             members_digest: u32::MAX,
             members: layout::FULL_NODES as u32,
             config_version: 100_000,
+            confirmed_tenths: 20,
             slot_maps_digest: u32::MAX,
             heard: vec![heard; heard_domains],
         },
--- a/src/claims/boot.rs
+++ b/src/claims/boot.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 
-use crate::claims::stable_hash::stable_hash;
+use crate::core::stable_hash;
 
 /// Where Linux names the present run of the machine.
 const BOOT_ID_PATH: &str = "/proc/sys/kernel/random/boot_id";
--- a/src/claims/ledger.rs
+++ b/src/claims/ledger.rs
@@ -18,7 +18,6 @@
 use crate::claims::ResendLimits;
 use crate::claims::SLOTS;
 use crate::claims::slot_of;
-use crate::claims::stable_hash::stable_hash;
 use crate::control::KeptAnswer;
 use crate::core::FastMap;
 use crate::core::Name;
@@ -26,6 +25,7 @@
 use crate::core::RefusalReason;
 use crate::core::RunState;
 use crate::core::TimeMs;
+use crate::core::stable_hash;
 use crate::wire::OwnerHint;
 
 /// When to come back while a call runs at the slot's former owner.
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -24,7 +24,6 @@
 mod slot_map;
 mod slot_router;
 mod slot_table;
-mod stable_hash;
 mod window_watch;
 
 pub use boot::boot_of;
--- a/src/claims/slot.rs
+++ b/src/claims/slot.rs
@@ -1,6 +1,6 @@
 //! The slot of a key.
 
-use crate::claims::stable_hash::stable_hash;
+use crate::core::stable_hash;
 
 /// How many slots the keys of a service are spread over. It is part of the protocol.
 pub const SLOTS: usize = 32;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -20,6 +20,8 @@
     /// Changes the state only.
     SetState(TargetState),
     SetConfigVersion(u64),
+    /// The store holds nothing newer than this version.
+    ConfirmConfigVersion(u64),
     SetSlotMapVersion {
         service: Name,
         version: u64,
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::Command;
+use super::Freshness;
 use super::PeerClients;
 use crate::core::Name;
 use crate::core::Published;
@@ -22,6 +23,8 @@
     pub address: SocketAddr,
     /// All members as this node knows them, replaced at each change.
     pub view: Arc<Published<View>>,
+    /// How fresh what gossip tells is.
+    pub freshness: Arc<Freshness>,
     /// Control calls to peers.
     pub clients: Arc<PeerClients>,
     /// The control thread's runtime, for tasks of the concerns that run there.
@@ -51,6 +54,12 @@
         self.command(Command::SetConfigVersion(version));
     }
 
+    /// Tells all members that the store holds no newer configuration than this version, if that is the
+    /// one in force here.
+    pub fn confirm_config_version(&self, version: u64) {
+        self.command(Command::ConfirmConfigVersion(version));
+    }
+
     /// Tells all members which version of a slot map is held here. Lower ones are ignored.
     pub fn set_slot_map_version(&self, service: &Name, version: u64) {
         self.command(Command::SetSlotMapVersion {
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -15,6 +15,7 @@
 use super::ControlHandlers;
 use super::ControlMetrics;
 use super::Direction;
+use super::Freshness;
 use super::PeerClients;
 use super::SlotMapNews;
 use crate::core::Clock;
@@ -45,6 +46,7 @@
     pub handlers: ControlHandlers,
     pub clients: Arc<PeerClients>,
     pub view: Arc<Published<View>>,
+    pub freshness: Arc<Freshness>,
     pub metrics: ControlMetrics,
     pub clock: Clock,
 }
@@ -95,7 +97,12 @@
                 let kind = datagram.body.kind();
                 self.metrics
                     .count_datagram(Direction::Received, kind, bytes.len());
-                let actions = self.membership.handle(self.clock.now(), from, datagram);
+                let now = self.clock.now();
+                let actions = self.membership.handle(now, from, datagram);
+                self.freshness.note_heard(now);
+                if let Some(confirmed) = self.membership.config_confirmed() {
+                    self.freshness.note_confirmed(confirmed);
+                }
                 self.act(actions);
             }
             Err(error) => {
@@ -119,6 +126,12 @@
                 self.membership.set_own(&service, state, slots, now);
             }
             Command::SetConfigVersion(version) => self.membership.set_config_version(version),
+            Command::ConfirmConfigVersion(version) => {
+                if version == self.membership.config_version() {
+                    self.membership.confirm_config(now);
+                    self.freshness.note_confirmed(now);
+                }
+            }
             Command::SetSlotMapVersion { service, version } => {
                 self.membership.set_slot_map_version(&service, version);
             }
--- a/src/control/start.rs
+++ b/src/control/start.rs
@@ -15,6 +15,7 @@
 use super::ControlLoop;
 use super::ControlMetrics;
 use super::ControlSettings;
+use super::Freshness;
 use super::PeerClients;
 use super::PeerServer;
 use super::bind_control;
@@ -49,6 +50,7 @@
         sockets.address.ip(),
     ));
     let view = Arc::new(Published::new(Arc::new(View::default())));
+    let freshness = Arc::new(Freshness::new(clock.now()));
     let (own_commands, commands) = unbounded_channel();
     let membership = Membership::new(
         settings.first_target(sockets.address),
@@ -70,6 +72,7 @@
         handlers,
         clients: clients.clone(),
         view: view.clone(),
+        freshness: freshness.clone(),
         metrics,
         clock,
     };
@@ -85,6 +88,7 @@
     Ok(ControlHandle {
         address: sockets.address,
         view,
+        freshness,
         clients,
         runtime: handle,
         commands: own_commands,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod priority;
 mod published;
+mod stable_hash;
 mod view;
 
 pub use clock::Clock;
@@ -23,6 +24,7 @@
 pub use outcome::RunState;
 pub use priority::Priority;
 pub use published::Published;
+pub use stable_hash::stable_hash;
 pub use view::Target;
 pub use view::TargetState;
 pub use view::View;
--- /dev/null
+++ b/src/desired/store_watch.rs
@@ -0,0 +1,86 @@
+//! Which nodes follow the operator's row in the store, and which rely on the others' word.
+
+use crate::core::Target;
+use crate::core::TargetState;
+use crate::core::View;
+
+/// Nodes of each failure domain that follow the store. Two, so that a change is told at once also while
+/// one of them is down and not yet known to be.
+const WATCHERS_A_DOMAIN: usize = 2;
+/// After this silence of all other nodes a node asks the store itself, in milliseconds: with the answer
+/// well within the shortest time in which a change has to be in force, which is 2 s.
+const SILENT_MS: u64 = 1_400;
+/// After this time without word from the store, its own or through others, a node may ask itself, in
+/// milliseconds: above the 5 s that a watcher's question and the way of its answer through the largest
+/// fleet take.
+const UNCONFIRMED_MS: u64 = 6_000;
+/// How many nodes of the whole fleet ask in each look when there is no word from the store.
+const ASKERS: f64 = 4.0;
+
+/// When the whole system starts for the first time, nodes have found each other after so long, in
+/// milliseconds: before it each would take itself for a watcher.
+const FOUND_MS: u64 = 2_500;
+/// And after so long, in milliseconds, a node that has not been told of a desired state asks itself.
+const TOLD_MS: u64 = 5_000;
+
+/// How long a question to the store stays open, in milliseconds. With the time that its answer may take
+/// it ends within 3 s: an outage that swallowed it is noticed before the store counts as calm again.
+pub const WATCH_WAIT_MS: u64 = 2_000;
+/// The longest pause after failures, in milliseconds: well within the time in which a change has to be
+/// in force.
+pub const WATCH_PAUSE_MS: u64 = 1_000;
+/// How often a node that relies on others looks whether it still can, in milliseconds.
+pub const WATCH_LOOK_MS: u64 = 500;
+
+/// How fresh a node's knowledge of the desired state is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// It knows a desired state.
+    pub any: bool,
+    /// How long ago the node started, if the whole system does so for the first time.
+    pub first_start_ms_ago: Option<u64>,
+    /// How long ago it heard of any other node.
+    pub heard_ms_ago: u64,
+    /// How long ago the store was last known to hold nothing newer.
+    pub confirmed_ms_ago: u64,
+}
+
+/// Whether a node asks the store now, rather than rely on what others tell. `random` is uniform in 0..1.
+///
+/// A few nodes of each failure domain keep a question open, which is answered at the change itself, and
+/// tell all others at once by gossip. Every call to the store is paid for, so calls grow with the
+/// failure domains and not with the nodes: with a question of every node, 195 of them made 17 calls each
+/// in 40 s, most of them for this.
+///
+/// Guards against a node that the watchers cannot tell. It shows as a change that is in force everywhere
+/// but there. Cut off from all others it hears nothing, and asks within the time that a change has. Where
+/// all watchers are lost or turned away by the store, those that hear each other miss the store's word,
+/// which gossip carries with its age; then a few of them ask, whichever, and tell the others.
+pub fn asks_store(view: &View, node: &str, domain: &str, known: Known, random: f64) -> bool {
+    if !known.any {
+        return match known.first_start_ms_ago {
+            Some(ago_ms) if ago_ms < FOUND_MS => false,
+            Some(ago_ms) if ago_ms < TOLD_MS => is_watcher(view, node, domain),
+            _ => true,
+        };
+    }
+    if known.heard_ms_ago >= SILENT_MS || is_watcher(view, node, domain) {
+        return true;
+    }
+    let living = view.nodes.values().filter(|peer| lives(peer)).count();
+    known.confirmed_ms_ago >= UNCONFIRMED_MS && random * (living as f64) < ASKERS
+}
+
+/// Whether a node is among the first of those that live in its failure domain, by name.
+pub fn is_watcher(view: &View, node: &str, domain: &str) -> bool {
+    let before = view.nodes.values().filter(|peer| &*peer.domain == domain);
+    let before = before.filter(|peer| lives(peer) && &*peer.node < node);
+    before.take(WATCHERS_A_DOMAIN).count() < WATCHERS_A_DOMAIN
+}
+
+fn lives(peer: &Target) -> bool {
+    !matches!(
+        peer.state,
+        TargetState::Suspect | TargetState::Dead | TargetState::Left
+    )
+}
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -29,6 +29,9 @@
     pub members: u32,
     /// The version of the configuration in force at the sender.
     pub config_version: u64,
+    /// How long ago the store was last known to hold no newer version, in tenths of a second; the
+    /// highest value says longer ago, or never.
+    pub confirmed_tenths: u8,
     /// Digest of the versions of all slot maps that the sender holds.
     #[serde(with = "postcard::fixint::le")]
     pub slot_maps_digest: u32,
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -72,6 +72,8 @@
     pub(super) budget: NewsBudget,
     pub(super) slot_maps: SlotMapVersions,
     pub(super) config_version: u64,
+    /// When the store was last known to hold no newer configuration.
+    pub(super) config_confirmed: Option<TimeMs>,
     /// The header has news (a new configuration) that is to be pushed at once.
     pub(super) header_is_urgent: bool,
     /// The own failure domain is to hear at once that another one answers again.
@@ -114,6 +116,7 @@
             budget: NewsBudget::new(settings.news_bytes_per_s, settings.news_burst_bytes),
             slot_maps: SlotMapVersions::default(),
             config_version: 0,
+            config_confirmed: None,
             header_is_urgent: false,
             answers_are_urgent: false,
             view: ViewBuilder::default(),
@@ -181,6 +184,16 @@
         }
     }
 
+    /// The store has said `at` that it holds no newer configuration than the one in force here.
+    pub fn confirm_config(&mut self, at: TimeMs) {
+        self.config_confirmed = self.config_confirmed.max(Some(at));
+    }
+
+    /// When the store was last known to hold no newer configuration, by its word to anybody.
+    pub fn config_confirmed(&self) -> Option<TimeMs> {
+        self.config_confirmed
+    }
+
     /// Sets the version of a slot map held here, and spreads it at once.
     pub fn set_slot_map_version(&mut self, service: &Name, version: u64) {
         if self.slot_maps.raise(service, version) {
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -12,6 +12,7 @@
 use super::Standing;
 use super::Update;
 use super::member_table::record_of;
+use super::spread::TENTH_MS;
 use crate::core::Name;
 use crate::core::TargetState;
 use crate::core::TimeMs;
@@ -163,6 +164,7 @@
                 self.hear_again(&domain, now);
             }
         }
+        self.read_confirmation(header, now);
         let news_age_ms = now.since(self.schedule.last_config_news);
         if header.config_version > self.config_version && news_age_ms >= CONFIG_NEWS_PERIOD_MS {
             self.schedule.last_config_news = now;
@@ -172,6 +174,15 @@
         self.compare_slot_maps(header, from, now, actions);
     }
 
+    /// The store's word on another version than the own one says nothing of that.
+    fn read_confirmation(&mut self, header: &Header, now: TimeMs) {
+        let is_of_own = header.config_version == self.config_version;
+        if is_of_own && header.confirmed_tenths < u8::MAX {
+            let age_ms = u64::from(header.confirmed_tenths) * TENTH_MS;
+            self.confirm_config(now - age_ms);
+        }
+    }
+
     fn compare_slot_maps(
         &mut self,
         header: &Header,
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -15,6 +15,8 @@
 /// Each update is sent this many times the number of decimal digits of the member count; that
 /// reaches all but a few in ten thousand, and comparisons of tables reach those.
 const SENDS_PER_DIGIT: u32 = 3;
+/// Milliseconds in the unit of [`Header::confirmed_tenths`].
+pub(super) const TENTH_MS: u64 = 100;
 /// IP and UDP headers, which count as control traffic too.
 pub(super) const PACKET_OVERHEAD_BYTES: u64 = 28;
 
@@ -129,10 +131,14 @@
         let copies = receivers.len() as u64;
         let fixed_bytes = encoded_bytes(&header) as u64 + 2 + PACKET_OVERHEAD_BYTES;
         let share_bytes = self.budget.available_bytes(now) / copies;
-        if share_bytes < fixed_bytes {
+        // A new configuration has little time to be in force, so its few bytes wait for nothing: each
+        // member pushes each version once.
+        if share_bytes < fixed_bytes && !self.header_is_urgent {
             return;
         }
-        let room = (share_bytes - fixed_bytes).min(self.settings.max_datagram_bytes as u64);
+        let room = share_bytes
+            .saturating_sub(fixed_bytes)
+            .min(self.settings.max_datagram_bytes as u64);
         let max_sends = self.max_sends();
         let updates = self
             .queue
@@ -185,6 +191,13 @@
             .collect()
     }
 
+    /// Rounded up, so that the store's word never gets younger by being passed on.
+    fn confirmed_tenths(&self, now: TimeMs) -> u8 {
+        let age = |at: TimeMs| now.since(at).div_ceil(TENTH_MS);
+        let tenths = self.config_confirmed.map_or(u64::from(u8::MAX), age);
+        u8::try_from(tenths).unwrap_or(u8::MAX)
+    }
+
     pub(super) fn header(&self, is_near: bool, now: TimeMs) -> Header {
         let heard = match is_near {
             true => self.watch.ages(now),
@@ -196,6 +209,7 @@
             members_digest: self.table.digest(),
             members: self.table.alive() as u32,
             config_version: self.config_version,
+            confirmed_tenths: self.confirmed_tenths(now),
             slot_maps_digest: self.slot_maps.digest(),
             heard,
         }
--- a/src/store/port.rs
+++ b/src/store/port.rs
@@ -5,6 +5,7 @@
 use crate::core::Name;
 use crate::errors::StoreError;
 use crate::store::Changes;
+use crate::store::RowName;
 use crate::store::RowPut;
 use crate::store::StoredRow;
 
@@ -18,6 +19,18 @@
         part: Name,
     ) -> BoxFuture<'_, Result<(Vec<StoredRow>, u64), StoreError>>;
 
+    /// One row, if there is one.
+    fn read_row(&self, name: RowName) -> BoxFuture<'_, Result<Option<StoredRow>, StoreError>>;
+
+    /// At most `most` rows of a part, in the order of their keys, beginning at the key `from`.
+    fn read_some(
+        &self,
+        table: Name,
+        part: Name,
+        from: Name,
+        most: usize,
+    ) -> BoxFuture<'_, Result<Vec<StoredRow>, StoreError>>;
+
     /// The changes of a table after a version, as soon as there are any; none after `wait_ms`.
     fn changes(
         &self,
--- a/src/store/row_keeper.rs
+++ b/src/store/row_keeper.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use crate::core::Name;
 use crate::errors::StoreError;
 use crate::store::RowName;
 use crate::store::RowPut;
@@ -40,6 +39,11 @@
         }
     }
 
+    /// Takes the row to be absent. The next write says whether it is, and is made once more if not.
+    pub fn take_as_absent(&mut self) {
+        self.version = Some(0);
+    }
+
     /// Makes one try to have the row hold `value`. Sends nothing when it does already.
     pub async fn write(&mut self, value: &[u8]) -> KeptRow {
         let version = match self.version {
@@ -72,9 +76,7 @@
     /// # Errors
     /// When the store does not say.
     pub async fn read(&mut self) -> Result<Option<StoredRow>, StoreError> {
-        let (table, part): (Name, Name) = (self.name.table.clone(), self.name.part.clone());
-        let (rows, _) = self.store.read_part(table, part).await?;
-        let row = rows.into_iter().find(|row| row.name == self.name);
+        let row = self.store.read_row(self.name.clone()).await?;
         self.version = Some(row.as_ref().map_or(0, |row| row.version));
         Ok(row)
     }
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -11,12 +11,14 @@
 use crate::control::ControlSettings;
 use crate::core::Clock;
 use crate::core::TargetState;
-use crate::desired::WatchPace;
+use crate::desired::Known;
+use crate::desired::asks_store;
 use crate::membership::MembershipSettings;
 use crate::traffic::DesiredInForce;
 use crate::traffic::TrafficSettings;
 use crate::traffic::desired_task::AnnounceVersion;
-use crate::traffic::desired_task::Pace;
+use crate::traffic::desired_task::AsksStore;
+use crate::traffic::desired_task::ConfirmVersion;
 use crate::traffic::desired_task::VersionNews;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::take_report;
@@ -63,18 +65,36 @@
     }
 }
 
-/// A node without a desired state serves nothing, so it asks as closely as a watcher.
-pub(super) fn pace(traffic: &Arc<Traffic>) -> Pace {
-    let traffic = traffic.clone();
+/// Whether this node asks the store now; see [`asks_store`].
+pub(super) fn asks(traffic: &Arc<Traffic>, control: &Arc<ControlHandle>) -> AsksStore {
+    let (traffic, control) = (traffic.clone(), control.clone());
+    let started = traffic.clock.now();
     Arc::new(move || {
-        if traffic.desired.version() == 0 {
-            return WatchPace::WATCHER;
-        }
         let settings = &traffic.settings;
-        WatchPace::of(&traffic.view.load(), &settings.node, &settings.domain)
+        let now = traffic.clock.now();
+        let known = Known {
+            any: traffic.desired.version() > 0,
+            first_start_ms_ago: settings.is_first_start.then(|| now.since(started)),
+            heard_ms_ago: now.since(control.freshness.heard()),
+            confirmed_ms_ago: now.since(control.freshness.confirmed()),
+        };
+        let view = traffic.view.load();
+        asks_store(
+            &view,
+            &settings.node,
+            &settings.domain,
+            known,
+            fastrand::f64(),
+        )
     })
 }
 
+/// Tells all members that the store holds nothing newer.
+pub(super) fn confirm_version(control: &Arc<ControlHandle>) -> ConfirmVersion {
+    let control = control.clone();
+    Arc::new(move |version| control.confirm_config_version(version))
+}
+
 /// Tells all members which version is in force here.
 pub(super) fn announce_version(control: &Arc<ControlHandle>) -> AnnounceVersion {
     let control = control.clone();
--- a/src/traffic/desired_task.rs
+++ b/src/traffic/desired_task.rs
@@ -5,11 +5,16 @@
 use std::time::Duration;
 
 use prometheus::IntGauge;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::Receiver;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::control::PeerClients;
 use crate::desired::DesiredState;
-use crate::desired::WatchPace;
+use crate::desired::WATCH_LOOK_MS;
+use crate::desired::WATCH_PAUSE_MS;
+use crate::desired::WATCH_WAIT_MS;
 use crate::errors::DesiredStateError;
 use crate::store::RowChange;
 use crate::store::RowName;
@@ -32,41 +37,68 @@
 /// Tells all members which version is in force here.
 pub(super) type AnnounceVersion = Arc<dyn Fn(u64) + Send + Sync>;
 
-/// How closely this node has to follow the store at present.
-pub(super) type Pace = Arc<dyn Fn() -> WatchPace + Send + Sync>;
+/// Tells all members that the store holds nothing newer than a version.
+pub(super) type ConfirmVersion = Arc<dyn Fn(u64) + Send + Sync>;
 
-/// Follows the operator's row for good.
-pub(super) async fn watch_store(
-    store: Arc<dyn Store>,
-    source: DesiredSource,
-    desired: Arc<DesiredInForce>,
-    announce: AnnounceVersion,
-    pace: Pace,
-    reached: IntGauge,
-) {
-    let (table, part) = (source.row.table.clone(), source.row.part.clone());
-    let mut watch = TableWatch::new(store, table, part);
-    let mut pause = WatchPause::default();
-    let mut was_reached = true;
-    loop {
-        match watch.next(pace().wait_ms).await {
-            Ok(changes) => {
-                pause.reset();
-                reached.set(1);
-                if !was_reached {
-                    log::info!("store: reached again");
+/// Whether this node asks the store now, rather than rely on what others tell.
+pub(super) type AsksStore = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// How long a peer may take to hand over what it has in force, in milliseconds. Its answer takes a few;
+/// after that the store is asked, while the time in which a change has to be in force goes on.
+const FETCH_WITHIN_MS: u64 = 400;
+
+/// Follows the operator's row.
+pub(super) struct StoreFollower {
+    pub(super) store: Arc<dyn Store>,
+    pub(super) source: DesiredSource,
+    pub(super) desired: Arc<DesiredInForce>,
+    pub(super) announce: AnnounceVersion,
+    pub(super) confirm: ConfirmVersion,
+    pub(super) asks: AsksStore,
+    /// Woken when others told of a version and could not hand it over.
+    pub(super) ask_now: Arc<Notify>,
+    pub(super) reached: IntGauge,
+}
+
+impl StoreFollower {
+    /// Runs for good.
+    pub(super) async fn run(self) {
+        let (table, part) = (self.source.row.table.clone(), self.source.row.part.clone());
+        let mut watch = TableWatch::new(self.store.clone(), table, part);
+        let mut pause = WatchPause::default();
+        let mut was_reached = true;
+        loop {
+            self.until_it_asks().await;
+            match watch.next(WATCH_WAIT_MS).await {
+                Ok(changes) => {
+                    pause.reset();
+                    self.reached.set(1);
+                    if !was_reached {
+                        log::info!("store: reached again");
+                    }
+                    was_reached = true;
+                    take_changes(&changes, &self.source, &self.desired, &self.announce);
+                    (self.confirm)(self.desired.version());
                 }
-                was_reached = true;
-                take_changes(&changes, &source, &desired, &announce);
-            }
-            Err(error) => {
-                reached.set(0);
-                if was_reached {
-                    log::warn!("store: lost, error={error}");
+                Err(error) => {
+                    self.reached.set(0);
+                    if was_reached {
+                        log::warn!("store: lost, error={error}");
+                    }
+                    was_reached = false;
+                    let pause_ms = pause.up_to(WATCH_PAUSE_MS, fastrand::f64());
+                    sleep(Duration::from_millis(pause_ms)).await;
                 }
-                was_reached = false;
-                let pause_ms = pause.up_to(pace().longest_pause_ms, fastrand::f64());
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+
+    async fn until_it_asks(&self) {
+        while !(self.asks)() {
+            let look = sleep(Duration::from_millis(WATCH_LOOK_MS));
+            tokio::select! {
+                () = look => {}
+                () = self.ask_now.notified() => return,
             }
         }
     }
@@ -106,25 +138,35 @@
 /// Fetches from peers what they have in force and this node has not.
 ///
 /// Guards against a store that turns this node away while it serves the operator and others: the
-/// operator's change is acknowledged, and only peers can tell of it.
+/// operator's change is acknowledged, and only peers can tell of it. And the other way round, a peer that
+/// tells of a version and cannot hand it over holds nothing up: the store is asked then.
 pub(super) async fn fetch_news(
     mut news: Receiver<VersionNews>,
     clients: Arc<PeerClients>,
     desired: Arc<DesiredInForce>,
     announce: AnnounceVersion,
+    ask_now: Arc<Notify>,
 ) {
     while let Some(VersionNews { from, version }) = news.recv().await {
         if version <= desired.version() {
             continue;
         }
-        match clients.config_above(from, desired.version()).await {
-            Ok(Some(document)) => {
+        let asking = clients.config_above(from, desired.version());
+        match timeout(Duration::from_millis(FETCH_WITHIN_MS), asking).await {
+            Ok(Ok(Some(document))) => {
                 if desired.offer_document(&document) {
                     announce(document.version);
                 }
             }
-            Ok(None) => {}
-            Err(error) => log::debug!("config: a peer gave no answer, peer={from} error={error}"),
+            Ok(Ok(None)) => {}
+            Ok(Err(error)) => {
+                log::debug!("config: a peer gave no answer, peer={from} error={error}");
+                ask_now.notify_one();
+            }
+            Err(_) => {
+                log::debug!("config: a peer gave no answer in time, peer={from}");
+                ask_now.notify_one();
+            }
         }
     }
 }
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tokio::sync::Notify;
 use tokio::sync::mpsc::channel;
 use tokio::task::JoinSet;
 
@@ -19,11 +20,12 @@
 use crate::traffic::TrafficSettings;
 use crate::traffic::control_link::announce_local;
 use crate::traffic::control_link::announce_version;
+use crate::traffic::control_link::asks;
+use crate::traffic::control_link::confirm_version;
 use crate::traffic::control_link::control_settings;
 use crate::traffic::control_link::handlers;
-use crate::traffic::control_link::pace;
+use crate::traffic::desired_task::StoreFollower;
 use crate::traffic::desired_task::fetch_news;
-use crate::traffic::desired_task::watch_store;
 use crate::traffic::listeners::Listeners;
 use crate::traffic::listeners::local_address;
 use crate::traffic::listeners::serve_admins;
@@ -94,19 +96,24 @@
         traffic.gate.set_classes(CLASSES);
         let announce = announce_version(&control);
         let runtime = &control.runtime;
-        runtime.spawn(watch_store(
-            inputs.store.clone(),
-            inputs.source,
-            desired.clone(),
-            announce.clone(),
-            pace(&traffic),
-            traffic.metrics.store_reached.clone(),
-        ));
+        let ask_now = Arc::new(Notify::new());
+        let follower = StoreFollower {
+            store: inputs.store.clone(),
+            source: inputs.source,
+            desired: desired.clone(),
+            announce: announce.clone(),
+            confirm: confirm_version(&control),
+            asks: asks(&traffic, &control),
+            ask_now: ask_now.clone(),
+            reached: traffic.metrics.store_reached.clone(),
+        };
+        runtime.spawn(follower.run());
         runtime.spawn(fetch_news(
             news,
             control.clients.clone(),
             desired.clone(),
             announce,
+            ask_now,
         ));
         runtime.spawn(announce_local(control.clone(), traffic.clone()));
         runtime.spawn(tell_targets(crashes, traffic.clone(), control.clone()));
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -43,5 +43,7 @@
     /// Where metrics are served, besides under their path on the readiness listener.
     pub metrics_address: Option<SocketAddr>,
     pub header_names: HeaderNames,
+    /// The whole system starts for the first time, so nothing is stored of this node yet.
+    pub is_first_start: bool,
     pub live: LiveSettings,
 }
--- /dev/null
+++ b/tests/desired_store_watch.rs
@@ -0,0 +1,159 @@
+//! Which nodes follow the operator's row closely.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rstest::rstest;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::Target;
+use sassafrasgap::core::TargetState;
+use sassafrasgap::core::View;
+use sassafrasgap::desired::Known;
+use sassafrasgap::desired::asks_store;
+use sassafrasgap::desired::is_watcher;
+
+fn node(name: &str, domain: &str, state: TargetState) -> Arc<Target> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Arc::new(Target {
+        node: Name::from(name),
+        service: Name::from("s"),
+        region: Name::from("r"),
+        domain: Name::from(domain),
+        peer_address: address,
+        control_address: address,
+        incarnation: 1,
+        state,
+        slots: 1,
+    })
+}
+
+fn view(nodes: &[(&str, &str, TargetState)]) -> View {
+    let nodes = nodes.iter().map(|(name, domain, state)| {
+        let target = node(name, domain, *state);
+        (target.node.clone(), target)
+    });
+    View {
+        nodes: nodes.collect(),
+        ..View::default()
+    }
+}
+
+fn watchers(view: &View) -> Vec<Name> {
+    let nodes = view.nodes.values();
+    let watching = nodes.filter(|node| is_watcher(view, &node.node, &node.domain));
+    let mut names: Vec<Name> = watching.map(|node| node.node.clone()).collect();
+    names.sort();
+    names
+}
+
+/// What a node knows while all is well.
+const WELL: Known = Known {
+    any: true,
+    first_start_ms_ago: None,
+    heard_ms_ago: 300,
+    confirmed_ms_ago: 2_500,
+};
+
+/// A fleet of `size` nodes in one failure domain.
+fn fleet(size: usize) -> View {
+    let names: Vec<String> = (0..size).map(|index| format!("a{index:04}")).collect();
+    let nodes = names.iter().map(|name| (&**name, "a", TargetState::Up));
+    view(&nodes.collect::<Vec<_>>())
+}
+
+/// However many nodes there are, two of each failure domain watch, so that the calls to the store grow
+/// with the domains.
+#[rstest]
+fn two_of_each_domain_watch() {
+    let up = TargetState::Up;
+    let view = view(&[
+        ("a1", "a", up),
+        ("a2", "a", TargetState::Starting),
+        ("a3", "a", up),
+        ("a4", "a", up),
+        ("b1", "b", TargetState::Draining),
+        ("b2", "b", up),
+        ("c1", "c", up),
+    ]);
+    let expected = ["a1", "a2", "b1", "b2", "c1"].map(Name::from);
+    assert_eq!(watchers(&view), expected);
+}
+
+/// A watcher of a domain does not answer any more, or has left. The next one takes over at once,
+/// though it may only be suspected: one watcher more does no harm, one less would.
+#[rstest]
+#[case(TargetState::Suspect)]
+#[case(TargetState::Dead)]
+#[case(TargetState::Left)]
+fn the_next_one_takes_over(#[case] state: TargetState) {
+    let up = TargetState::Up;
+    let view = view(&[("a1", "a", state), ("a2", "a", up), ("a3", "a", up)]);
+    assert!(is_watcher(&view, "a3", "a"));
+}
+
+/// Hundreds of nodes each kept a question open at the store: most of its calls, each paid for. All but
+/// the watchers rely on gossip while it brings the store's word.
+#[rstest]
+fn a_node_that_hears_others_asks_nothing() {
+    let fleet = fleet(195);
+    assert!(!asks_store(&fleet, "a0100", "a", WELL, 0.0));
+    assert!(asks_store(&fleet, "a0001", "a", WELL, 0.99));
+}
+
+/// A node is cut off from all others and not from the store. A change would be in force everywhere but
+/// there: nobody can tell it.
+#[rstest]
+fn a_node_that_hears_nobody_asks() {
+    let silent = Known {
+        heard_ms_ago: 1_500,
+        ..WELL
+    };
+    assert!(asks_store(&fleet(195), "a0100", "a", silent, 0.99));
+    assert!(asks_store(&View::default(), "a0100", "a", silent, 0.99));
+}
+
+/// All watchers are turned away by the store and everybody hears everybody. The store's word grows old;
+/// a few others ask for it, not all at once.
+#[rstest]
+#[case(13)]
+#[case(195)]
+#[case(720)]
+fn a_few_ask_when_the_store_has_not_been_heard_of(#[case] size: usize) {
+    let unconfirmed = Known {
+        confirmed_ms_ago: 6_100,
+        ..WELL
+    };
+    let fleet = fleet(size);
+    let asking = |random| asks_store(&fleet, "a0009", "a", unconfirmed, random);
+    let asking = (0..1_000).filter(|draw| asking(f64::from(*draw) / 1_000.0));
+    let in_fleet = asking.count() * size / 1_000;
+    assert!((3..=5).contains(&in_fleet), "{in_fleet}");
+}
+
+/// The whole system starts for the first time. Each node would take itself for a watcher, and all would
+/// ask at once; a moment later they know each other and are told.
+#[rstest]
+#[case(1_000, false, false)]
+#[case(3_000, true, false)]
+#[case(5_000, true, true)]
+fn at_a_first_start_few_ask(
+    #[case] ago_ms: u64,
+    #[case] watcher_asks: bool,
+    #[case] other_asks: bool,
+) {
+    let known = Known {
+        any: false,
+        first_start_ms_ago: Some(ago_ms),
+        ..WELL
+    };
+    let fleet = fleet(195);
+    assert_eq!(asks_store(&fleet, "a0000", "a", known, 0.0), watcher_asks);
+    assert_eq!(asks_store(&fleet, "a0100", "a", known, 0.0), other_asks);
+}
+
+/// A node that is restarted knows no desired state, and is not ready before it does: it asks at once.
+#[rstest]
+fn a_restarted_node_asks_at_once() {
+    let known = Known { any: false, ..WELL };
+    assert!(asks_store(&fleet(195), "a0100", "a", known, 0.99));
+}
