Exchange members by what differs, and pass few of them on

Cause: a node that finds others asks eight of them three times who is there, and each question held its whole table: at 195 nodes some 30 KB, by computation 37 MB in all of which four fifths cross failure domains; and the members that came this way were passed on one by one, more than the byte budget of news holds for minutes. A question holds digests of 64 buckets now, some 0.5 KB, the answer the members of buckets that differ, and more than four members are not passed on.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -7,6 +7,7 @@
 use crate::core::Name;
 use crate::core::Target;
 use crate::core::TargetState;
+use crate::membership::ExchangeAsk;
 
 /// One request, handled in the order of arrival.
 #[derive(Debug)]
@@ -27,9 +28,9 @@
         version: u64,
     },
     AddSeeds(Vec<SocketAddr>),
-    /// A peer exchanges all members.
+    /// A peer asks for what it lacks of the members.
     Exchange {
-        members: Vec<Target>,
+        ask: ExchangeAsk,
         answer: oneshot::Sender<Vec<Target>>,
     },
     /// The answer to an exchange that this node asked for.
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -136,9 +136,9 @@
                 self.membership.set_slot_map_version(&service, version);
             }
             Command::AddSeeds(seeds) => self.join(&seeds),
-            Command::Exchange { members, answer } => {
-                let from = self.membership.own().control_address;
-                let (held, actions) = self.membership.answer_exchange(now, from, &members);
+            Command::Exchange { ask, answer } => {
+                let from = ask.own.control_address;
+                let (held, actions) = self.membership.answer_exchange(now, from, &ask);
                 self.act(actions);
                 // The asker may have gone; then nobody needs the answer.
                 drop(answer.send(held));
@@ -204,11 +204,11 @@
     }
 
     fn exchange(&self, with: SocketAddr) {
-        let members = self.membership.all_members();
+        let ask = self.membership.exchange_ask();
         let clients = self.clients.clone();
         let commands = self.own_commands.clone();
         tokio::spawn(async move {
-            match clients.exchange_members(with, members).await {
+            match clients.exchange_members(with, ask).await {
                 Ok(members) => {
                     let from = with;
                     // The loop may have ended; then nobody needs the members.
--- a/src/control/peer_clients.rs
+++ b/src/control/peer_clients.rs
@@ -30,6 +30,7 @@
 use crate::core::Target;
 use crate::core::TimeMs;
 use crate::errors::PeerCallError;
+use crate::membership::ExchangeAsk;
 
 /// Connections kept; the one unused for longest goes first.
 const MAX_CLIENTS: usize = 32;
@@ -85,11 +86,11 @@
     pub async fn exchange_members(
         &self,
         address: SocketAddr,
-        members: Vec<Target>,
+        ask: ExchangeAsk,
     ) -> Result<Vec<Target>, PeerCallError> {
         self.call(address, CALL_TIMEOUT_MS, move |client, context| {
-            let members = members.clone();
-            async move { client.exchange_members(context, members).await }
+            let ask = ask.clone();
+            async move { client.exchange_members(context, ask).await }
         })
         .await
     }
--- a/src/control/peer_server.rs
+++ b/src/control/peer_server.rs
@@ -25,6 +25,7 @@
 use super::peer_transport;
 use crate::core::AttemptId;
 use crate::core::Target;
+use crate::membership::ExchangeAsk;
 
 /// Requests of one connection that are worked on at once; further ones wait in the socket.
 const MAX_CONCURRENT_CALLS: usize = 32;
@@ -67,9 +68,9 @@
 }
 
 impl PeerControl for PeerServer {
-    async fn exchange_members(self, _: Context, members: Vec<Target>) -> Vec<Target> {
+    async fn exchange_members(self, _: Context, ask: ExchangeAsk) -> Vec<Target> {
         let (answer, answered) = oneshot::channel();
-        let command = Command::Exchange { members, answer };
+        let command = Command::Exchange { ask, answer };
         if self.commands.send(command).is_err() {
             return Vec::new();
         }
--- a/src/control/peer_service.rs
+++ b/src/control/peer_service.rs
@@ -6,6 +6,7 @@
 use crate::core::AttemptId;
 use crate::core::Name;
 use crate::core::Target;
+use crate::membership::ExchangeAsk;
 use crate::poison::CrashReport;
 
 /// What a guard knows of an attempt, when its sender asks over a new connection because the old
@@ -81,8 +82,8 @@
 /// What one node can ask of another.
 #[tarpc::service]
 pub trait PeerControl {
-    /// Exchanges what is known of all members: the caller's in, and out what it lacks.
-    async fn exchange_members(members: Vec<Target>) -> Vec<Target>;
+    /// Tells what is known of members where the caller holds something else.
+    async fn exchange_members(ask: ExchangeAsk) -> Vec<Target>;
     /// The configuration in force here, if its version is higher than `above`.
     async fn config_above(above: u64) -> Option<ConfigDocument>;
     /// What became of an attempt; an attempt that was never seen is revoked by asking.
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -2,21 +2,43 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::Action;
 use super::Membership;
 use super::Standing;
 use super::Update;
-use crate::core::FastMap;
-use crate::core::Name;
+use super::digest::bucket_of;
 use crate::core::Target;
 use crate::core::TargetState;
 use crate::core::TimeMs;
 
 /// The least time between two full exchanges that this node starts.
 const EXCHANGE_PERIOD_MS: u64 = 2_000;
-/// More new members than this from one exchange are not passed on one by one: others get them
-/// by exchanges too.
-const MAX_PASSED_ON: usize = 32;
+/// More members than this from one exchange are not passed on one by one: others get them by exchanges
+/// and comparisons too. Passed on, the members of a fleet of hundreds that starts would fill the byte
+/// budget of news for minutes.
+const MAX_PASSED_ON: usize = 4;
+/// Another node has to know one part in this more members than this one does, and a few more than that,
+/// for an exchange.
+const MANY_PART: usize = 8;
+const MANY_LEAST: usize = 8;
+
+/// What a node asks another with for an exchange of members.
+///
+/// Guards against whole tables that are sent by everybody to several others when a fleet starts: bytes in
+/// the square of the nodes. It holds because only what differs is told, by buckets of members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ExchangeAsk {
+    /// What the asker says of itself.
+    pub own: Target,
+    /// How many members the asker takes to be alive.
+    pub members: u32,
+    /// Digests of the asker's members by bucket.
+    pub digests: Vec<u32>,
+}
 
 impl Membership {
     /// All members, for a full exchange over a control call.
@@ -33,30 +55,41 @@
             .collect()
     }
 
-    /// Answers a full exchange: takes in what the asker knows, and returns what it lacks or holds
-    /// older.
+    /// What to ask a peer with for an exchange.
+    pub fn exchange_ask(&self) -> ExchangeAsk {
+        ExchangeAsk {
+            own: self.own.clone(),
+            members: self.table.alive() as u32,
+            digests: self.table.buckets().to_vec(),
+        }
+    }
+
+    /// Answers an exchange: all that is known here where the asker holds something else. Takes in what the
+    /// asker says of itself, and asks back where it knows much more.
     pub fn answer_exchange(
         &mut self,
         now: TimeMs,
         from: SocketAddr,
-        members: &[Target],
+        ask: &ExchangeAsk,
     ) -> (Vec<Target>, Vec<Action>) {
-        let theirs: FastMap<&Name, (u64, bool)> = members
-            .iter()
-            .map(|target| (&target.node, order_of_target(target)))
-            .collect();
+        let ours = self.table.buckets();
+        let differs = |target: &Target| {
+            let bucket = bucket_of(&target.node);
+            ask.digests.get(bucket) != Some(&ours[bucket])
+        };
         let mut answer = self.all_members();
-        answer.retain(|ours| {
-            let held = theirs.get(&ours.node);
-            held.is_none_or(|held| order_of_target(ours) > *held)
-        });
-        (answer, self.merge(now, from, members))
+        answer.retain(|target| target.node != ask.own.node && differs(target));
+        let mut actions = self.merge(now, from, std::slice::from_ref(&ask.own));
+        if self.lacks_many(ask.members) {
+            self.start_exchange(ask.own.control_address, now, &mut actions);
+        }
+        (answer, actions)
     }
 
     /// Takes in what a full exchange brought from `from`.
     pub fn merge(&mut self, now: TimeMs, from: SocketAddr, members: &[Target]) -> Vec<Action> {
         let mut actions = Vec::new();
-        let is_bulk = members.len() > self.table.len() + MAX_PASSED_ON;
+        let is_bulk = members.len() > MAX_PASSED_ON;
         for target in members {
             let (node, incarnation) = (target.node.clone(), target.incarnation);
             if target.state != TargetState::Dead {
@@ -86,7 +119,7 @@
     /// is so when everything starts at once.
     pub(super) fn lacks_many(&self, their_members: u32) -> bool {
         let ours = self.table.alive();
-        their_members as usize > ours + ours / 8 + MAX_PASSED_ON / 4
+        their_members as usize > ours + ours / MANY_PART + MANY_LEAST
     }
 
     pub(super) fn start_exchange(
@@ -101,7 +134,3 @@
         }
     }
 }
-
-fn order_of_target(target: &Target) -> (u64, bool) {
-    (target.incarnation, target.state == TargetState::Dead)
-}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -36,6 +36,7 @@
 pub use datagram::Header;
 pub use datagram::HeardDomain;
 pub use datagram::Update;
+pub use exchange::ExchangeAsk;
 pub use member::Member;
 pub use member::Standing;
 pub use member_table::Applied;
--- a/tests/membership_net/mod.rs
+++ b/tests/membership_net/mod.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 
 use fastrand::Rng;
+use serde::Serialize;
 use tarpc::tokio_serde::Serializer;
 use tarpc::tokio_serde::formats::Bincode;
 
@@ -18,6 +19,7 @@
 use sassafrasgap::core::TimeMs;
 use sassafrasgap::membership::Action;
 use sassafrasgap::membership::Datagram;
+use sassafrasgap::membership::ExchangeAsk;
 use sassafrasgap::membership::Membership;
 use sassafrasgap::membership::MembershipSettings;
 use sassafrasgap::membership::encode_datagram;
@@ -81,7 +83,7 @@
 enum Event {
     Tick(usize),
     Deliver(usize, SocketAddr, Box<Datagram>),
-    AskExchange(usize, SocketAddr, Vec<Target>),
+    AskExchange(usize, SocketAddr, ExchangeAsk),
     AnswerExchange(usize, SocketAddr, Vec<Target>),
 }
 
@@ -362,9 +364,9 @@
                 let actions = self.nodes[index].member.handle(now, from, *datagram);
                 self.act(index, actions);
             }
-            Event::AskExchange(index, from, members) => {
+            Event::AskExchange(index, from, ask) => {
                 let member = &mut self.nodes[index].member;
-                let (answer, actions) = member.answer_exchange(now, from, &members);
+                let (answer, actions) = member.answer_exchange(now, from, &ask);
                 self.act(index, actions);
                 self.send_call(index, from, answer, Event::AnswerExchange);
             }
@@ -383,8 +385,8 @@
                     self.nodes[index].member.view();
                 }
                 Action::Exchange { with } => {
-                    let members = self.nodes[index].member.all_members();
-                    self.send_call(index, with, members, Event::AskExchange);
+                    let ask = self.nodes[index].member.exchange_ask();
+                    self.send_call(index, with, ask, Event::AskExchange);
                 }
                 Action::ConfigNews { from, version } => {
                     self.nodes[index].config_news.push((from, version));
@@ -422,12 +424,12 @@
         self.schedule(latency_ms, event);
     }
 
-    fn send_call(
+    fn send_call<T: Serialize + Unpin>(
         &mut self,
         from: usize,
         to: SocketAddr,
-        members: Vec<Target>,
-        event: fn(usize, SocketAddr, Vec<Target>) -> Event,
+        message: T,
+        event: fn(usize, SocketAddr, T) -> Event,
     ) {
         let Some(to) = self.index_at(to) else {
             return;
@@ -436,11 +438,11 @@
         if is_cut || !self.nodes[to].runs {
             return;
         }
-        let bytes = call_bytes(&members);
+        let bytes = call_bytes(&message);
         self.nodes[from].traffic.call_bytes += bytes;
         self.nodes[to].traffic.call_bytes += bytes;
         let latency_ms = 2 * self.latency_ms(from, to);
-        self.schedule(latency_ms, event(to, address_of(from), members));
+        self.schedule(latency_ms, event(to, address_of(from), message));
     }
 
     fn index_at(&self, address: SocketAddr) -> Option<usize> {
@@ -500,11 +502,11 @@
     SocketAddr::from((ip, CONTROL_PORT))
 }
 
-/// What the members take in a control call, which tarpc sends with bincode.
-fn call_bytes(members: &Vec<Target>) -> u64 {
-    let mut codec = Bincode::<(), Vec<Target>>::default();
+/// What a message takes in a control call, which tarpc sends with bincode.
+fn call_bytes<T: Serialize + Unpin>(message: &T) -> u64 {
+    let mut codec = Bincode::<(), T>::default();
     let bytes = Pin::new(&mut codec)
-        .serialize(members)
+        .serialize(message)
         .expect("plain structs always encode");
     bytes.len() as u64
 }
