A node that has just started asks for what differs

Cause: a fleet that starts doubles what each node knows every 2 s (the period of exchanges), and the last members come after 15 s: a comparison waits for digests to settle, which they do not while news comes in. Ruled out: seeds, losses, the byte budget (without either the same). For 10 s after its start a node asks for what differs at once, and exchanges may come every 500 ms. The test's bound falls from 30 s to the 8 s after which callers come, and is played at 720 as well.

--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -21,6 +21,8 @@
 const MAX_DIFFERING_BUCKETS: usize = 16;
 /// How many buckets are answered at once; the next comparison finds the rest.
 const ANSWERED_BUCKETS: usize = 4;
+/// For so long after its start a node asks for what differs whenever it sees that something does.
+const CATCH_UP_MS: u64 = 10_000;
 /// After this many compare periods without equal digests, tables are compared although changes
 /// still come in.
 const PATIENT_PERIODS: u64 = 5;
@@ -39,7 +41,7 @@
             self.schedule.last_equal = now;
             return;
         }
-        if self.lacks_many(header.members) {
+        if self.lacks_many(header.members) || self.is_catching_up(now) {
             self.start_exchange(from, now, actions);
             return;
         }
@@ -54,6 +56,14 @@
         self.send_to(Receiver::far(from), Body::Buckets { digests }, now, actions);
     }
 
+    /// Guards against a fleet that starts and still lacks its last members after 15 s: while news comes in,
+    /// digests differ anyway, so later on a comparison waits for them to settle. Asking for what differs
+    /// is cheap, and what a node that has just started is told first, it would ask for anyway. Cold start
+    /// of 180 members in virtual time: 16.8 s before, 3.9 s with it.
+    fn is_catching_up(&self, now: TimeMs) -> bool {
+        now.since(self.started) < CATCH_UP_MS
+    }
+
     pub(super) fn answer_buckets(
         &mut self,
         theirs: &[FixedDigest],
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -15,7 +15,7 @@
 use crate::core::TimeMs;
 
 /// The least time between two full exchanges that this node starts.
-const EXCHANGE_PERIOD_MS: u64 = 2_000;
+const EXCHANGE_PERIOD_MS: u64 = 500;
 /// More members than this from one exchange are not passed on one by one: others get them by exchanges
 /// and comparisons too. Passed on, the members of a fleet of hundreds that starts would fill the byte
 /// budget of news for minutes.
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -82,6 +82,7 @@
     /// The highest incarnation that peers hold about this node and that it has yet to override.
     to_refute: Option<u64>,
     pub(super) schedule: Schedule,
+    pub(super) started: TimeMs,
     pub(super) own_ring: ProbeRing,
     pub(super) other_ring: ProbeRing,
     pub(super) probe_count: u64,
@@ -122,6 +123,7 @@
             view: ViewBuilder::default(),
             to_refute: None,
             schedule: Schedule::default(),
+            started: now,
             own_ring: ProbeRing::default(),
             other_ring: ProbeRing::default(),
             probe_count,
--- a/tests/membership_fleet.rs
+++ b/tests/membership_fleet.rs
@@ -26,6 +26,8 @@
     FLEET.get_or_init(|| Net::joined(Shape::FLEET, 1)).clone()
 }
 
+/// How long after the machines callers come.
+const TRAFFIC_AFTER_MS: u64 = 8_000;
 /// A cold start is played at this size; all tables grow with the square of it.
 const COLD: Shape = Shape {
     regions: 3,
@@ -93,15 +95,21 @@
     assert!(mean <= BUDGET_BYTES_PER_S, "{mean} B/s");
 }
 
+/// All VMs are replaced after a power cut: nobody knows anybody but three seeds. Callers come 8 s later, and
+/// a node that does not know a service's targets by then refuses them.
 #[rstest]
-fn everything_started_at_once_finds_together() {
-    // All VMs are replaced after a power cut: nobody knows anybody but three seeds.
-    let mut net = Net::cold(COLD, 4);
+#[case(COLD)]
+#[case(Shape::FLEET)]
+fn everything_started_at_once_finds_together(#[case] shape: Shape) {
+    let mut net = Net::cold(shape, 4);
     let nodes = net.nodes.len();
     let all_up = |node: &membership_net::Node| node.count(TargetState::Up) == nodes;
     let joined_ms = net.ms_until(60_000, all_up);
     let elapsed_ms = joined_ms.unwrap_or(60_000);
     let (mean, most) = net.bytes_per_s(elapsed_ms);
     println!("cold start {joined_ms:?} ms, {mean} B/s mean, {most} B/s at the busiest node");
-    assert!(joined_ms.is_some_and(|ms| ms <= 30_000), "{joined_ms:?}");
+    assert!(
+        joined_ms.is_some_and(|ms| ms <= TRAFFIC_AFTER_MS),
+        "{joined_ms:?}"
+    );
 }
