--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
+use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
 use prometheus::Opts;
@@ -57,6 +58,8 @@
     /// The same by route, for requests that were answered by a backend server.
     pub route_latency: ByRoute,
     pub store_reached: IntGauge,
+    /// By table and kind of call.
+    pub store_calls: IntCounterVec,
     pub body_bytes: IntGauge,
     pub failing_permille: IntGauge,
     pressures: IntGaugeVec,
@@ -178,9 +181,15 @@
                 "From the arrival of a request at the entry to its backend server's answer.",
                 BUCKETS_S,
             ),
+            store_calls: counter_by(
+                &registry,
+                "sassafrasgap_store_calls_total",
+                "Calls to the store, answered or not, by table and kind of call.",
+                &["table", "call"],
+            ),
             store_reached: gauge(
                 "sassafrasgap_store_reached",
-                "1 while the store answers this node, else 0.",
+                "1 while the store answers this node, as far as it has asked lately, else 0.",
             ),
             body_bytes: gauge(
                 "sassafrasgap_body_bytes",
@@ -293,6 +302,15 @@
     counter
 }
 
+fn counter_by(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let opts = Opts::new(name, help);
+    let counter = IntCounterVec::new(opts, labels).expect("the name of a counter is valid");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("the name of a counter is free");
+    counter
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("the name of a gauge is valid");
     registry
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,11 +5,13 @@
 //! stands here once: reading anew when the history is gone, pauses after failures, and finding out
 //! what became of a write whose answer was lost.
 
+mod counted_store;
 mod port;
 mod row_keeper;
 mod rows;
 mod table_watch;
 
+pub use counted_store::CountedStore;
 pub use port::Store;
 pub use row_keeper::KeptRow;
 pub use row_keeper::RowKeeper;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -13,6 +13,7 @@
 use crate::core::Clock;
 use crate::errors::TrafficError;
 use crate::metrics::Metrics;
+use crate::store::CountedStore;
 use crate::store::Store;
 use crate::traffic::AdminProtocol;
 use crate::traffic::DesiredInForce;
@@ -96,9 +97,11 @@
         traffic.gate.set_classes(CLASSES);
         let announce = announce_version(&control);
         let runtime = &control.runtime;
+        let calls = traffic.metrics.store_calls.clone();
+        let store = Arc::new(CountedStore::new(inputs.store, calls));
         let ask_now = Arc::new(Notify::new());
         let follower = StoreFollower {
-            store: inputs.store.clone(),
+            store: store.clone(),
             source: inputs.source,
             desired: desired.clone(),
             announce: announce.clone(),
@@ -118,7 +121,7 @@
         runtime.spawn(announce_local(control.clone(), traffic.clone()));
         runtime.spawn(tell_targets(crashes, traffic.clone(), control.clone()));
         let roster = Roster {
-            store: inputs.store,
+            store,
             traffic: traffic.clone(),
             control: control.clone(),
         };
