Tell all nodes who uses a route, once the first one has found out

Ruled out: discovery (members are known after a second), the guards' own judgement. The first verdict on a route now goes to all by gossip, whatever the byte budget of news says, and is taken where nothing is known; guards judge on and tell as before.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -40,6 +40,5 @@
 pub use root_control::PressedService;
 pub use root_control::RootControl;
 pub use route_origins::CallingService;
-pub use route_origins::RouteOrigin;
 pub use route_origins::RouteOrigins;
 pub use usable_slots::usable_slots;
--- a/src/admission/origins_by_domain.rs
+++ b/src/admission/origins_by_domain.rs
@@ -1,10 +1,10 @@
 //! Who uses a route, judged by the calls of the own failure domain where those tell.
 
 use crate::admission::CallingService;
-use crate::admission::RouteOrigin;
 use crate::admission::RouteOrigins;
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::RouteOrigin;
 
 /// A route is judged by the calls of the own domain while these are one in so many of all: requests of
 /// callers stay in their domain, so where hardly any call comes from it nobody uses the route there.
--- a/src/admission/route_origins.rs
+++ b/src/admission/route_origins.rs
@@ -1,10 +1,8 @@
 //! Whether a route is used by callers or by backend servers, learnt from where its calls come from.
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::RouteOrigin;
 
 /// Calls from a service that ought to have come by now if callers used the route, so that none
 /// having come proves that they do not: by chance that happens once in some 160,000 times, and every
@@ -23,16 +21,6 @@
 /// Routes remembered at most; beyond it all are forgotten and learnt anew.
 const MOST_ROUTES: usize = 4_096;
 
-/// Who uses a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum RouteOrigin {
-    /// Callers: their requests begin beside backend servers of every service.
-    Callers,
-    /// Backend servers of some services, on behalf of requests that run there.
-    Backends,
-}
-
 /// A service beside whose backend servers calls may begin.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallingService {
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -5,6 +5,7 @@
 use tokio::sync::oneshot;
 
 use crate::core::Name;
+use crate::core::RouteOrigin;
 use crate::core::Target;
 use crate::core::TargetState;
 use crate::membership::ExchangeAsk;
@@ -27,6 +28,11 @@
         service: Name,
         version: u64,
     },
+    /// Who uses a route was found out here.
+    AnnounceRouteUse {
+        route: Name,
+        by: RouteOrigin,
+    },
     AddSeeds(Vec<SocketAddr>),
     /// A peer asks for what it lacks of the members.
     Exchange {
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -14,6 +14,7 @@
 use super::PeerClients;
 use crate::core::Name;
 use crate::core::Published;
+use crate::core::RouteOrigin;
 use crate::core::TargetState;
 use crate::core::View;
 
@@ -68,6 +69,11 @@
         });
     }
 
+    /// Tells all members who uses a route, if nobody has told yet.
+    pub fn announce_route_use(&self, route: Name, by: RouteOrigin) {
+        self.command(Command::AnnounceRouteUse { route, by });
+    }
+
     /// Adds control addresses to try, for example from the platform's table.
     pub fn add_seeds(&self, seeds: Vec<SocketAddr>) {
         self.command(Command::AddSeeds(seeds));
--- a/src/control/control_handlers.rs
+++ b/src/control/control_handlers.rs
@@ -14,6 +14,7 @@
 use super::Suspects;
 use crate::core::AttemptId;
 use crate::core::Name;
+use crate::core::RouteOrigin;
 
 /// A newer slot map that a peer knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +25,9 @@
     pub version: u64,
 }
 
+/// Takes in who uses a route, as a member has found out.
+pub type TakeRouteUse = Arc<dyn Fn(&Name, RouteOrigin) + Send + Sync>;
+
 /// One closure for each question or piece of news, called on the control thread: they must not
 /// block. What takes time is spawned on [`super::ControlHandle::runtime`].
 ///
@@ -51,6 +55,8 @@
     /// A peer knows a newer slot map: fetch it there or from the table. Repeated until
     /// [`super::ControlHandle::set_slot_map_version`] catches up.
     pub slot_map_news: Arc<dyn Fn(SlotMapNews) + Send + Sync>,
+    /// A member has found out who uses a route.
+    pub route_use: TakeRouteUse,
     /// The versions of slot maps differ from those of this peer for long: compare them all.
     pub compare_slot_maps: Arc<dyn Fn(SocketAddr) + Send + Sync>,
 }
@@ -67,6 +73,7 @@
             drain: Arc::new(|| {}),
             config_news: Arc::new(|_, _| {}),
             slot_map_news: Arc::new(|_| {}),
+            route_use: Arc::new(|_, _| {}),
             compare_slot_maps: Arc::new(|_| {}),
         }
     }
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -136,6 +136,9 @@
             Command::SetSlotMapVersion { service, version } => {
                 self.membership.set_slot_map_version(&service, version);
             }
+            Command::AnnounceRouteUse { route, by } => {
+                self.membership.set_route_use(&route, by);
+            }
             Command::AddSeeds(seeds) => self.join(&seeds),
             Command::Exchange { ask, answer } => {
                 let from = ask.own.control_address;
@@ -181,6 +184,7 @@
                     service,
                     version,
                 }),
+                Action::RouteUse { route, by } => (self.handlers.route_use)(&route, by),
                 Action::CompareSlotMaps { with } => (self.handlers.compare_slot_maps)(with),
             }
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod priority;
 mod published;
+mod route_origin;
 mod stable_hash;
 mod view;
 
@@ -24,6 +25,7 @@
 pub use outcome::RunState;
 pub use priority::Priority;
 pub use published::Published;
+pub use route_origin::RouteOrigin;
 pub use stable_hash::stable_hash;
 pub use view::Target;
 pub use view::TargetState;
--- a/src/membership/action.rs
+++ b/src/membership/action.rs
@@ -4,6 +4,7 @@
 
 use super::Datagram;
 use crate::core::Name;
+use crate::core::RouteOrigin;
 
 /// One thing to do, in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +23,8 @@
         service: Name,
         version: u64,
     },
+    /// Somebody has found out who uses a route, of which nothing was known here.
+    RouteUse { route: Name, by: RouteOrigin },
     /// Compare the versions of all slot maps with this node: the digests differ persistently.
     CompareSlotMaps { with: SocketAddr },
 }
--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -149,6 +149,7 @@
         Update::Suspect { incarnation, .. } => (*incarnation, 1),
         Update::Dead { incarnation, .. } => (*incarnation, 2),
         Update::SlotMap { version, .. } => (*version, 0),
+        Update::RouteUse { .. } => (0, 0),
     }
 }
 
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::core::Name;
+use crate::core::RouteOrigin;
 use crate::core::Target;
 
 /// One gossip datagram: a header that every message carries, a body, and piggybacked updates.
@@ -106,4 +107,6 @@
     Dead { node: Name, incarnation: u64 },
     /// A newer version of a service's slot map exists.
     SlotMap { service: Name, version: u64 },
+    /// Who uses a route, as the first one to find out tells.
+    RouteUse { route: Name, by: RouteOrigin },
 }
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -117,7 +117,7 @@
             Update::Dead { node, incarnation } => {
                 self.apply_standing(node, *incarnation, Standing::Dead, now)
             }
-            Update::SlotMap { .. } => Applied::Known,
+            Update::SlotMap { .. } | Update::RouteUse { .. } => Applied::Known,
         }
     }
 
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -19,7 +19,9 @@
 use super::ViewBuilder;
 use super::incarnation::first_incarnation;
 use super::incarnation::incarnation_after;
+use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::RouteOrigin;
 use crate::core::Target;
 use crate::core::TargetState;
 use crate::core::TimeMs;
@@ -33,6 +35,8 @@
 const SWEEP_PERIOD_MS: u64 = 10_000;
 /// The least time between two refutations.
 const REFUTATION_PERIOD_MS: u64 = 500;
+/// Routes of which it is told who uses them at most; the others are found out by each node.
+const MOST_ROUTES: usize = 4_096;
 /// How often a node that knows nobody asks a seed for all members.
 const JOIN_PERIOD_MS: u64 = 1_000;
 
@@ -71,6 +75,8 @@
     pub(super) probes: Probes,
     pub(super) budget: NewsBudget,
     pub(super) slot_maps: SlotMapVersions,
+    /// Who uses which route, as was told first.
+    route_uses: FastMap<Name, RouteOrigin>,
     pub(super) config_version: u64,
     /// When the store was last known to hold no newer configuration.
     pub(super) config_confirmed: Option<TimeMs>,
@@ -116,6 +122,7 @@
             probes: Probes::default(),
             budget: NewsBudget::new(settings.news_bytes_per_s, settings.news_burst_bytes),
             slot_maps: SlotMapVersions::default(),
+            route_uses: FastMap::default(),
             config_version: 0,
             config_confirmed: None,
             header_is_urgent: false,
@@ -204,6 +211,22 @@
         }
     }
 
+    /// Takes in who uses a route, if nothing was known of it, and spreads it at once. Answers whether it was news.
+    ///
+    /// Guards against a fleet of hundreds that takes five seconds after a restart of all to refuse what cannot
+    /// complete: each node found out for itself, or by the answers to a few calls of its own, which come late
+    /// just then. It holds because the first one to find out tells all others. Where something is known
+    /// already, that stays: guards go on judging, and tell with each answer.
+    pub fn set_route_use(&mut self, route: &Name, by: RouteOrigin) -> bool {
+        if self.route_uses.contains_key(route) || self.route_uses.len() >= MOST_ROUTES {
+            return false;
+        }
+        self.route_uses.insert(route.clone(), by);
+        let route = route.clone();
+        self.queue.push(Update::RouteUse { route, by }, true);
+        true
+    }
+
     /// The present view; built anew only where it changed.
     pub fn view(&mut self) -> View {
         let cut_off = self.cut_off_domains();
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -81,6 +81,13 @@
             actions.extend(self.slot_map_news(service, *version, from, now));
             return;
         }
+        if let Update::RouteUse { route, by } = update {
+            if self.set_route_use(route, *by) {
+                let (route, by) = (route.clone(), *by);
+                actions.push(Action::RouteUse { route, by });
+            }
+            return;
+        }
         if self.apply_to_own(update, now) || self.is_unfounded(update) {
             return;
         }
@@ -119,7 +126,7 @@
             Update::Own(target) if *target == self.own => return true,
             Update::Own(target) => target.incarnation,
             Update::Suspect { incarnation, .. } | Update::Dead { incarnation, .. } => *incarnation,
-            Update::SlotMap { .. } => return false,
+            Update::SlotMap { .. } | Update::RouteUse { .. } => return false,
         };
         if held >= self.own.incarnation && self.own.state != TargetState::Left {
             self.refute(held, now);
@@ -308,11 +315,12 @@
     }
 }
 
-/// The node an update is about; that of a slot map is no member's name.
+/// The node an update is about; that of a slot map or a route is no member's name.
 pub(super) fn node_of(update: &Update) -> &Name {
     match update {
         Update::Own(target) => &target.node,
         Update::Suspect { node, .. } | Update::Dead { node, .. } => node,
         Update::SlotMap { service, .. } => service,
+        Update::RouteUse { route, .. } => route,
     }
 }
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -15,6 +15,8 @@
 /// Each update is sent this many times the number of decimal digits of the member count; that
 /// reaches all but a few in ten thousand, and comparisons of tables reach those.
 const SENDS_PER_DIGIT: u32 = 3;
+/// Room in a datagram for short news that waits for nothing: a dozen routes.
+const PRESSING_BYTES: u64 = 300;
 /// Milliseconds in the unit of [`Header::confirmed_tenths`].
 pub(super) const TENTH_MS: u64 = 100;
 /// IP and UDP headers, which count as control traffic too.
@@ -70,10 +72,11 @@
             .saturating_sub(fixed_bytes + told_bytes)
             .min(self.budget.available_bytes(now) as usize);
         let max_sends = self.max_sends();
+        let mut updates = told;
+        updates.extend(self.queue.take_pressing(PRESSING_BYTES as usize, max_sends));
         let taken = self.queue.take(room, max_sends);
         self.budget
             .spend(taken.iter().map(encoded_bytes).sum::<usize>() as u64);
-        let mut updates = told;
         updates.extend(taken);
         let datagram = Datagram {
             header,
@@ -131,14 +134,15 @@
         let copies = receivers.len() as u64;
         let fixed_bytes = encoded_bytes(&header) as u64 + 2 + PACKET_OVERHEAD_BYTES;
         let share_bytes = self.budget.available_bytes(now) / copies;
-        // A new configuration has little time to be in force, so its few bytes wait for nothing: each
-        // member pushes each version once.
-        if share_bytes < fixed_bytes && !self.header_is_urgent {
+        // A new configuration has little time to be in force, and who uses a route is needed most when
+        // everything is new, so their few bytes wait for nothing: each member pushes each once.
+        let is_pressing = self.header_is_urgent || self.queue.has_pressing();
+        if share_bytes < fixed_bytes && !is_pressing {
             return;
         }
-        let room = share_bytes
-            .saturating_sub(fixed_bytes)
-            .min(self.settings.max_datagram_bytes as u64);
+        let least_bytes = if is_pressing { PRESSING_BYTES } else { 0 };
+        let room_bytes = share_bytes.saturating_sub(fixed_bytes).max(least_bytes);
+        let room = room_bytes.min(self.settings.max_datagram_bytes as u64);
         let max_sends = self.max_sends();
         let updates = self
             .queue
--- a/src/membership/update_queue.rs
+++ b/src/membership/update_queue.rs
@@ -10,11 +10,12 @@
 const SUSPICION_SHARE: u32 = 3;
 
 /// What an update is about. A newer update about the same replaces the older one, so the queue
-/// holds at most one entry for each member and each slot map.
+/// holds at most one entry for each member, each slot map and each route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Subject {
     Member(Name),
     SlotMap(Name),
+    RouteUse(Name),
 }
 
 #[derive(Clone, Debug)]
@@ -26,6 +27,14 @@
     urgent: bool,
 }
 
+impl Waiting {
+    /// It is short, rare, and needed at once: just when everything is new, and news of members takes all
+    /// that news may take, nodes have to know who uses which route.
+    fn is_pressing(&self) -> bool {
+        matches!(self.update, Update::RouteUse { .. })
+    }
+}
+
 /// Updates that this node still passes on, each a bounded number of times.
 #[derive(Clone, Debug, Default)]
 pub struct UpdateQueue {
@@ -53,10 +62,21 @@
         self.urgent > 0
     }
 
+    /// Whether something waits to be pushed at once whatever the budget says.
+    pub fn has_pressing(&self) -> bool {
+        let mut waiting = self.waiting.values();
+        waiting.any(|waiting| waiting.urgent && waiting.is_pressing())
+    }
+
+    /// Takes what rides on every datagram whatever the budget says, as far as it fits.
+    pub fn take_pressing(&mut self, room_bytes: usize, max_sends: u32) -> Vec<Update> {
+        self.select(room_bytes, max_sends, Waiting::is_pressing, 1)
+    }
+
     /// Takes the least sent updates that fit into `room_bytes`; each is dropped after it was
     /// taken `max_sends` times.
     pub fn take(&mut self, room_bytes: usize, max_sends: u32) -> Vec<Update> {
-        self.select(room_bytes, max_sends, |_| true, 1)
+        self.select(room_bytes, max_sends, |waiting| !waiting.is_pressing(), 1)
     }
 
     /// Takes the urgent updates that fit; they go to `copies` members at once and are urgent no
@@ -116,5 +136,6 @@
         Update::Suspect { node, .. } => Subject::Member(node.clone()),
         Update::Dead { node, .. } => Subject::Member(node.clone()),
         Update::SlotMap { service, .. } => Subject::SlotMap(service.clone()),
+        Update::RouteUse { route, .. } => Subject::RouteUse(route.clone()),
     }
 }
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -2,9 +2,9 @@
 
 use crate::adapters::WholeAnswer;
 use crate::admission::Pressure;
-use crate::admission::RouteOrigin;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::core::RouteOrigin;
 use crate::wire::LoadReport;
 
 /// What the guard said beside its answer.
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -10,10 +10,10 @@
 use http::Method;
 use http::uri::PathAndQuery;
 
-use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Priority;
 use crate::core::Refusal;
+use crate::core::RouteOrigin;
 use crate::core::RunState;
 use crate::core::TimeMs;
 use crate::desired::Repeatability;
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::mpsc::Receiver;
 use tokio::sync::mpsc::Sender;
 
 use crate::control::ControlHandle;
@@ -22,6 +23,8 @@
 use crate::traffic::desired_task::VersionNews;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::take_report;
+use crate::traffic::route_origins::KnownOrigins;
+use crate::traffic::route_origins::RouteNews;
 use crate::traffic::traffic::Traffic;
 
 /// What the control thread has to know of this node.
@@ -48,10 +51,12 @@
     settings: &TrafficSettings,
     desired: &Arc<DesiredInForce>,
     poison: &Arc<PoisonWatch>,
+    origins: &Arc<KnownOrigins>,
     news: Sender<VersionNews>,
 ) -> ControlHandlers {
     let asked = desired.clone();
     let held = desired.clone();
+    let origins = origins.clone();
     let (poison, service) = (poison.clone(), settings.service.clone());
     ControlHandlers {
         report_suspects: Arc::new(move |news| take_report(&poison, &service, &news)),
@@ -61,6 +66,7 @@
                 log::debug!("config: news were dropped, version={version}");
             }
         }),
+        route_use: Arc::new(move |route, by| origins.take_news(route, by)),
         ..ControlHandlers::default()
     }
 }
@@ -117,3 +123,10 @@
         }
     }
 }
+
+/// Tells all members who uses which route, as this node finds it out.
+pub(super) async fn announce_routes(control: Arc<ControlHandle>, mut news: Receiver<RouteNews>) {
+    while let Some((route, by)) = news.recv().await {
+        control.announce_route_use(route, by);
+    }
+}
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -18,11 +18,11 @@
 
 use crate::adapters::WholeAnswer;
 use crate::adapters::read_whole;
-use crate::admission::RouteOrigin;
 use crate::core::Priority;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::RequestId;
+use crate::core::RouteOrigin;
 use crate::desired::RouteInForce;
 use crate::errors::SendError;
 use crate::traffic::InForce;
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -8,11 +8,11 @@
 
 use crate::adapters::WholeAnswer;
 use crate::admission::Pressure;
-use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::RetryReason;
+use crate::core::RouteOrigin;
 use crate::core::Target;
 use crate::retry::Failure;
 use crate::retry::Situation;
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -20,10 +20,10 @@
 use crate::adapters::read_whole;
 use crate::admission::Pressure;
 use crate::admission::QueuedCall;
-use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::core::RouteOrigin;
 use crate::core::Target;
 use crate::core::TimeMs;
 use crate::errors::SendError;
@@ -144,7 +144,10 @@
 
 fn note_origin(traffic: &Traffic, hop: &HopCall) -> Option<RouteOrigin> {
     let view = traffic.view.load();
-    traffic.origins.note(&view, &traffic.settings.domain, hop)
+    let origins = &traffic.origins;
+    let origin = origins.note(&view, &traffic.settings.domain, hop);
+    origins.take(&hop.route, origin);
+    origin
 }
 
 /// Guards against roots that queue while their entries still believe that there is room: those hear
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -20,6 +20,7 @@
 use crate::traffic::DesiredSource;
 use crate::traffic::TrafficSettings;
 use crate::traffic::control_link::announce_local;
+use crate::traffic::control_link::announce_routes;
 use crate::traffic::control_link::announce_version;
 use crate::traffic::control_link::asks;
 use crate::traffic::control_link::confirm_version;
@@ -35,6 +36,7 @@
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::tell_targets;
 use crate::traffic::roster::Roster;
+use crate::traffic::route_origins::KnownOrigins;
 use crate::traffic::traffic::Traffic;
 use crate::traffic::upkeep::log_admission;
 use crate::traffic::upkeep::poll_gate;
@@ -43,6 +45,8 @@
 const MOST_WAITING_NEWS: usize = 64;
 /// Reports of crashes that wait to be passed on; a backend server does not crash more often.
 const MOST_WAITING_REPORTS: usize = 16;
+/// News of routes that wait to be told; more are dropped, since others find them out as well.
+const MOST_WAITING_ROUTES: usize = 256;
 /// Classes of priority: calls of backend servers, and callers' requests by rank.
 const CLASSES: usize = 8;
 
@@ -80,7 +84,9 @@
         let (news_sender, news) = channel(MOST_WAITING_NEWS);
         let (crash_sender, crashes) = channel(MOST_WAITING_REPORTS);
         let poison = Arc::new(PoisonWatch::new(inputs.clock, crash_sender));
-        let handlers = handlers(&settings, &desired, &poison, news_sender);
+        let (route_sender, route_news) = channel(MOST_WAITING_ROUTES);
+        let origins = Arc::new(KnownOrigins::new(route_sender));
+        let handlers = handlers(&settings, &desired, &poison, &origins, news_sender);
         let control_settings = control_settings(&settings, peer_address, inputs.clock);
         let control_metrics = ControlMetrics::new(metrics.registry())?;
         let control = Arc::new(control::start(control_settings, handlers, control_metrics)?);
@@ -92,6 +98,7 @@
             view,
             desired.clone(),
             poison,
+            origins,
         );
         let traffic = Arc::new(traffic);
         traffic.gate.set_classes(CLASSES);
@@ -119,6 +126,7 @@
             ask_now,
         ));
         runtime.spawn(announce_local(control.clone(), traffic.clone()));
+        runtime.spawn(announce_routes(control.clone(), route_news));
         runtime.spawn(tell_targets(crashes, traffic.clone(), control.clone()));
         let roster = Roster {
             store,
--- a/src/traffic/route_origins.rs
+++ b/src/traffic/route_origins.rs
@@ -3,13 +3,15 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use tokio::sync::mpsc::Sender;
+
 use crate::admission::CallingService;
 use crate::admission::CallingServices;
 use crate::admission::HeardCall;
 use crate::admission::OriginsByDomain;
-use crate::admission::RouteOrigin;
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::RouteOrigin;
 use crate::core::TargetState;
 use crate::core::View;
 use crate::wire::HopCall;
@@ -32,14 +34,28 @@
     all: Vec<CallingService>,
 }
 
+/// Who uses a route, found out here first.
+pub(super) type RouteNews = (Name, RouteOrigin);
+
 /// Both sides' knowledge.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct KnownOrigins {
     seen: Mutex<Seen>,
     told: Mutex<FastMap<Name, RouteOrigin>>,
+    /// Takes what is new here, for the other nodes.
+    news: Sender<RouteNews>,
 }
 
 impl KnownOrigins {
+    /// Nothing is known yet.
+    pub(super) fn new(news: Sender<RouteNews>) -> Self {
+        Self {
+            seen: Mutex::default(),
+            told: Mutex::default(),
+            news,
+        }
+    }
+
     /// Counts a call at the guard, and answers what is known of its route.
     pub(super) fn note(&self, view: &View, domain: &str, call: &HopCall) -> Option<RouteOrigin> {
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
@@ -58,7 +74,7 @@
         origins.note(heard, services)
     }
 
-    /// Takes in what a guard said of a route.
+    /// Takes in what a guard said of a route, of this node or another one.
     pub(super) fn take(&self, route: &Name, origin: Option<RouteOrigin>) {
         let Some(origin) = origin else {
             return;
@@ -71,7 +87,17 @@
             told.clear();
         }
         log::info!("entry: a route is used by, route={route} origin={origin:?}");
-        told.insert(route.clone(), origin);
+        let is_first = told.insert(route.clone(), origin).is_none();
+        if is_first && self.news.try_send((route.clone(), origin)).is_err() {
+            log::debug!("entry: news of a route were dropped, route={route}");
+        }
+    }
+
+    /// Takes in what another node has found out, unless something is known already.
+    pub(super) fn take_news(&self, route: &Name, origin: RouteOrigin) {
+        if self.of(route).is_none() {
+            self.take(route, Some(origin));
+        }
     }
 
     /// Who uses a route, if any guard has said so.
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -111,7 +111,7 @@
     pub targets: Targets,
     pub budgets: RetryBudgets,
     pub roots: RootAdmission,
-    pub origins: KnownOrigins,
+    pub origins: Arc<KnownOrigins>,
     pub running: Arc<RunningRoutes>,
     pub poison: Arc<PoisonWatch>,
     /// What bodies of requests and answers take of the memory.
@@ -141,6 +141,7 @@
         view: Arc<Published<View>>,
         desired: Arc<DesiredInForce>,
         poison: Arc<PoisonWatch>,
+        origins: Arc<KnownOrigins>,
     ) -> Self {
         let bodies = BodyBudget::new(settings.live.held_body_bytes);
         let pool = |connect_timeout_ms, idle_ms| {
@@ -166,7 +167,7 @@
             targets: Targets::with_conf(picker_conf()),
             budgets: RetryBudgets::new(settings.live.retry_bound),
             roots: RootAdmission::default(),
-            origins: KnownOrigins::default(),
+            origins,
             running: Arc::default(),
             poison,
             bodies,
--- a/src/wire/hop_answer.rs
+++ b/src/wire/hop_answer.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use crate::admission::Pressure;
-use crate::admission::RouteOrigin;
 use crate::core::Refusal;
+use crate::core::RouteOrigin;
 use crate::errors::WireError;
 use crate::wire::LoadReport;
 use crate::wire::codec;
--- a/src/wire/hop_call.rs
+++ b/src/wire/hop_call.rs
@@ -4,9 +4,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::admission::RouteOrigin;
 use crate::core::Name;
 use crate::core::Priority;
+use crate::core::RouteOrigin;
 use crate::errors::WireError;
 use crate::wire::codec;
 use crate::wire::headers;
--- a/tests/admission_origins.rs
+++ b/tests/admission_origins.rs
@@ -7,9 +7,9 @@
 use sassafrasgap::admission::CallingServices;
 use sassafrasgap::admission::HeardCall;
 use sassafrasgap::admission::OriginsByDomain;
-use sassafrasgap::admission::RouteOrigin;
 use sassafrasgap::admission::RouteOrigins;
 use sassafrasgap::core::Name;
+use sassafrasgap::core::RouteOrigin;
 
 /// Draws the service beside which a call begins, by the share of nodes.
 fn learn(
--- a/tests/membership_fleet.rs
+++ b/tests/membership_fleet.rs
@@ -10,6 +10,8 @@
 
 use membership_net::Net;
 use membership_net::Shape;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::RouteOrigin;
 use sassafrasgap::core::TargetState;
 
 /// Membership's part of the 3 KB/s that a node may spend on all control.
@@ -117,3 +119,29 @@
         "{joined_ms:?}"
     );
 }
+
+/// Everything restarts, and the news of it takes all bytes that news may take. For five seconds each node found
+/// out for itself which routes are callers', and refused nothing meanwhile: requests were begun and lost. The
+/// first one that finds out tells all others at once; what was told first stays.
+#[rstest]
+fn who_uses_a_route_is_known_at_once_in_a_start_of_hundreds() {
+    let shape = Shape {
+        regions: 1,
+        domains_per_region: 5,
+        nodes_per_domain: 39,
+    };
+    let mut net = Net::cold(shape, 7);
+    net.run_ms(2_000);
+    let route = Name::from("route");
+    let by = RouteOrigin::Callers;
+    assert!(net.nodes[3].member.set_route_use(&route, by));
+    net.nodes[3].route_uses.push((route.clone(), by));
+    let known_ms = net.ms_until(10_000, |node| !node.route_uses.is_empty());
+    println!("route known everywhere after {known_ms:?} ms");
+    assert!(known_ms.is_some_and(|ms| ms <= 1_500), "{known_ms:?}");
+    let member = &mut net.nodes[100].member;
+    assert!(!member.set_route_use(&route, RouteOrigin::Backends));
+    net.run_ms(1_000);
+    let told_twice = net.nodes.iter().any(|node| node.route_uses.len() != 1);
+    assert!(!told_twice);
+}
--- a/tests/membership_net/mod.rs
+++ b/tests/membership_net/mod.rs
@@ -14,6 +14,7 @@
 
 use sassafrasgap::core::FastSet;
 use sassafrasgap::core::Name;
+use sassafrasgap::core::RouteOrigin;
 use sassafrasgap::core::Target;
 use sassafrasgap::core::TargetState;
 use sassafrasgap::core::TimeMs;
@@ -79,6 +80,7 @@
     pub traffic: Traffic,
     pub config_news: Vec<(SocketAddr, u64)>,
     pub slot_map_news: Vec<(Name, u64)>,
+    pub route_uses: Vec<(Name, RouteOrigin)>,
 }
 
 #[derive(Clone)]
@@ -402,6 +404,7 @@
                     node.slot_map_news.push((service.clone(), version));
                     node.member.set_slot_map_version(&service, version);
                 }
+                Action::RouteUse { route, by } => self.nodes[index].route_uses.push((route, by)),
                 Action::CompareSlotMaps { .. } => {}
             }
         }
@@ -495,6 +498,7 @@
             traffic: Traffic::default(),
             config_news: Vec::new(),
             slot_map_news: Vec::new(),
+            route_uses: Vec::new(),
         }
     }
 
