Tell a restarted node what is held of it; a departure before the first row waits for nothing

Found in reading the diff: an exchange left out the asker's own record, so a node that restarts did not hear there of what its earlier process had said (it did by the next datagram); and a departure in the first 1.5 s of a first start waited for a report before it was written.

--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -77,8 +77,11 @@
             let bucket = bucket_of(&target.node);
             ask.digests.get(bucket) != Some(&ours[bucket])
         };
+        // Of itself the asker is told only what overrides its own word: what is held of an earlier process.
+        let is_news =
+            |target: &Target| target.node != ask.own.node || order_of(target) > order_of(&ask.own);
         let mut answer = self.all_members();
-        answer.retain(|target| target.node != ask.own.node && differs(target));
+        answer.retain(|target| differs(target) && is_news(target));
         let mut actions = self.merge(now, from, std::slice::from_ref(&ask.own));
         if self.lacks_many(ask.members) {
             self.start_exchange(ask.own.control_address, now, &mut actions);
@@ -134,3 +137,7 @@
         }
     }
 }
+
+fn order_of(target: &Target) -> (u64, bool) {
+    (target.incarnation, target.state == TargetState::Dead)
+}
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -78,7 +78,7 @@
     /// Should there be a row all the same, the write says so, and what it holds counts.
     async fn write_first(&self, keeper: &mut RowKeeper) -> Option<RosterRow> {
         let mut news = self.traffic.local_news.subscribe();
-        let is_known = |news: &LocalNews| news.known.is_some();
+        let is_known = |news: &LocalNews| news.known.is_some() || news.leaving.is_some();
         drop(timeout(FIRST_REPORT_WITHIN, news.wait_for(is_known)).await);
         keeper.take_as_absent();
         let wanted = self.wanted(None);
--- a/tests/membership_bounds.rs
+++ b/tests/membership_bounds.rs
@@ -154,3 +154,29 @@
     assert_eq!(after.nodes["node-1"].state, TargetState::Draining);
     assert!(after.changes > before.changes);
 }
+
+/// A node restarts and knows nothing of what its earlier process said of itself. Until it hears what is held
+/// of its name, the others take its word for an old one: its first exchange has to tell it.
+#[rstest]
+#[case::up(TargetState::Up)]
+#[case::dead(TargetState::Dead)]
+fn a_restarted_node_is_told_what_is_held_of_it(#[case] held: TargetState) {
+    let mut peer = member(MembershipSettings::default());
+    let mut before = target(1, TargetState::Up);
+    before.incarnation = 1 << 40;
+    peer.merge(START, address_of(1), &[before.clone()]);
+    before.state = held;
+    peer.merge(START, address_of(2), &[before]);
+    let own = target(1, TargetState::Starting);
+    let settings = MembershipSettings::default();
+    let mut restarted = Membership::new(own, Vec::new(), settings, Rng::with_seed(5), START);
+    let ask = restarted.exchange_ask();
+    let (told, _) = peer.answer_exchange(START, address_of(1), &ask);
+    restarted.merge(START, address_of(0), &told);
+    assert!(restarted.own().incarnation > 1 << 40);
+    let (told, _) = peer.answer_exchange(START, address_of(1), &restarted.exchange_ask());
+    assert!(
+        told.iter()
+            .all(|target| target.node != restarted.own().node)
+    );
+}
