--- a/tests/desired_store_watch.rs
+++ b/tests/desired_store_watch.rs
@@ -1,8 +1,10 @@
-//! Which nodes follow the operator's row closely.
+//! Which nodes follow the operator's row in the store.
+
+mod fake_targets;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
+use fake_targets::target;
 use rstest::rstest;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Target;
@@ -12,24 +14,12 @@
 use sassafrasgap::desired::asks_store;
 use sassafrasgap::desired::is_watcher;
 
-fn node(name: &str, domain: &str, state: TargetState) -> Arc<Target> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    Arc::new(Target {
-        node: Name::from(name),
-        service: Name::from("s"),
-        region: Name::from("r"),
-        domain: Name::from(domain),
-        peer_address: address,
-        control_address: address,
-        incarnation: 1,
-        state,
-        slots: 1,
-    })
-}
-
 fn view(nodes: &[(&str, &str, TargetState)]) -> View {
     let nodes = nodes.iter().map(|(name, domain, state)| {
-        let target = node(name, domain, *state);
+        let target = Arc::new(Target {
+            state: *state,
+            ..target(name, domain)
+        });
         (target.node.clone(), target)
     });
     View {
--- a/tests/routing_failing.rs
+++ b/tests/routing_failing.rs
@@ -1,13 +1,14 @@
 //! Targets that take calls and fail many of them.
 
-use std::net::SocketAddr;
+mod fake_targets;
+
 use std::sync::Arc;
 
+use fake_targets::target;
 use rstest::rstest;
 use sassafrasgap::core::FastMap;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Target;
-use sassafrasgap::core::TargetState;
 use sassafrasgap::core::TimeMs;
 use sassafrasgap::routing::Choice;
 use sassafrasgap::routing::FailingShare;
@@ -19,21 +20,6 @@
 const NOW: TimeMs = TimeMs(60_000);
 const CALLS: u32 = 2_000;
 
-fn target(name: &str, domain: &str) -> Arc<Target> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    Arc::new(Target {
-        node: Name::from(name),
-        service: Name::from("s"),
-        region: Name::from("r"),
-        domain: Name::from(domain),
-        peer_address: address,
-        control_address: address,
-        incarnation: 1,
-        state: TargetState::Up,
-        slots: 10,
-    })
-}
-
 /// How many of the calls from domain `a` go to each target, by the share that fails there.
 fn spread(targets: &[(&str, &str, u32)]) -> FastMap<Name, u32> {
     spread_under(targets, 2)
@@ -50,7 +36,7 @@
     }
     let targets: Vec<Arc<Target>> = targets
         .iter()
-        .map(|(name, domain, _)| target(name, domain))
+        .map(|(name, domain, _)| Arc::new(target(name, domain)))
         .collect();
     let choice = Choice {
         targets: &targets,
