One piece of code for ages, pages of rows, keys behind keys; no decision changes

Found in reading the change once more: the age of the store's word was worked out anew beside that of failure domains (now age_tenths); reading a page of rows and the key behind a key stood three times each; a version was compared with the one in force in two places; the counted store boxed each future twice; a map kept values that nothing read; the living nodes were counted where the answer was known; a row's rules said the same twice; all members were copied to send a few; two arms of a failed fetch were one.

Tests keep their assertions.

--- a/src/admission/root_level.rs
+++ b/src/admission/root_level.rs
@@ -34,7 +34,8 @@
 const STALE_GAPS: f32 = 4.0;
 /// After so many times the usual gap between reports, the lack of one says that nothing came back.
 const SILENT_GAPS: f32 = 4.0;
-/// Demand is remembered over so many usual gaps at least.
+/// Demand is remembered for so long, in milliseconds, or over so many usual gaps where that is more.
+const REMEMBERED_MS: f32 = WINDOW_MS as f32 / (1.0 - MEMORY);
 const REMEMBERED_GAPS: f32 = 8.0;
 /// A step made after a longer time counts for so many windows at most.
 const MOST_WINDOWS: f32 = 5.0;
@@ -60,7 +61,7 @@
     open: f32,
     /// The last window brought a large fall, the effect of which is waited for.
     held: bool,
-    /// Pressure in slots of slots, smoothed over windows.
+    /// Pressure in slots of slots, as last reported, and less after silence.
     pressure: f32,
     /// The sum and number of reports in this window.
     pressure_sum: u64,
@@ -176,8 +177,8 @@
 
     fn remember(&mut self, span_ms: u64) {
         let windows = span_ms as f32 / WINDOW_MS as f32;
-        let few = self.asked.usual_ms * REMEMBERED_GAPS / (WINDOW_MS as f32 / (1.0 - MEMORY));
-        let memory = MEMORY.powf(windows / few.max(1.0));
+        let longer = self.asked.usual_ms * REMEMBERED_GAPS / REMEMBERED_MS;
+        let memory = MEMORY.powf(windows / longer.max(1.0));
         for (demand, fresh) in self.demand.iter_mut().zip(&mut self.fresh) {
             *demand = *demand * memory + *fresh / windows * (1.0 - memory);
             *fresh = 0.0;
@@ -186,7 +187,7 @@
 
     /// Moves what is let in toward where the pressure would be the aim.
     fn steer(&mut self, windows: f32) {
-        if self.pressure <= AIM && self.open >= full() {
+        if self.pressure <= AIM && self.is_open() {
             return;
         }
         let part = 1.0 - (1.0 - PART).powf(windows);
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -101,9 +101,7 @@
                 let now = self.clock.now();
                 let actions = self.membership.handle(now, from, datagram);
                 self.freshness.note_heard(now);
-                if let Some(confirmed) = self.membership.config_confirmed() {
-                    self.freshness.note_confirmed(confirmed);
-                }
+                self.show_confirmed();
                 self.act(actions);
             }
             Err(error) => {
@@ -128,10 +126,8 @@
             }
             Command::SetConfigVersion(version) => self.membership.set_config_version(version),
             Command::ConfirmConfigVersion(version) => {
-                if version == self.membership.config_version() {
-                    self.membership.confirm_config(now);
-                    self.freshness.note_confirmed(now);
-                }
+                self.membership.confirm_config(version, now);
+                self.show_confirmed();
             }
             Command::SetSlotMapVersion { service, version } => {
                 self.membership.set_slot_map_version(&service, version);
@@ -202,6 +198,12 @@
         }
     }
 
+    fn show_confirmed(&self) {
+        if let Some(confirmed) = self.membership.config_confirmed() {
+            self.freshness.note_confirmed(confirmed);
+        }
+    }
+
     fn publish(&mut self) {
         let view = self.membership.view();
         self.metrics.show_view(&view);
--- a/src/desired/store_watch.rs
+++ b/src/desired/store_watch.rs
@@ -67,8 +67,11 @@
     if known.heard_ms_ago >= SILENT_MS || is_watcher(view, node, domain) {
         return true;
     }
+    if known.confirmed_ms_ago < UNCONFIRMED_MS {
+        return false;
+    }
     let living = view.nodes.values().filter(|peer| lives(peer)).count();
-    known.confirmed_ms_ago >= UNCONFIRMED_MS && random * (living as f64) < ASKERS
+    random * (living as f64) < ASKERS
 }
 
 /// Whether a node is among the first of those that live in its failure domain, by name.
--- a/src/membership/domain_watch.rs
+++ b/src/membership/domain_watch.rs
@@ -1,6 +1,8 @@
 //! When each failure domain was last known to answer.
 
 use super::HeardDomain;
+use super::age_tenths::age_tenths;
+use super::age_tenths::moment_of;
 use super::digest::domain_hash;
 use crate::core::FastMap;
 use crate::core::Name;
@@ -8,8 +10,6 @@
 
 /// More failure domains than any deployment has; further ones are not watched.
 const MAX_DOMAINS: usize = 256;
-/// Milliseconds in the unit of [`HeardDomain::age_tenths`].
-const TENTH_MS: u64 = 100;
 
 /// What is known of one failure domain.
 #[derive(Clone, Copy, Debug)]
@@ -72,8 +72,8 @@
             let Some(theirs) = about_it.next() else {
                 continue;
             };
-            let answered = Some(now - u64::from(theirs.age_tenths) * TENTH_MS);
-            if theirs.age_tenths == u8::MAX || watched.answered >= answered {
+            let answered = moment_of(theirs.age_tenths, now);
+            if watched.answered >= answered {
                 continue;
             }
             let before_ms = watched.silent_ms(now);
@@ -85,16 +85,14 @@
         heard_again
     }
 
-    /// The ages to send to members of the own domain, rounded up so that an answer never gets
-    /// younger by being passed on.
+    /// The ages to send to members of the own domain.
     pub fn ages(&self, now: TimeMs) -> Vec<HeardDomain> {
-        let age = |answered: TimeMs| now.since(answered).div_ceil(TENTH_MS).min(255) as u8;
         self.domains
             .values()
             .filter_map(|watched| {
                 watched.answered.map(|answered| HeardDomain {
                     domain_hash: watched.hash,
-                    age_tenths: age(answered),
+                    age_tenths: age_tenths(answered, now),
                 })
             })
             .collect()
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::Action;
+use super::Member;
 use super::Membership;
 use super::Standing;
 use super::Update;
@@ -41,20 +42,6 @@
 }
 
 impl Membership {
-    /// All members, for a full exchange over a control call.
-    pub fn all_members(&self) -> Vec<Target> {
-        self.table
-            .iter()
-            .map(|member| {
-                let mut target = member.own.clone();
-                if member.standing == Standing::Dead {
-                    target.state = TargetState::Dead;
-                }
-                target
-            })
-            .collect()
-    }
-
     /// What to ask a peer with for an exchange.
     pub fn exchange_ask(&self) -> ExchangeAsk {
         ExchangeAsk {
@@ -73,15 +60,16 @@
         ask: &ExchangeAsk,
     ) -> (Vec<Target>, Vec<Action>) {
         let ours = self.table.buckets();
-        let differs = |target: &Target| {
-            let bucket = bucket_of(&target.node);
+        let differs = |member: &&Member| {
+            let bucket = bucket_of(&member.own.node);
             ask.digests.get(bucket) != Some(&ours[bucket])
         };
         // Of itself the asker is told only what overrides its own word: what is held of an earlier process.
-        let is_news =
-            |target: &Target| target.node != ask.own.node || order_of(target) > order_of(&ask.own);
-        let mut answer = self.all_members();
-        answer.retain(|target| differs(target) && is_news(target));
+        let is_news = |target: &Target| {
+            target.node != ask.own.node || order_of_target(target) > order_of_target(&ask.own)
+        };
+        let differing = self.table.iter().filter(differs).map(as_told);
+        let answer = differing.filter(is_news).collect();
         let mut actions = self.merge(now, from, std::slice::from_ref(&ask.own));
         if self.lacks_many(ask.members) {
             self.start_exchange(ask.own.control_address, now, &mut actions);
@@ -138,6 +126,15 @@
     }
 }
 
-fn order_of(target: &Target) -> (u64, bool) {
+/// What is told of a member.
+fn as_told(member: &Member) -> Target {
+    let mut target = member.own.clone();
+    if member.standing == Standing::Dead {
+        target.state = TargetState::Dead;
+    }
+    target
+}
+
+fn order_of_target(target: &Target) -> (u64, bool) {
     (target.incarnation, target.state == TargetState::Dead)
 }
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -19,7 +19,7 @@
 use super::ViewBuilder;
 use super::incarnation::first_incarnation;
 use super::incarnation::incarnation_after;
-use crate::core::FastMap;
+use crate::core::FastSet;
 use crate::core::Name;
 use crate::core::RouteOrigin;
 use crate::core::Target;
@@ -75,8 +75,8 @@
     pub(super) probes: Probes,
     pub(super) budget: NewsBudget,
     pub(super) slot_maps: SlotMapVersions,
-    /// Who uses which route, as was told first.
-    route_uses: FastMap<Name, RouteOrigin>,
+    /// Routes of which it was told who uses them.
+    told_routes: FastSet<Name>,
     pub(super) config_version: u64,
     /// When the store was last known to hold no newer configuration.
     pub(super) config_confirmed: Option<TimeMs>,
@@ -122,7 +122,7 @@
             probes: Probes::default(),
             budget: NewsBudget::new(settings.news_bytes_per_s, settings.news_burst_bytes),
             slot_maps: SlotMapVersions::default(),
-            route_uses: FastMap::default(),
+            told_routes: FastSet::default(),
             config_version: 0,
             config_confirmed: None,
             header_is_urgent: false,
@@ -193,9 +193,12 @@
         }
     }
 
-    /// The store has said `at` that it holds no newer configuration than the one in force here.
-    pub fn confirm_config(&mut self, at: TimeMs) {
-        self.config_confirmed = self.config_confirmed.max(Some(at));
+    /// The store has said `at` that it holds nothing newer than this version. Its word on another version
+    /// than the one in force here says nothing of that.
+    pub fn confirm_config(&mut self, version: u64, at: TimeMs) {
+        if version == self.config_version {
+            self.config_confirmed = self.config_confirmed.max(Some(at));
+        }
     }
 
     /// When the store was last known to hold no newer configuration, by its word to anybody.
@@ -218,10 +221,9 @@
     /// just then. It holds because the first one to find out tells all others. Where something is known
     /// already, that stays: guards go on judging, and tell with each answer.
     pub fn set_route_use(&mut self, route: &Name, by: RouteOrigin) -> bool {
-        if self.route_uses.contains_key(route) || self.route_uses.len() >= MOST_ROUTES {
+        if self.told_routes.len() >= MOST_ROUTES || !self.told_routes.insert(route.clone()) {
             return false;
         }
-        self.route_uses.insert(route.clone(), by);
         let route = route.clone();
         self.queue.push(Update::RouteUse { route, by }, true);
         true
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,6 +3,7 @@
 //! See [docs/MEMBERSHIP.md](../../docs/MEMBERSHIP.md) for the ways weighed and the figures.
 
 mod action;
+mod age_tenths;
 mod codec;
 mod compare;
 mod datagram;
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -11,8 +11,8 @@
 use super::Receiver;
 use super::Standing;
 use super::Update;
+use super::age_tenths::moment_of;
 use super::member_table::record_of;
-use super::spread::TENTH_MS;
 use crate::core::Name;
 use crate::core::TargetState;
 use crate::core::TimeMs;
@@ -171,7 +171,9 @@
                 self.hear_again(&domain, now);
             }
         }
-        self.read_confirmation(header, now);
+        if let Some(confirmed) = moment_of(header.confirmed_tenths, now) {
+            self.confirm_config(header.config_version, confirmed);
+        }
         let news_age_ms = now.since(self.schedule.last_config_news);
         if header.config_version > self.config_version && news_age_ms >= CONFIG_NEWS_PERIOD_MS {
             self.schedule.last_config_news = now;
@@ -181,15 +183,6 @@
         self.compare_slot_maps(header, from, now, actions);
     }
 
-    /// The store's word on another version than the own one says nothing of that.
-    fn read_confirmation(&mut self, header: &Header, now: TimeMs) {
-        let is_of_own = header.config_version == self.config_version;
-        if is_of_own && header.confirmed_tenths < u8::MAX {
-            let age_ms = u64::from(header.confirmed_tenths) * TENTH_MS;
-            self.confirm_config(now - age_ms);
-        }
-    }
-
     fn compare_slot_maps(
         &mut self,
         header: &Header,
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -9,6 +9,7 @@
 use super::Member;
 use super::Membership;
 use super::Update;
+use super::age_tenths::age_tenths;
 use super::encoded_bytes;
 use crate::core::TimeMs;
 
@@ -17,8 +18,6 @@
 const SENDS_PER_DIGIT: u32 = 3;
 /// Room in a datagram for short news that waits for nothing: a dozen routes.
 const PRESSING_BYTES: u64 = 300;
-/// Milliseconds in the unit of [`Header::confirmed_tenths`].
-pub(super) const TENTH_MS: u64 = 100;
 /// IP and UDP headers, which count as control traffic too.
 pub(super) const PACKET_OVERHEAD_BYTES: u64 = 28;
 
@@ -195,13 +194,6 @@
             .collect()
     }
 
-    /// Rounded up, so that the store's word never gets younger by being passed on.
-    fn confirmed_tenths(&self, now: TimeMs) -> u8 {
-        let age = |at: TimeMs| now.since(at).div_ceil(TENTH_MS);
-        let tenths = self.config_confirmed.map_or(u64::from(u8::MAX), age);
-        u8::try_from(tenths).unwrap_or(u8::MAX)
-    }
-
     pub(super) fn header(&self, is_near: bool, now: TimeMs) -> Header {
         let heard = match is_near {
             true => self.watch.ages(now),
@@ -213,7 +205,9 @@
             members_digest: self.table.digest(),
             members: self.table.alive() as u32,
             config_version: self.config_version,
-            confirmed_tenths: self.confirmed_tenths(now),
+            confirmed_tenths: self
+                .config_confirmed
+                .map_or(u8::MAX, |at| age_tenths(at, now)),
             slot_maps_digest: self.slot_maps.digest(),
             heard,
         }
--- a/src/store/counted_store.rs
+++ b/src/store/counted_store.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use futures::FutureExt;
 use futures::future::BoxFuture;
 use prometheus::IntCounterVec;
 
@@ -39,12 +38,12 @@
         part: Name,
     ) -> BoxFuture<'_, Result<(Vec<StoredRow>, u64), StoreError>> {
         self.count(&table, "read_part");
-        self.store.read_part(table, part).boxed()
+        self.store.read_part(table, part)
     }
 
     fn read_row(&self, name: RowName) -> BoxFuture<'_, Result<Option<StoredRow>, StoreError>> {
         self.count(&name.table, "read_row");
-        self.store.read_row(name).boxed()
+        self.store.read_row(name)
     }
 
     fn read_some(
@@ -55,7 +54,7 @@
         most: usize,
     ) -> BoxFuture<'_, Result<Vec<StoredRow>, StoreError>> {
         self.count(&table, "read_some");
-        self.store.read_some(table, part, from, most).boxed()
+        self.store.read_some(table, part, from, most)
     }
 
     fn changes(
@@ -65,11 +64,11 @@
         wait_ms: u64,
     ) -> BoxFuture<'_, Result<Changes, StoreError>> {
         self.count(&table, "changes");
-        self.store.changes(table, after, wait_ms).boxed()
+        self.store.changes(table, after, wait_ms)
     }
 
     fn put(&self, put: RowPut) -> BoxFuture<'_, Result<u64, StoreError>> {
         self.count(&put.name.table, "put");
-        self.store.put(put).boxed()
+        self.store.put(put)
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -20,5 +20,6 @@
 pub use rows::RowName;
 pub use rows::RowPut;
 pub use rows::StoredRow;
+pub use rows::key_after;
 pub use table_watch::TableWatch;
 pub use table_watch::WatchPause;
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -53,3 +53,8 @@
     pub rows: Vec<RowChange>,
     pub version: u64,
 }
+
+/// The first key that may come after this one: no key lies between a key and the same with a zero byte.
+pub fn key_after(key: &str) -> Name {
+    Name::from(format!("{key}\0"))
+}
--- a/src/traffic/desired_task.rs
+++ b/src/traffic/desired_task.rs
@@ -16,6 +16,7 @@
 use crate::desired::WATCH_PAUSE_MS;
 use crate::desired::WATCH_WAIT_MS;
 use crate::errors::DesiredStateError;
+use crate::errors::PeerCallError;
 use crate::store::RowChange;
 use crate::store::RowName;
 use crate::store::Store;
@@ -152,21 +153,18 @@
             continue;
         }
         let asking = clients.config_above(from, desired.version());
-        match timeout(Duration::from_millis(FETCH_WITHIN_MS), asking).await {
-            Ok(Ok(Some(document))) => {
+        let asking = timeout(Duration::from_millis(FETCH_WITHIN_MS), asking);
+        match asking.await.unwrap_or(Err(PeerCallError::Timeout)) {
+            Ok(Some(document)) => {
                 if desired.offer_document(&document) {
                     announce(document.version);
                 }
             }
-            Ok(Ok(None)) => {}
-            Ok(Err(error)) => {
+            Ok(None) => {}
+            Err(error) => {
                 log::debug!("config: a peer gave no answer, peer={from} error={error}");
                 ask_now.notify_one();
             }
-            Err(_) => {
-                log::debug!("config: a peer gave no answer in time, peer={from}");
-                ask_now.notify_one();
-            }
         }
     }
 }
--- a/src/traffic/find_others.rs
+++ b/src/traffic/find_others.rs
@@ -12,6 +12,7 @@
 use crate::store::Store;
 use crate::store::StoredRow;
 use crate::store::WatchPause;
+use crate::store::key_after;
 use crate::traffic::roster_row::RosterRow;
 
 /// How many rows are read at once. Each names a node to ask for all others, so a handful does; the rest
@@ -41,7 +42,7 @@
 impl FindOthers {
     /// Runs until other nodes are known.
     pub(super) async fn run(self) {
-        let mut from = behind(&self.own_key);
+        let mut from = key_after(&self.own_key);
         let seeds = self.next_sample(&mut from).await;
         for pause_ms in ASK_AGAIN_MS {
             sleep(Duration::from_millis(pause_ms)).await;
@@ -67,7 +68,7 @@
             }
         };
         if let Some(last) = rows.last() {
-            *from = behind(&last.name.key);
+            *from = key_after(&last.name.key);
         }
         let others = rows.iter().filter(|row| row.name.key != self.own_key);
         let rows = others.filter_map(RosterRow::decode);
@@ -88,8 +89,3 @@
         self.store.read_some(table, part, from, SAMPLE_ROWS).await
     }
 }
-
-/// The first key that may come after this one.
-fn behind(key: &Name) -> Name {
-    Name::from(format!("{key}\0"))
-}
--- a/src/traffic/roster_row.rs
+++ b/src/traffic/roster_row.rs
@@ -6,7 +6,6 @@
 use serde::Serialize;
 
 use crate::core::Name;
-use crate::core::TargetState;
 use crate::core::stable_hash;
 use crate::store::StoredRow;
 use crate::traffic::KnownServer;
@@ -48,24 +47,18 @@
     /// The row to keep; `before` is what it held when this process started. That is kept until the
     /// backend server is known anew.
     pub(super) fn of(control_address: SocketAddr, news: &LocalNews, before: Option<&Self>) -> Self {
-        let is_known = news.known.is_some() || news.leaving.is_some();
-        let before = before.filter(|_| !is_known && news.state != TargetState::Draining);
-        Self {
+        let told = Self {
             control_address: Some(control_address),
-            leaving: news
-                .leaving
-                .clone()
-                .or(before.and_then(|row| row.leaving.clone())),
-            leaving_started_unix_ms: news
-                .leaving_started_unix_ms
-                .or(before.and_then(|row| row.leaving_started_unix_ms)),
-            known: match news.state {
-                TargetState::Draining => None,
-                _ => news
-                    .known
-                    .clone()
-                    .or(before.and_then(|row| row.known.clone())),
+            leaving: news.leaving.clone(),
+            leaving_started_unix_ms: news.leaving_started_unix_ms,
+            known: news.known.clone(),
+        };
+        match before {
+            Some(before) if told.leaving.is_none() && told.known.is_none() => Self {
+                control_address: told.control_address,
+                ..before.clone()
             },
+            _ => told,
         }
     }
 
--- a/tests/membership_net/mod.rs
+++ b/tests/membership_net/mod.rs
@@ -1,6 +1,9 @@
 //! A network of pure members in memory: virtual time, latency, seeded loss, cuts and pauses.
 #![allow(dead_code)]
 
+mod node;
+mod shape;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::Ipv4Addr;
@@ -14,7 +17,6 @@
 
 use sassafrasgap::core::FastSet;
 use sassafrasgap::core::Name;
-use sassafrasgap::core::RouteOrigin;
 use sassafrasgap::core::Target;
 use sassafrasgap::core::TargetState;
 use sassafrasgap::core::TimeMs;
@@ -25,64 +27,16 @@
 use sassafrasgap::membership::MembershipSettings;
 use sassafrasgap::membership::encode_datagram;
 
+pub use node::Node;
+pub use node::Traffic;
+pub use shape::Shape;
+
 const TICK_MS: u64 = 100;
 const SERVICES: usize = 130;
 const PACKET_OVERHEAD_BYTES: u64 = 28;
 const CONTROL_PORT: u16 = 7_000;
 const SEEDS: usize = 3;
 
-/// How many regions, failure domains and nodes there are.
-#[derive(Clone, Copy)]
-pub struct Shape {
-    pub regions: usize,
-    pub domains_per_region: usize,
-    pub nodes_per_domain: usize,
-}
-
-impl Shape {
-    /// The size that docs/CAPACITY.md plans for: 720 nodes in 9 failure domains of 3 regions.
-    pub const FLEET: Self = Self {
-        regions: 3,
-        domains_per_region: 3,
-        nodes_per_domain: 80,
-    };
-    /// A mesh of a dozen nodes, as at the users today.
-    pub const TODAY: Self = Self {
-        regions: 1,
-        domains_per_region: 3,
-        nodes_per_domain: 4,
-    };
-
-    pub fn domains(self) -> usize {
-        self.regions * self.domains_per_region
-    }
-
-    pub fn nodes(self) -> usize {
-        self.domains() * self.nodes_per_domain
-    }
-}
-
-/// Bytes of one node, both directions, with IP and UDP headers.
-#[derive(Clone, Copy, Default)]
-pub struct Traffic {
-    pub datagram_bytes: u64,
-    pub call_bytes: u64,
-    pub messages: u64,
-    /// Bytes sent into other failure domains, which are dear.
-    pub far_bytes: u64,
-}
-
-#[derive(Clone)]
-pub struct Node {
-    pub member: Membership,
-    pub runs: bool,
-    paused_until: TimeMs,
-    pub traffic: Traffic,
-    pub config_news: Vec<(SocketAddr, u64)>,
-    pub slot_map_news: Vec<(Name, u64)>,
-    pub route_uses: Vec<(Name, RouteOrigin)>,
-}
-
 #[derive(Clone)]
 enum Event {
     Tick(usize),
@@ -489,34 +443,6 @@
     }
 }
 
-impl Node {
-    fn new(member: Membership) -> Self {
-        Self {
-            member,
-            runs: true,
-            paused_until: TimeMs::default(),
-            traffic: Traffic::default(),
-            config_news: Vec::new(),
-            slot_map_news: Vec::new(),
-            route_uses: Vec::new(),
-        }
-    }
-
-    /// The state of a member as this node holds it.
-    pub fn sees(&self, name: &str) -> Option<TargetState> {
-        let member = self.member.table().get(name);
-        member.map(|member| member.published.state)
-    }
-
-    /// How many members this node holds in a state.
-    pub fn count(&self, state: TargetState) -> usize {
-        let members = self.member.table().iter();
-        members
-            .filter(|member| member.published.state == state)
-            .count()
-    }
-}
-
 pub fn address_of(index: usize) -> SocketAddr {
     let ip = Ipv4Addr::new(10, (index / 256) as u8, (index % 256) as u8, 1);
     SocketAddr::from((ip, CONTROL_PORT))
--- /dev/null
+++ b/tests/membership_net/node.rs
@@ -0,0 +1,58 @@
+//! One node of a network, and what it has sent and heard.
+
+use std::net::SocketAddr;
+
+use sassafrasgap::core::Name;
+use sassafrasgap::core::RouteOrigin;
+use sassafrasgap::core::TargetState;
+use sassafrasgap::core::TimeMs;
+use sassafrasgap::membership::Membership;
+
+/// Bytes of one node, both directions, with IP and UDP headers.
+#[derive(Clone, Copy, Default)]
+pub struct Traffic {
+    pub datagram_bytes: u64,
+    pub call_bytes: u64,
+    pub messages: u64,
+    /// Bytes sent into other failure domains, which are dear.
+    pub far_bytes: u64,
+}
+
+#[derive(Clone)]
+pub struct Node {
+    pub member: Membership,
+    pub runs: bool,
+    pub paused_until: TimeMs,
+    pub traffic: Traffic,
+    pub config_news: Vec<(SocketAddr, u64)>,
+    pub slot_map_news: Vec<(Name, u64)>,
+    pub route_uses: Vec<(Name, RouteOrigin)>,
+}
+
+impl Node {
+    pub fn new(member: Membership) -> Self {
+        Self {
+            member,
+            runs: true,
+            paused_until: TimeMs::default(),
+            traffic: Traffic::default(),
+            config_news: Vec::new(),
+            slot_map_news: Vec::new(),
+            route_uses: Vec::new(),
+        }
+    }
+
+    /// The state of a member as this node holds it.
+    pub fn sees(&self, name: &str) -> Option<TargetState> {
+        let member = self.member.table().get(name);
+        member.map(|member| member.published.state)
+    }
+
+    /// How many members this node holds in a state.
+    pub fn count(&self, state: TargetState) -> usize {
+        let members = self.member.table().iter();
+        members
+            .filter(|member| member.published.state == state)
+            .count()
+    }
+}
