Client accounts: keys at the entry, the account's name at the backend server, its rank before the route's

Change: the operator's accounts are decoded once, keys kept as hashes only. The entry finds the account by the key of the state in force: unknown, missing on a route that callers use, or several keys get 401 before any work. The key ends there; the hop carries the account's name, 32 bits of the key's hash and the version that let it in, and whoever knows a later version asks once more before sending. A request with a key is certainly a caller's, one without certainly a backend server's, so nothing has to be learnt of routes there.

--- a/src/core/outcome.rs
+++ b/src/core/outcome.rs
@@ -107,6 +107,18 @@
         Revoked => "revoked",
         /// The caller went away before the call started.
         CallerGone => "caller_gone",
+        /// No client account holds the key that the request came with.
+        AccountKeyUnknown => "account_key_unknown",
+        /// The route asks for a key, and the request came without one.
+        AccountKeyMissing => "account_key_missing",
+        /// The request came with several keys.
+        AccountKeyAmbiguous => "account_key_ambiguous",
+        /// The key was taken away from its account while the request waited.
+        AccountKeyRevoked => "account_key_revoked",
+        /// Whether keys still hold is not known here: the store's word on it is too old.
+        AccountKeysUnsure => "account_keys_unsure",
+        /// The account has used what it may for now.
+        AllowanceSpent => "allowance_spent",
     }
 }
 
--- a/src/desired/desired_state.rs
+++ b/src/desired/desired_state.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::accounts::Account;
 use crate::core::Name;
 use crate::desired::ClientLimits;
 use crate::desired::Route;
@@ -19,11 +20,13 @@
 }
 
 /// Everything that the operator wants, in full. A higher version replaces a lower one whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct DesiredState {
     pub version: u64,
     pub routes: Vec<Route>,
     pub services: Vec<ServiceConf>,
     pub limits: ClientLimits,
+    /// The client accounts; `None` where no request needs a key.
+    pub accounts: Option<Vec<Account>>,
 }
--- a/src/desired/route.rs
+++ b/src/desired/route.rs
@@ -50,6 +50,8 @@
     pub rank: u8,
     /// To how many targets one request may be sent at most.
     pub max_attempts: u32,
+    /// Callers need no key of a client account.
+    pub is_public: bool,
     /// Where requests go; never empty, and some weight is above 0.
     pub destinations: Vec<WeightedService>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
 //! Overload control for service call graphs: one small process beside each backend server.
 //!
-//! The folders are concerns. Decisions (`admission`, `routing`, `retry`, `poison`, `claims`,
+//! The folders are concerns. Decisions (`accounts`, `admission`, `routing`, `retry`, `poison`, `claims`,
 //! `membership`, `preset`) are pure: they take inputs and a time and return actions. `adapters`
 //! meets the outside; `node` puts both together. See [docs/DESIGN.md](../docs/DESIGN.md).
 
+pub mod accounts;
 pub mod adapters;
 pub mod admission;
 pub mod backend;
--- a/src/traffic/backend.rs
+++ b/src/traffic/backend.rs
@@ -144,6 +144,10 @@
     map.insert(names.expected_incarnation.clone(), incarnation);
     let caller = HeaderValue::from_str(&call.hop.caller_service).ok()?;
     map.insert(names.caller_service.clone(), caller);
+    if let Some(account) = &call.hop.account {
+        let account = HeaderValue::from_str(&account.name).ok()?;
+        map.insert(names.account.clone(), account);
+    }
     *request.headers_mut() = map;
     Some(request)
 }
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -18,6 +18,7 @@
 use crate::core::TimeMs;
 use crate::desired::Repeatability;
 use crate::poison::Running;
+use crate::wire::CallAccount;
 use crate::wire::HopCall;
 
 /// What is passed on unchanged.
@@ -42,6 +43,10 @@
     pub priority: Priority,
     /// Whether it is a caller's own; `None` while it is not known who uses its route.
     pub origin: Option<RouteOrigin>,
+    /// What `origin` says was told by the call itself, not learnt of its route.
+    pub is_certain_origin: bool,
+    /// The client account whose request it is.
+    pub account: Option<CallAccount>,
     /// The time within which an answer is worth most.
     pub objective_ms: u32,
     /// How likely the work that makes the call is to be a repeat, in thousandths.
--- a/src/traffic/caller_response.rs
+++ b/src/traffic/caller_response.rs
@@ -30,12 +30,14 @@
 ) -> Response<Full<Bytes>> {
     traffic.metrics.count_entry_refusal(refusal.reason);
     let status = match (refusal.run_state, refusal.reason) {
+        (RunState::NotRun, reason) if is_denied(reason) => StatusCode::UNAUTHORIZED,
+        (RunState::NotRun, RefusalReason::AllowanceSpent) => StatusCode::TOO_MANY_REQUESTS,
         (RunState::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, RefusalReason::DeadlineExceeded) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
     let mut response = status_response(traffic, status, request_id);
-    if refusal.run_state == RunState::NotRun {
+    if refusal.run_state == RunState::NotRun && status != StatusCode::UNAUTHORIZED {
         let seconds = refusal.retry_after_ms as f64 / 1_000.0;
         if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
             response.headers_mut().insert(RETRY_AFTER, value);
@@ -44,6 +46,17 @@
     response
 }
 
+/// No key, or none that an account holds: coming back would not help.
+fn is_denied(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::AccountKeyUnknown
+            | RefusalReason::AccountKeyMissing
+            | RefusalReason::AccountKeyAmbiguous
+            | RefusalReason::AccountKeyRevoked
+    )
+}
+
 /// An answer of this node's own without a body.
 pub(super) fn status_response(
     traffic: &Traffic,
--- a/src/traffic/desired_in_force.rs
+++ b/src/traffic/desired_in_force.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 
+use crate::accounts::AccountTable;
 use crate::control::ConfigDocument;
 use crate::core::Name;
 use crate::desired::ClientLimits;
@@ -17,6 +18,8 @@
 pub struct InForce {
     pub state: DesiredState,
     pub routes: RouteTable,
+    /// `None` where no request needs a key.
+    pub accounts: Option<AccountTable>,
 }
 
 /// What is in force; `None` until a first desired state is known.
@@ -54,13 +57,18 @@
             return false;
         }
         let routes = RouteTable::new(&state);
+        let accounts = state.accounts.as_deref().map(AccountTable::new);
         log::info!(
-            "config: in force, version={} routes={}",
+            "config: in force, version={} routes={} accounts={}",
             state.version,
-            state.routes.len()
+            state.routes.len(),
+            accounts.as_ref().map_or(0, AccountTable::len)
         );
-        self.in_force
-            .store(Some(Arc::new(InForce { state, routes })));
+        self.in_force.store(Some(Arc::new(InForce {
+            state,
+            routes,
+            accounts,
+        })));
         true
     }
 
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -16,6 +17,10 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::accounts::Caller;
+use crate::accounts::Identity;
+use crate::accounts::Presented;
+use crate::accounts::identify;
 use crate::adapters::WholeAnswer;
 use crate::adapters::read_whole;
 use crate::core::Priority;
@@ -25,6 +30,7 @@
 use crate::core::RouteOrigin;
 use crate::desired::RouteInForce;
 use crate::errors::SendError;
+use crate::traffic::HeaderNames;
 use crate::traffic::InForce;
 use crate::traffic::call::Call;
 use crate::traffic::call::Message;
@@ -36,6 +42,7 @@
 use crate::traffic::passed_headers::strip_request;
 use crate::traffic::story::EntryStory;
 use crate::traffic::traffic::Traffic;
+use crate::wire::CallAccount;
 
 /// When to come back while nothing is known yet, in milliseconds.
 const LATER_MS: u64 = 500;
@@ -150,14 +157,22 @@
     }
     let found = found.ok_or(Rejected::Status(StatusCode::NOT_FOUND))?;
     let route = &found.route.name;
-    let origin = traffic.origins.of(route);
-    let priority = priority(traffic, &found, origin, &parts.headers);
+    let caller = caller_of(traffic, in_force.as_deref(), &found, &parts.headers)?;
+    let is_certain_origin = !matches!(caller, Caller::Anybody);
+    let origin = match &caller {
+        Caller::Account(..) => Some(RouteOrigin::Callers),
+        Caller::Backend => Some(RouteOrigin::Backends),
+        Caller::Anybody => traffic.origins.of(route),
+    };
+    let class = class(&found, origin, &caller);
+    let priority = priority(traffic, class, &parts.headers);
     let service = found.split.next_service();
     let repeated_permille = match origin {
         Some(RouteOrigin::Callers) => 0,
         Some(RouteOrigin::Backends) | None => traffic.running.repeated_permille(),
     };
     strip_request(&mut parts.headers);
+    strip_account(&traffic.settings.header_names, &mut parts.headers);
     let path_and_query = parts.uri.path_and_query().cloned();
     Ok(Call {
         message: Message {
@@ -172,6 +187,8 @@
         max_attempts: found.route.max_attempts,
         priority,
         origin,
+        is_certain_origin,
+        account: account(caller, in_force.as_deref()),
         objective_ms: found.route.objective_ms as u32,
         repeated_permille,
         deadline,
@@ -206,18 +223,69 @@
         .ok_or(Rejected::Status(StatusCode::BAD_REQUEST))
 }
 
-/// Within a class, requests are ranked by their identifiers, so that every node keeps the same.
-fn priority(
+/// Whose a request is, by its key.
+fn caller_of(
     traffic: &Traffic,
+    in_force: Option<&InForce>,
     found: &RouteInForce,
-    origin: Option<RouteOrigin>,
     headers: &HeaderMap,
-) -> Priority {
-    let class = if origin == Some(RouteOrigin::Backends) {
-        DEEP_CLASS
-    } else {
-        found.route.rank.saturating_add(DEEP_CLASS + 1)
+) -> Result<Caller, Rejected> {
+    let route = &found.route;
+    let identity = Identity {
+        accounts: in_force.and_then(|in_force| in_force.accounts.as_ref()),
+        route_is_public: route.is_public,
+        route_is_callers: traffic.keyed_routes.contains(&route.name),
+        presented: presented(headers, &traffic.settings.header_names.account_key),
     };
+    let caller = identify(identity)
+        .map_err(|reason| Rejected::Refusal(Refusal::not_run(reason, LATER_MS)))?;
+    if matches!(caller, Caller::Account(..)) {
+        traffic.keyed_routes.note(&route.name);
+    }
+    Ok(caller)
+}
+
+fn presented<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Presented<'a> {
+    let mut keys = headers.get_all(name).iter();
+    match (keys.next(), keys.next()) {
+        (None, _) => Presented::None,
+        (Some(key), None) => Presented::One(key.as_bytes()),
+        (Some(_), Some(_)) => Presented::Several,
+    }
+}
+
+/// A key ends here, and only this program says whose a request is.
+fn strip_account(names: &HeaderNames, headers: &mut HeaderMap) {
+    headers.remove(&names.account_key);
+    headers.remove(&names.account);
+}
+
+fn account(caller: Caller, in_force: Option<&InForce>) -> Option<CallAccount> {
+    let Caller::Account(account, key) = caller else {
+        return None;
+    };
+    Some(CallAccount {
+        name: account.name.clone(),
+        key,
+        version: in_force.map_or(0, |in_force| in_force.state.version),
+    })
+}
+
+/// The account's rank goes before the route's.
+fn class(found: &RouteInForce, origin: Option<RouteOrigin>, caller: &Caller) -> u8 {
+    if origin == Some(RouteOrigin::Backends) {
+        return DEEP_CLASS;
+    }
+    let of_account = match caller {
+        Caller::Account(account, _) => account.rank,
+        Caller::Backend | Caller::Anybody => None,
+    };
+    let rank = of_account.unwrap_or(found.route.rank);
+    rank.saturating_add(DEEP_CLASS + 1)
+}
+
+/// Within a class, requests are ranked by their identifiers, so that every node keeps the same.
+fn priority(traffic: &Traffic, class: u8, headers: &HeaderMap) -> Priority {
     let id = headers.get(&traffic.settings.header_names.request_id);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
     Priority::new(class, RequestId::of_key("", id).rank())
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -18,6 +18,7 @@
 use crate::retry::Situation;
 use crate::retry::retry_reason;
 use crate::routing::Pick;
+use crate::traffic::account_check::check_account;
 use crate::traffic::attempt::AttemptEnd;
 use crate::traffic::call::Call;
 use crate::traffic::call::Progress;
@@ -74,6 +75,7 @@
     note_first_attempt(traffic, call);
     wait_for_first_target(traffic, call).await;
     loop {
+        check_account(traffic, call.account.as_ref())?;
         let Some(target) = choose(traffic, call, &tried) else {
             return Err(last.unwrap_or_else(no_target));
         };
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -27,6 +27,7 @@
 use crate::core::Target;
 use crate::core::TimeMs;
 use crate::errors::SendError;
+use crate::traffic::account_check::check_account;
 use crate::traffic::attempt::AttemptEnd;
 use crate::traffic::attempt::GuardNews;
 use crate::traffic::backend;
@@ -143,6 +144,9 @@
 }
 
 fn note_origin(traffic: &Traffic, hop: &HopCall) -> Option<RouteOrigin> {
+    if hop.is_certain_origin {
+        return hop.origin;
+    }
     let view = traffic.view.load();
     let origins = &traffic.origins;
     let origin = origins.note(&view, &traffic.settings.domain, hop);
@@ -215,8 +219,9 @@
     }
 }
 
-/// The incarnation that may be sent the call, unless it would crash it.
+/// The incarnation that may be sent the call, unless it would crash it or is not allowed any more.
 fn may_run(traffic: &Traffic, call: &GuardedCall) -> Result<Name, Refusal> {
+    check_account(traffic, call.hop.account.as_ref())?;
     let incarnation = incarnation(traffic, call)?;
     if traffic.poison.is_harmless(&call.suspect) {
         return Ok(incarnation);
--- a/src/traffic/header_names.rs
+++ b/src/traffic/header_names.rs
@@ -15,6 +15,10 @@
     pub incarnation: HeaderName,
     /// To backend servers: the service beside which the request began.
     pub caller_service: HeaderName,
+    /// From callers: the key of a client account. It ends at the entry.
+    pub account_key: HeaderName,
+    /// To backend servers: the name of the account whose key the request came with.
+    pub account: HeaderName,
     /// From backend servers: the request was not run.
     pub not_run: HeaderName,
     /// From backend servers: the answer's signature, without which no success is one.
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -48,6 +48,8 @@
         caller_service: traffic.settings.service.clone(),
         is_near: target.domain == traffic.settings.domain,
         origin: call.origin,
+        is_certain_origin: call.is_certain_origin,
+        account: call.account.clone(),
         priority: call.priority,
         objective_ms: call.objective_ms,
         repeated_permille: if is_repeat {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 //! server ([`backend`]). Decisions are those of `admission`, `routing`, `retry` and `membership`.
 //! See [docs/PLATFORM.md](../../docs/PLATFORM.md).
 
+mod account_check;
 mod admin;
 mod admin_protocol;
 mod attempt;
@@ -24,6 +25,7 @@
 mod header_names;
 mod hop;
 mod in_flight;
+mod keyed_routes;
 mod listeners;
 mod local_server;
 mod passed_headers;
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -33,6 +33,7 @@
 use crate::traffic::LocalServer;
 use crate::traffic::Reported;
 use crate::traffic::TrafficSettings;
+use crate::traffic::keyed_routes::KeyedRoutes;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::retry_budgets::RetryBudgets;
 use crate::traffic::root_admission::RootAdmission;
@@ -112,6 +113,7 @@
     pub budgets: RetryBudgets,
     pub roots: RootAdmission,
     pub origins: Arc<KnownOrigins>,
+    pub keyed_routes: KeyedRoutes,
     pub running: Arc<RunningRoutes>,
     pub poison: Arc<PoisonWatch>,
     /// What bodies of requests and answers take of the memory.
@@ -168,6 +170,7 @@
             budgets: RetryBudgets::new(settings.live.retry_bound),
             roots: RootAdmission::default(),
             origins,
+            keyed_routes: KeyedRoutes::default(),
             running: Arc::default(),
             poison,
             bodies,
--- a/src/wire/hop_call.rs
+++ b/src/wire/hop_call.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::accounts::KeyTag;
 use crate::core::Name;
 use crate::core::Priority;
 use crate::core::RouteOrigin;
@@ -11,6 +12,17 @@
 use crate::wire::codec;
 use crate::wire::headers;
 
+/// On whose behalf a call is made, for a guard that may know better than the entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CallAccount {
+    pub name: Name,
+    /// Of the key that the request came with.
+    pub key: KeyTag,
+    /// The version of the desired state by which the entry found the account.
+    pub version: u64,
+}
+
 /// The context of a call between two nodes. Bytes between failure domains are paid for, so it
 /// carries nothing that the request itself says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +38,10 @@
     pub is_near: bool,
     /// Who uses the call's route, as far as the sender knows.
     pub origin: Option<RouteOrigin>,
+    /// The sender knows who made this very call, and does not judge by its route.
+    pub is_certain_origin: bool,
+    /// The client account whose request it is.
+    pub account: Option<CallAccount>,
     pub priority: Priority,
     /// The latency objective: the time within which an answer is worth most.
     pub objective_ms: u32,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,5 +14,6 @@
 pub use call_header::CallHeader;
 pub use codec::PROTOCOL_VERSION;
 pub use hop_answer::HopAnswer;
+pub use hop_call::CallAccount;
 pub use hop_call::HopCall;
 pub use owner_hint::OwnerHint;
--- /dev/null
+++ b/tests/accounts_keys.rs
@@ -0,0 +1,97 @@
+//! Whose a request is: keys, public routes, and calls of backend servers.
+
+use rstest::rstest;
+use sassafrasgap::accounts::Account;
+use sassafrasgap::accounts::AccountTable;
+use sassafrasgap::accounts::Caller;
+use sassafrasgap::accounts::Identity;
+use sassafrasgap::accounts::KeyHash;
+use sassafrasgap::accounts::Presented;
+use sassafrasgap::accounts::identify;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::RefusalReason;
+
+fn account(name: &str, keys: &[&str]) -> Account {
+    Account {
+        name: Name::from(name),
+        keys: keys.iter().map(|key| KeyHash::of(key.as_bytes())).collect(),
+        rank: None,
+        allowance: None,
+    }
+}
+
+fn told(caller: Result<Caller, RefusalReason>) -> Result<String, RefusalReason> {
+    caller.map(|caller| match caller {
+        Caller::Account(account, _) => account.name.to_string(),
+        Caller::Backend => "backend server".to_owned(),
+        Caller::Anybody => "anybody".to_owned(),
+    })
+}
+
+const LONG: [u8; 300] = [b'k'; 300];
+
+#[rstest]
+#[case::holder(Presented::One(b"k1"), false, false, Ok("anna"))]
+#[case::other_key(Presented::One(b"k2"), false, true, Ok("anna"))]
+#[case::unknown(
+    Presented::One(b"k3"),
+    false,
+    false,
+    Err(RefusalReason::AccountKeyUnknown)
+)]
+#[case::half(
+    Presented::One(b"k"),
+    false,
+    false,
+    Err(RefusalReason::AccountKeyUnknown)
+)]
+#[case::long(Presented::One(&LONG), false, false, Err(RefusalReason::AccountKeyUnknown))]
+#[case::several(
+    Presented::Several,
+    false,
+    false,
+    Err(RefusalReason::AccountKeyAmbiguous)
+)]
+#[case::backend_server(Presented::None, false, false, Ok("backend server"))]
+#[case::missing(Presented::None, false, true, Err(RefusalReason::AccountKeyMissing))]
+#[case::public(Presented::One(b"k3"), true, false, Ok("anybody"))]
+#[case::public_without(Presented::None, true, true, Ok("anybody"))]
+fn a_request_is_told_by_its_key(
+    #[case] presented: Presented<'_>,
+    #[case] route_is_public: bool,
+    #[case] route_is_callers: bool,
+    #[case] expected: Result<&str, RefusalReason>,
+) {
+    let table = AccountTable::new(&[account("anna", &["k1", "k2"]), account("empty", &[])]);
+    let identity = Identity {
+        accounts: Some(&table),
+        route_is_public,
+        route_is_callers,
+        presented,
+    };
+    assert_eq!(told(identify(identity)), expected.map(str::to_owned));
+    let without = Identity {
+        accounts: None,
+        ..identity
+    };
+    assert_eq!(told(identify(without)), Ok("anybody".to_owned()));
+}
+
+/// A guard asks for a key by its tag: it holds while the account has it, and not under another name.
+#[rstest]
+fn a_tag_holds_as_long_as_its_key() {
+    let tag = KeyHash::of(b"k1").tag();
+    let before = AccountTable::new(&[account("anna", &["k1"])]);
+    let after = AccountTable::new(&[account("anna", &["k2"]), account("berta", &["k1"])]);
+    assert!(before.still_holds("anna", tag));
+    assert!(!after.still_holds("anna", tag));
+    assert!(!after.still_holds("nobody", tag));
+    assert!(after.still_holds("berta", tag));
+}
+
+/// A hash that is printed with what holds it tells nothing of the key.
+#[rstest]
+fn a_hash_is_not_shown() {
+    assert_eq!(format!("{:?}", KeyHash::of(b"k1")), "KeyHash(..)");
+    assert_ne!(KeyHash::of(b"k1"), KeyHash::of(b"k2"));
+}
--- a/tests/desired_routes.rs
+++ b/tests/desired_routes.rs
@@ -27,6 +27,7 @@
         objective_ms: 100,
         rank: 0,
         max_attempts: 2,
+        is_public: false,
         destinations: vec![weighted("s", 1)],
     }
 }
@@ -55,6 +56,7 @@
         ],
         services: Vec::new(),
         limits: ClientLimits::default(),
+        accounts: None,
     };
     let table = RouteTable::new(&state);
     let name = table.find(host, path).map(|found| found.route.name.clone());
