Accounts' allowances: parts by demand, told by a keeper of each failure domain

An entry sees some tenths of a request a second of an account, so it cannot keep it alone.

Change: entries count what they see and report it every 300 ms to two keepers of their failure domain, which answer with the parts to let in of accounts near their limit; keepers of different domains tell each other what is asked for, share by it while all are heard, and keep their parts while one is not. Entries without a word take equal shares, restarted ones a part that the bound allows.

--- /dev/null
+++ b/src/accounts/allowance_keeper.rs
@@ -0,0 +1,368 @@
+//! What a failure domain may use of each account, and how its entries are told.
+
+use crate::accounts::AccountId;
+use crate::accounts::Allowance;
+use crate::accounts::Count;
+use crate::accounts::DecayedRate;
+use crate::accounts::Demand;
+use crate::accounts::DomainNews;
+use crate::accounts::Part;
+use crate::accounts::Report;
+use crate::accounts::Word;
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::TimeMs;
+
+/// Memory of demand, in milliseconds. A surge shows by the short one, within a report or two, and the long
+/// one holds on through the gaps between the few requests of a small account.
+const SHORT_MS: f32 = 400.0;
+const LONG_MS: f32 = 1_200.0;
+/// The memory of demand by which failure domains share: chance must not move their parts to and fro.
+const SHARED_MS: f32 = 3_000.0;
+/// Beside what they ask for, failure domains share by their nodes, as if so much of the rate were asked for
+/// evenly: the few requests of a small account say little of the next ones.
+const EVEN_PART: f32 = 0.25;
+/// In which time what is saved of a burst is handed out, in milliseconds.
+const BURST_MS: f32 = 1_000.0;
+/// A failure domain from which nothing came for so long may be cut off, in milliseconds: two messages of it
+/// are missing.
+const DOMAIN_SILENT_MS: u64 = 650;
+/// An entry that reported nothing for so long is on its own or gone, in milliseconds.
+const ENTRY_SILENT_MS: u64 = 1_500;
+/// Less than this part of its rate is told to other failure domains of an account only if they have to know
+/// it, as a fraction.
+const TOLD_FROM: f32 = 0.25;
+/// What is told of an account holds for so long, in milliseconds.
+const TOLD_HOLDS_MS: u64 = 2_000;
+/// A first count up to this one is all new.
+const MOST_NEW: u32 = 8;
+/// So long after it knew of another node a keeper knows most of them, in milliseconds.
+const JOINED_MS: u64 = 500;
+/// One that knows of nobody else for so long is alone, in milliseconds.
+const ALONE_MS: u64 = 5_000;
+/// After this time a keeper has seen all that could still count against a burst, in milliseconds; what was
+/// used before it began counts as the whole burst.
+const WATCHED_MS: u64 = 10_000;
+/// Accounts told in one word at most, the most limited ones: about as much as one datagram holds.
+const MOST_TOLD: usize = 150;
+/// Accounts without news for so long are forgotten, in milliseconds.
+const FORGOTTEN_MS: u64 = 60_000;
+
+/// What a keeper knows of who is there.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The names of the living nodes of the own failure domain.
+    pub own: Vec<Name>,
+    /// The living nodes of each other failure domain, those that cannot be reached included.
+    pub others: Vec<(Name, usize)>,
+}
+
+impl Fleet {
+    /// How many nodes there are.
+    pub fn nodes(&self) -> usize {
+        let others = self.others.iter().map(|(_, nodes)| nodes);
+        self.own.len() + others.sum::<usize>()
+    }
+
+    fn own_part(&self) -> f32 {
+        self.own.len() as f32 / self.nodes().max(1) as f32
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    process: u32,
+    heard: TimeMs,
+    counts: FastMap<AccountId, Count>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Used {
+    /// Of the own failure domain.
+    short: DecayedRate,
+    long: DecayedRate,
+    shared: DecayedRate,
+    /// What may be used beyond the rate; below 0 where more was used than that.
+    saved: f32,
+    saved_at: TimeMs,
+    /// When anything was last heard of it here.
+    heard: TimeMs,
+    /// The own failure domain's part, as last agreed with all others.
+    part: f32,
+    /// That part is more than a guess by the nodes that are known.
+    is_agreed: bool,
+    /// The part that is let in, as last worked out.
+    let_in: f32,
+}
+
+impl Used {
+    /// A few requests in a short time say little, so of those only what is hardly chance counts.
+    fn demand_per_s(&self, now: TimeMs) -> f32 {
+        let short = self.short.per_s(now, SHORT_MS) * SHORT_MS / 1_000.0;
+        let sure = (short - short.sqrt()).max(0.0) * 1_000.0 / SHORT_MS;
+        sure.max(self.long.per_s(now, LONG_MS))
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Other {
+    heard: TimeMs,
+    demands: FastMap<AccountId, (f32, TimeMs)>,
+}
+
+/// Keeps the allowances of one failure domain.
+///
+/// Each failure domain has a part of every allowance by what it asks for, while all of them tell each other.
+/// One that falls silent keeps the part that it had, and so do the others theirs: no side of a cut gets what
+/// the other one has. Of its own part, a failure domain leaves to entries that fell silent the equal shares
+/// that those take by themselves.
+#[derive(Clone, Debug, Default)]
+pub struct AllowanceKeeper {
+    allowances: FastMap<AccountId, Allowance>,
+    fleet: Fleet,
+    entries: FastMap<Name, Entry>,
+    used: FastMap<AccountId, Used>,
+    others: FastMap<Name, Other>,
+    started: TimeMs,
+    is_first_start: bool,
+    /// When it first knew of another node.
+    joined: Option<TimeMs>,
+}
+
+impl AllowanceKeeper {
+    /// Nothing is known yet.
+    pub fn new(is_first_start: bool, now: TimeMs) -> Self {
+        Self {
+            started: now,
+            is_first_start,
+            ..Self::default()
+        }
+    }
+
+    /// Takes over the allowances in force.
+    pub fn set_allowances(&mut self, allowances: FastMap<AccountId, Allowance>) {
+        self.allowances = allowances;
+    }
+
+    /// Takes over who is there.
+    pub fn set_fleet(&mut self, now: TimeMs, fleet: Fleet) {
+        if fleet.nodes() > 1 {
+            self.joined.get_or_insert(now);
+        }
+        self.entries.retain(|node, _| fleet.own.contains(node));
+        let is_known = |domain: &Name| fleet.others.iter().any(|(other, _)| other == domain);
+        self.others.retain(|domain, _| is_known(domain));
+        self.fleet = fleet;
+        let own_part = self.fleet.own_part();
+        for used in self.used.values_mut().filter(|used| !used.is_agreed) {
+            used.part = own_part;
+        }
+    }
+
+    /// Takes in what an entry of the own failure domain has seen, and answers which parts it lets in, if it
+    /// is asked and can tell.
+    pub fn take_report(&mut self, now: TimeMs, node: &Name, report: &Report) -> Option<Word> {
+        self.count(now, node, report);
+        if !report.wants_word || !self.knows_others(now) {
+            return None;
+        }
+        let mut limited = self.limited(now);
+        if limited.len() > MOST_TOLD {
+            limited.select_nth_unstable_by_key(MOST_TOLD, |part| part.permille);
+            limited.truncate(MOST_TOLD);
+        }
+        Some(Word { limited })
+    }
+
+    /// Guards against a node that takes itself for the whole fleet for a moment after a restart, and hands
+    /// out whole allowances, as all the others do.
+    fn knows_others(&self, now: TimeMs) -> bool {
+        let has_joined = self.joined.is_some_and(|at| now.since(at) >= JOINED_MS);
+        has_joined || self.is_first_start || now.since(self.started) >= ALONE_MS
+    }
+
+    /// Takes in what is asked for in another failure domain.
+    pub fn take_domain(&mut self, now: TimeMs, domain: &Name, news: &DomainNews) {
+        let other = self.others.entry(domain.clone()).or_default();
+        other.heard = now;
+        other
+            .demands
+            .retain(|_, (_, told)| now.since(*told) < FORGOTTEN_MS);
+        for demand in &news.demands {
+            let per_s = demand.tenths_per_s as f32 / 10.0;
+            other.demands.insert(demand.account, (per_s, now));
+        }
+        for demand in &news.demands {
+            if self.allowances.contains_key(&demand.account) {
+                self.used_of(now, demand.account);
+            }
+        }
+        self.share_anew(now);
+    }
+
+    /// What the others have to know.
+    pub fn tell_domains(&mut self, now: TimeMs) -> DomainNews {
+        self.forget(now);
+        let told = self.used.iter().filter_map(|(account, used)| {
+            let allowance = self.allowances.get(account)?;
+            let per_s = used.shared.per_s(now, SHARED_MS);
+            let least = allowance.rate_per_s * TOLD_FROM * self.fleet.own_part();
+            (per_s >= least).then_some(Demand {
+                account: *account,
+                tenths_per_s: (per_s * 10.0) as u32,
+            })
+        });
+        DomainNews {
+            demands: told.collect(),
+        }
+    }
+
+    /// The accounts of which not all is let in, and the part that is.
+    pub fn limited(&self, now: TimeMs) -> Vec<Part> {
+        let is_fresh = |used: &Used| now.since(used.saved_at) < TOLD_HOLDS_MS;
+        let limited = self.used.iter().filter_map(|(account, used)| {
+            (used.let_in < 1.0 && is_fresh(used)).then_some(Part {
+                account: *account,
+                permille: (used.let_in * 1_000.0) as u16,
+            })
+        });
+        limited.collect()
+    }
+
+    fn count(&mut self, now: TimeMs, node: &Name, report: &Report) {
+        let entry = self.entries.entry(node.clone()).or_default();
+        if entry.process != report.process {
+            entry.process = report.process;
+            entry.counts.clear();
+        }
+        entry.heard = now;
+        let mut news = Vec::with_capacity(report.counts.len());
+        for count in &report.counts {
+            let before = entry.counts.insert(count.account, *count);
+            let before = before.unwrap_or_else(|| base_of(count));
+            let wanted = count.wanted.wrapping_sub(before.wanted);
+            let used = count.used.wrapping_sub(before.used);
+            news.push((count.account, wanted, used));
+        }
+        for (account, wanted, used) in news {
+            self.note(now, account, wanted as f32, used as f32);
+        }
+    }
+
+    fn note(&mut self, now: TimeMs, account: AccountId, wanted: f32, used: f32) {
+        let Some(allowance) = self.allowances.get(&account).copied() else {
+            return;
+        };
+        let known = self.used_of(now, account);
+        known.heard = now;
+        known.short.note(now, wanted, SHORT_MS);
+        known.long.note(now, wanted, LONG_MS);
+        known.shared.note(now, wanted, SHARED_MS);
+        known.saved -= used;
+        let per_s = self.work_out(now, account, allowance);
+        let demand = self
+            .used
+            .get(&account)
+            .map_or(0.0, |known| known.demand_per_s(now));
+        if let Some(known) = self.used.get_mut(&account) {
+            known.let_in = (per_s / demand.max(f32::MIN_POSITIVE)).clamp(0.0, 1.0);
+        }
+    }
+
+    fn used_of(&mut self, now: TimeMs, account: AccountId) -> &mut Used {
+        let own_part = self.fleet.own_part();
+        let has_watched = self.is_first_start || now.since(self.started) >= WATCHED_MS;
+        let burst = self.allowances.get(&account).map_or(0.0, |all| all.burst);
+        self.used.entry(account).or_insert(Used {
+            saved: if has_watched { burst * own_part } else { 0.0 },
+            saved_at: now,
+            heard: now,
+            part: own_part,
+            let_in: 1.0,
+            ..Used::default()
+        })
+    }
+
+    /// Works out the parts of all accounts, also of those that nobody asks for here: others may.
+    fn share_anew(&mut self, now: TimeMs) {
+        let accounts: Vec<AccountId> = self.used.keys().copied().collect();
+        for account in accounts {
+            let Some(allowance) = self.allowances.get(&account) else {
+                continue;
+            };
+            let part = self.agreed_part(now, account, allowance.rate_per_s);
+            if let (Some(part), Some(known)) = (part, self.used.get_mut(&account)) {
+                known.part = part;
+                known.is_agreed = true;
+            }
+        }
+    }
+
+    /// How much of an account may be used a second in the own failure domain now.
+    fn work_out(&mut self, now: TimeMs, account: AccountId, allowance: Allowance) -> f32 {
+        let left_alone = self.left_alone(now);
+        let Some(known) = self.used.get_mut(&account) else {
+            return allowance.rate_per_s;
+        };
+        let per_s = (allowance.rate_per_s * (known.part - left_alone)).max(0.0);
+        let passed_s = now.since(known.saved_at) as f32 / 1_000.0;
+        known.saved_at = now;
+        let most = allowance.burst * known.part;
+        known.saved = (known.saved + per_s * passed_s).clamp(-most.max(per_s), most);
+        (per_s + known.saved * 1_000.0 / BURST_MS).max(0.0)
+    }
+
+    /// The own failure domain's part by demand; `None` while some other one is silent.
+    ///
+    /// Guards against two sides of a cut that each take what the other one does not ask for any more, as far
+    /// as they hear: the part stays as it was when all were heard.
+    fn agreed_part(&self, now: TimeMs, account: AccountId, rate_per_s: f32) -> Option<f32> {
+        let own = self.used.get(&account)?.shared.per_s(now, SHARED_MS);
+        let mut all = own;
+        for (domain, _) in &self.fleet.others {
+            let other = self.others.get(domain)?;
+            if now.since(other.heard) >= DOMAIN_SILENT_MS {
+                return None;
+            }
+            let told = other.demands.get(&account);
+            all += told
+                .filter(|(_, at)| now.since(*at) < TOLD_HOLDS_MS)
+                .map_or(0.0, |(per_s, _)| *per_s);
+        }
+        let even = rate_per_s * EVEN_PART;
+        Some((own + even * self.fleet.own_part()) / (all + even))
+    }
+
+    /// The part of the whole that entries of the own failure domain take by themselves, since they do not
+    /// report here.
+    fn left_alone(&self, now: TimeMs) -> f32 {
+        let is_silent = |node: &&Name| {
+            let entry = self.entries.get(*node);
+            entry.is_none_or(|entry| now.since(entry.heard) >= ENTRY_SILENT_MS)
+        };
+        let silent = self.fleet.own.iter().filter(is_silent).count();
+        silent as f32 / self.fleet.nodes().max(1) as f32
+    }
+
+    fn forget(&mut self, now: TimeMs) {
+        self.used
+            .retain(|_, used| now.since(used.heard) < FORGOTTEN_MS);
+        let used = &self.used;
+        for entry in self.entries.values_mut() {
+            entry.counts.retain(|account, _| used.contains_key(account));
+        }
+    }
+}
+
+/// From where the first count of an account goes that a keeper hears of an entry. A small one was made
+/// lately; of a large one it is not known how much of it is new, for the keeper may have begun after it.
+fn base_of(count: &Count) -> Count {
+    match count.wanted {
+        0..=MOST_NEW => Count {
+            wanted: 0,
+            used: 0,
+            ..*count
+        },
+        _ => *count,
+    }
+}
--- /dev/null
+++ b/src/accounts/message.rs
@@ -0,0 +1,68 @@
+//! What entries and allowance keepers tell each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::accounts::AccountId;
+
+/// What one entry has seen of one account, counted since its process began: a lost report costs nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Count {
+    pub account: AccountId,
+    /// Requests that came.
+    pub wanted: u32,
+    /// Requests that took a part of the allowance, less those that gave it back.
+    pub used: i32,
+}
+
+/// From an entry to a keeper of its failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Report {
+    /// Tells the reporting process from earlier ones of the same node.
+    pub process: u32,
+    /// Only one keeper of the failure domain is asked to answer.
+    pub wants_word: bool,
+    /// The accounts with news.
+    pub counts: Vec<Count>,
+}
+
+/// Which part of an account's requests may be let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Part {
+    pub account: AccountId,
+    pub permille: u16,
+}
+
+/// From a keeper, in answer to a [`Report`]. Accounts that are not named are far below their allowance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Word {
+    pub limited: Vec<Part>,
+}
+
+/// How many requests a second come of an account in a failure domain, in tenths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Demand {
+    pub account: AccountId,
+    pub tenths_per_s: u32,
+}
+
+/// From a keeper of one failure domain to those of the others: its accounts in use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct DomainNews {
+    pub demands: Vec<Demand>,
+}
+
+/// Any of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum AllowanceMessage {
+    Report(Report),
+    Word(Word),
+    Domain(DomainNews),
+}
--- a/src/accounts/mod.rs
+++ b/src/accounts/mod.rs
@@ -1,18 +1,41 @@
-//! Client accounts: whose a request is, and what that allows. Pure decisions.
+//! Client accounts: whose a request is, what that allows, and how much of it. Pure decisions.
 //!
 //! See [docs/design/shifted-work.md](../../docs/design/shifted-work.md) for the ways weighed.
 
 mod account;
+mod account_id;
 mod account_table;
+mod allowance_bound;
+mod allowance_keeper;
+mod allowance_way;
+mod decayed_rate;
+mod entry_allowances;
 mod identity;
 mod key_hash;
+mod message;
 
 pub use account::Account;
 pub use account::Allowance;
+pub use account_id::AccountId;
 pub use account_table::AccountTable;
+pub use allowance_bound::AllowanceBound;
+pub use allowance_keeper::AllowanceKeeper;
+pub use allowance_keeper::Fleet;
+pub use allowance_way::AllowanceWay;
+pub use entry_allowances::Beyond;
+pub use entry_allowances::EntryAllowances;
 pub use identity::Caller;
 pub use identity::Identity;
 pub use identity::Presented;
 pub use identity::identify;
 pub use key_hash::KeyHash;
 pub use key_hash::KeyTag;
+pub use message::AllowanceMessage;
+pub use message::Count;
+pub use message::Demand;
+pub use message::DomainNews;
+pub use message::Part;
+pub use message::Report;
+pub use message::Word;
+
+use decayed_rate::DecayedRate;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::oneshot;
 
+use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::RouteOrigin;
 use crate::core::Target;
@@ -33,6 +34,11 @@
         route: Name,
         by: RouteOrigin,
     },
+    /// Tells a member of accounts' allowances.
+    TellAllowances {
+        to: Name,
+        message: AllowanceMessage,
+    },
     AddSeeds(Vec<SocketAddr>),
     /// A peer asks for what it lacks of the members.
     Exchange {
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -12,6 +12,7 @@
 use super::Command;
 use super::Freshness;
 use super::PeerClients;
+use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::Published;
 use crate::core::RouteOrigin;
@@ -74,6 +75,11 @@
         self.command(Command::AnnounceRouteUse { route, by });
     }
 
+    /// Tells a member of accounts' allowances. A message that is lost is not sent again.
+    pub fn tell_allowances(&self, to: Name, message: AllowanceMessage) {
+        self.command(Command::TellAllowances { to, message });
+    }
+
     /// Adds control addresses to try, for example from the platform's table.
     pub fn add_seeds(&self, seeds: Vec<SocketAddr>) {
         self.command(Command::AddSeeds(seeds));
--- a/src/control/control_handlers.rs
+++ b/src/control/control_handlers.rs
@@ -12,6 +12,7 @@
 use super::Promise;
 use super::PromiseAsk;
 use super::Suspects;
+use crate::accounts::AllowanceMessage;
 use crate::core::AttemptId;
 use crate::core::Name;
 use crate::core::RouteOrigin;
@@ -28,6 +29,9 @@
 /// Takes in who uses a route, as a member has found out.
 pub type TakeRouteUse = Arc<dyn Fn(&Name, RouteOrigin) + Send + Sync>;
 
+/// Takes in what a member tells of accounts' allowances.
+pub type TakeAllowances = Arc<dyn Fn(&Name, AllowanceMessage) + Send + Sync>;
+
 /// One closure for each question or piece of news, called on the control thread: they must not
 /// block. What takes time is spawned on [`super::ControlHandle::runtime`].
 ///
@@ -57,6 +61,8 @@
     pub slot_map_news: Arc<dyn Fn(SlotMapNews) + Send + Sync>,
     /// A member has found out who uses a route.
     pub route_use: TakeRouteUse,
+    /// A member tells of accounts' allowances.
+    pub allowances: TakeAllowances,
     /// The versions of slot maps differ from those of this peer for long: compare them all.
     pub compare_slot_maps: Arc<dyn Fn(SocketAddr) + Send + Sync>,
 }
@@ -74,6 +80,7 @@
             config_news: Arc::new(|_, _| {}),
             slot_map_news: Arc::new(|_| {}),
             route_use: Arc::new(|_, _| {}),
+            allowances: Arc::new(|_, _| {}),
             compare_slot_maps: Arc::new(|_| {}),
         }
     }
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -135,6 +135,10 @@
             Command::AnnounceRouteUse { route, by } => {
                 self.membership.set_route_use(&route, by);
             }
+            Command::TellAllowances { to, message } => {
+                let actions = self.membership.tell_allowances(&to, message, now);
+                self.act(actions);
+            }
             Command::AddSeeds(seeds) => self.join(&seeds),
             Command::Exchange { ask, answer } => {
                 let from = ask.own.control_address;
@@ -180,6 +184,7 @@
                     service,
                     version,
                 }),
+                Action::Allowances { from, message } => (self.handlers.allowances)(&from, message),
                 Action::RouteUse { route, by } => (self.handlers.route_use)(&route, by),
                 Action::CompareSlotMaps { with } => (self.handlers.compare_slot_maps)(with),
             }
--- a/src/desired/store_watch.rs
+++ b/src/desired/store_watch.rs
@@ -14,6 +14,8 @@
 /// milliseconds: above the 5 s that a watcher's question and the way of its answer through the largest
 /// fleet take.
 const UNCONFIRMED_MS: u64 = 6_000;
+/// Where keys hold for a time only, a node asks after one part in this of it.
+const KEYS_HOLD_PART: u64 = 2;
 /// How many nodes of the whole fleet ask in each look when there is no word from the store.
 const ASKERS: f64 = 4.0;
 
@@ -43,6 +45,8 @@
     pub heard_ms_ago: u64,
     /// How long ago the store was last known to hold nothing newer.
     pub confirmed_ms_ago: u64,
+    /// How old that may become before requests with keys are refused for it, if ever.
+    pub keys_hold_ms: Option<u64>,
 }
 
 /// Whether a node asks the store now, rather than rely on what others tell. `random` is uniform in 0..1.
@@ -67,6 +71,12 @@
     if known.heard_ms_ago >= SILENT_MS || is_watcher(view, node, domain) {
         return true;
     }
+    if known
+        .keys_hold_ms
+        .is_some_and(|ms| known.confirmed_ms_ago >= ms / KEYS_HOLD_PART)
+    {
+        return true;
+    }
     if known.confirmed_ms_ago < UNCONFIRMED_MS {
         return false;
     }
--- a/src/membership/action.rs
+++ b/src/membership/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::Datagram;
+use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::RouteOrigin;
 
@@ -25,6 +26,11 @@
     },
     /// Somebody has found out who uses a route, of which nothing was known here.
     RouteUse { route: Name, by: RouteOrigin },
+    /// A member tells of accounts' allowances.
+    Allowances {
+        from: Name,
+        message: AllowanceMessage,
+    },
     /// Compare the versions of all slot maps with this node: the digests differ persistently.
     CompareSlotMaps { with: SocketAddr },
 }
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::RouteOrigin;
 use crate::core::Target;
@@ -72,6 +73,8 @@
     /// The updates are all that the sender knows in one bucket. When `reply` is set, the receiver
     /// sends back what it knows better.
     Entries { bucket: u16, reply: bool },
+    /// What is used of accounts' allowances, for whoever keeps them.
+    Allowances(AllowanceMessage),
 }
 
 /// A digest of fixed width on the wire.
@@ -91,6 +94,7 @@
             Self::WhoAreYou => "who_are_you",
             Self::Buckets { .. } => "buckets",
             Self::Entries { .. } => "entries",
+            Self::Allowances(_) => "allowances",
         }
     }
 }
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -250,6 +250,10 @@
                 }
             }
             Body::Rumor => {}
+            Body::Allowances(message) => actions.push(Action::Allowances {
+                from: header.from.clone(),
+                message,
+            }),
             Body::WhoAreYou => {
                 let own = Update::Own(self.own.clone());
                 self.send_updates(from, vec![own], now, actions);
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -11,6 +11,8 @@
 use super::Update;
 use super::age_tenths::age_tenths;
 use super::encoded_bytes;
+use crate::accounts::AllowanceMessage;
+use crate::core::Name;
 use crate::core::TimeMs;
 
 /// Each update is sent this many times the number of decimal digits of the member count; that
@@ -99,6 +101,22 @@
         self.send_telling(to, body, Vec::new(), now, actions);
     }
 
+    /// Tells a member of accounts' allowances; to one that is not known nothing is sent.
+    pub fn tell_allowances(
+        &mut self,
+        to: &Name,
+        message: AllowanceMessage,
+        now: TimeMs,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(member) = self.table.get(to) else {
+            return actions;
+        };
+        let receiver = self.receiver(to, member.own.control_address);
+        self.send_to(receiver, Body::Allowances(message), now, &mut actions);
+        actions
+    }
+
     /// Sends just these updates.
     pub(super) fn send_updates(
         &mut self,
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -83,6 +83,7 @@
             first_start_ms_ago: settings.is_first_start.then(|| now.since(started)),
             heard_ms_ago: now.since(control.freshness.heard()),
             confirmed_ms_ago: now.since(control.freshness.confirmed()),
+            keys_hold_ms: traffic.live().keys_hold_ms,
         };
         let view = traffic.view.load();
         asks_store(
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::accounts::AccountId;
 use crate::accounts::Caller;
 use crate::accounts::Identity;
 use crate::accounts::Presented;
@@ -28,6 +29,7 @@
 use crate::core::RefusalReason;
 use crate::core::RequestId;
 use crate::core::RouteOrigin;
+use crate::core::RunState;
 use crate::desired::RouteInForce;
 use crate::errors::SendError;
 use crate::traffic::HeaderNames;
@@ -41,6 +43,7 @@
 use crate::traffic::forward::forward;
 use crate::traffic::passed_headers::strip_request;
 use crate::traffic::story::EntryStory;
+use crate::traffic::story::tell_beyond;
 use crate::traffic::traffic::Traffic;
 use crate::wire::CallAccount;
 
@@ -112,15 +115,44 @@
 ) -> Result<WholeAnswer, Rejected> {
     let call = take(traffic, request).await?;
     story.taken(&call);
-    admit_root(traffic, &call)?;
-    forward(traffic, call, progress)
-        .await
-        .map_err(Rejected::Refusal)
+    let allowed = ask_allowance(traffic, &call)?;
+    let answer = match admit_root(traffic, &call) {
+        Ok(()) => forward(traffic, call, progress).await,
+        Err(refusal) => Err(refusal),
+    };
+    if let (Some(account), Err(refusal)) = (allowed, &answer)
+        && refusal.run_state == RunState::NotRun
+    {
+        traffic.allowances.give_back(account);
+    }
+    answer.map_err(Rejected::Refusal)
+}
+
+/// Turns a request away that is beyond its account's allowance. Answers from which account it took a part.
+fn ask_allowance(traffic: &Traffic, call: &Call) -> Result<Option<AccountId>, Rejected> {
+    let Some(account) = &call.account else {
+        return Ok(None);
+    };
+    let in_force = traffic.desired.load();
+    let accounts = in_force
+        .as_ref()
+        .and_then(|in_force| in_force.accounts.as_ref());
+    let allowance = accounts.and_then(|accounts| accounts.named(&account.name)?.allowance);
+    let Some(allowance) = allowance else {
+        return Ok(None);
+    };
+    let id = AccountId::of(&account.name);
+    let asked = traffic.allowances.ask(traffic.clock.now(), id, allowance);
+    asked.map(|()| Some(id)).map_err(|beyond| {
+        tell_beyond(traffic, account, allowance, beyond);
+        let refusal = Refusal::not_run(RefusalReason::AllowanceSpent, beyond.retry_after_ms);
+        Rejected::Refusal(refusal)
+    })
 }
 
 /// Turns a caller's own request away where a service of its call tree is pressed. A call of a backend
 /// server is noted instead, for what it says of the routes that run there.
-fn admit_root(traffic: &Traffic, call: &Call) -> Result<(), Rejected> {
+fn admit_root(traffic: &Traffic, call: &Call) -> Result<(), Refusal> {
     let now = traffic.clock.now();
     let (service, route) = (&call.service, &call.route);
     // Nothing is refused on a route of which it is not known yet who uses it.
@@ -237,9 +269,11 @@
         route_is_callers: traffic.keyed_routes.contains(&route.name),
         presented: presented(headers, &traffic.settings.header_names.account_key),
     };
-    let caller = identify(identity)
-        .map_err(|reason| Rejected::Refusal(Refusal::not_run(reason, LATER_MS)))?;
+    let caller = identify(identity).map_err(not_run)?;
     if matches!(caller, Caller::Account(..)) {
+        if !traffic.keys_hold() {
+            return Err(not_run(RefusalReason::AccountKeysUnsure));
+        }
         traffic.keyed_routes.note(&route.name);
     }
     Ok(caller)
@@ -308,10 +342,9 @@
 
 /// A refusal before any work, because a service deep down is pressed. Callers come back spread over
 /// a while, early enough for an answer that is still worth something.
-fn shed() -> Rejected {
+fn shed() -> Refusal {
     let retry_after_ms = SHED_LEAST_MS + fastrand::u64(..SHED_SPREAD_MS);
-    let reason = RefusalReason::ShedAtEntry;
-    Rejected::Refusal(Refusal::not_run(reason, retry_after_ms))
+    Refusal::not_run(RefusalReason::ShedAtEntry, retry_after_ms)
 }
 
 fn not_run(reason: RefusalReason) -> Rejected {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -10,6 +10,8 @@
 mod account_check;
 mod admin;
 mod admin_protocol;
+mod allowance_task;
+mod allowances;
 mod attempt;
 mod backend;
 mod backend_answer;
@@ -20,6 +22,7 @@
 mod desired_task;
 mod entry;
 mod find_others;
+mod fleet_watch;
 mod forward;
 mod guard;
 mod header_names;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -9,6 +9,7 @@
 
 use crate::control;
 use crate::control::ControlHandle;
+use crate::control::ControlHandlers;
 use crate::control::ControlMetrics;
 use crate::core::Clock;
 use crate::errors::TrafficError;
@@ -19,6 +20,9 @@
 use crate::traffic::DesiredInForce;
 use crate::traffic::DesiredSource;
 use crate::traffic::TrafficSettings;
+use crate::traffic::allowance_task::keep_allowances;
+use crate::traffic::allowance_task::take_allowances;
+use crate::traffic::allowances::Allowances;
 use crate::traffic::control_link::announce_local;
 use crate::traffic::control_link::announce_routes;
 use crate::traffic::control_link::announce_version;
@@ -37,6 +41,7 @@
 use crate::traffic::poison_watch::tell_targets;
 use crate::traffic::roster::Roster;
 use crate::traffic::route_origins::KnownOrigins;
+use crate::traffic::traffic::SharedParts;
 use crate::traffic::traffic::Traffic;
 use crate::traffic::upkeep::log_admission;
 use crate::traffic::upkeep::poll_gate;
@@ -45,6 +50,8 @@
 const MOST_WAITING_NEWS: usize = 64;
 /// Reports of crashes that wait to be passed on; a backend server does not crash more often.
 const MOST_WAITING_REPORTS: usize = 16;
+/// What others tell of allowances and waits; more is dropped, for counts are told again.
+const MOST_WAITING_ALLOWANCES: usize = 1_024;
 /// News of routes that wait to be told; more are dropped, since others find them out as well.
 const MOST_WAITING_ROUTES: usize = 256;
 /// Classes of priority: calls of backend servers, and callers' requests by rank.
@@ -86,20 +93,31 @@
         let poison = Arc::new(PoisonWatch::new(inputs.clock, crash_sender));
         let (route_sender, route_news) = channel(MOST_WAITING_ROUTES);
         let origins = Arc::new(KnownOrigins::new(route_sender));
-        let handlers = handlers(&settings, &desired, &poison, &origins, news_sender);
+        let allowances = Arc::new(Allowances::new(
+            settings.node.clone(),
+            settings.domain.clone(),
+            settings.live.allowance_bound,
+            settings.is_first_start,
+            inputs.clock.now(),
+        ));
+        let (told_sender, told) = channel(MOST_WAITING_ALLOWANCES);
+        let handlers = ControlHandlers {
+            allowances: take_allowances(told_sender),
+            ..handlers(&settings, &desired, &poison, &origins, news_sender)
+        };
         let control_settings = control_settings(&settings, peer_address, inputs.clock);
         let control_metrics = ControlMetrics::new(metrics.registry())?;
         let control = Arc::new(control::start(control_settings, handlers, control_metrics)?);
-        let view = control.view.clone();
-        let traffic = Traffic::new(
-            settings,
-            inputs.clock,
+        let shared = SharedParts {
             metrics,
-            view,
-            desired.clone(),
+            view: control.view.clone(),
+            desired: desired.clone(),
             poison,
             origins,
-        );
+            allowances,
+            freshness: control.freshness.clone(),
+        };
+        let traffic = Traffic::new(settings, inputs.clock, shared);
         let traffic = Arc::new(traffic);
         traffic.gate.set_classes(CLASSES);
         let announce = announce_version(&control);
@@ -127,6 +145,7 @@
         ));
         runtime.spawn(announce_local(control.clone(), traffic.clone()));
         runtime.spawn(announce_routes(control.clone(), route_news));
+        runtime.spawn(keep_allowances(traffic.clone(), control.clone(), told));
         runtime.spawn(tell_targets(crashes, traffic.clone(), control.clone()));
         let roster = Roster {
             store,
--- a/src/traffic/reload.rs
+++ b/src/traffic/reload.rs
@@ -53,6 +53,8 @@
         backend_address,
         heartbeat_ms,
         retry_bound,
+        allowance_bound,
+        keys_hold_ms,
         stop_within_ms,
         held_body_bytes,
     )
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::accounts::AllowanceBound;
 use crate::core::Name;
 use crate::retry::RetryBound;
 use crate::traffic::HeaderNames;
@@ -15,6 +16,11 @@
     pub heartbeat_ms: u64,
     /// Of the whole system, for each service.
     pub retry_bound: RetryBound,
+    /// How far the fleet may run ahead of an account's allowance.
+    pub allowance_bound: AllowanceBound,
+    /// After this time without the store's word that nothing is newer, keys are not relied on any more;
+    /// `None` where they hold however old that is.
+    pub keys_hold_ms: Option<u64>,
     /// How long a planned stop may take.
     pub stop_within_ms: u64,
     /// How many bytes of bodies are held at once, in sum.
--- a/src/traffic/story.rs
+++ b/src/traffic/story.rs
@@ -6,6 +6,8 @@
 use http::HeaderValue;
 use http::StatusCode;
 
+use crate::accounts::Allowance;
+use crate::accounts::Beyond;
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::TimeMs;
@@ -16,6 +18,7 @@
 use crate::traffic::call::GuardedCall;
 use crate::traffic::call::Progress;
 use crate::traffic::traffic::Traffic;
+use crate::wire::CallAccount;
 
 /// Writes a line at the level of a failure or a success; `None` where it is not to be written.
 macro_rules! tell {
@@ -36,6 +39,7 @@
     is_sampled: bool,
     route: Option<Name>,
     service: Option<Name>,
+    account: Option<Name>,
     deadline: Option<TimeMs>,
 }
 
@@ -48,6 +52,7 @@
             started_us: traffic.clock.now_us(),
             route: None,
             service: None,
+            account: None,
             deadline: None,
         }
     }
@@ -71,6 +76,7 @@
     pub(super) fn taken(&mut self, call: &Call) {
         self.route = Some(call.route.clone());
         self.service = Some(call.service.clone());
+        self.account = call.account.as_ref().map(|account| account.name.clone());
         self.deadline = Some(call.deadline);
     }
 
@@ -84,11 +90,12 @@
         tell!(
             self.is_sampled,
             has_failed,
-            "entry: answered, request={} route={} service={} status={} took_ms={} attempts={} \
-             target={} config={}",
+            "entry: answered, request={} route={} service={} account={} status={} took_ms={} \
+             attempts={} target={} config={}",
             text_of(self.id.as_ref()),
             or_dash(self.route.as_ref()),
             or_dash(self.service.as_ref()),
+            or_dash(self.account.as_ref()),
             status.as_u16(),
             self.took_ms(traffic),
             trace.attempts,
@@ -106,11 +113,12 @@
         tell!(
             self.is_sampled,
             true,
-            "entry: refused, request={} route={} service={} reason={} outcome={} \
+            "entry: refused, request={} route={} service={} account={} reason={} outcome={} \
              retry_after_ms={} took_ms={} left_ms={left_ms} attempts={} target={} config={}{}",
             text_of(self.id.as_ref()),
             or_dash(self.route.as_ref()),
             or_dash(self.service.as_ref()),
+            or_dash(self.account.as_ref()),
             refusal.reason.as_str(),
             refusal.run_state.as_str(),
             refusal.retry_after_ms,
@@ -232,6 +240,26 @@
     }
 }
 
+/// A request is beyond its account's allowance. The key is never told.
+pub(super) fn tell_beyond(
+    traffic: &Traffic,
+    account: &CallAccount,
+    allowance: Allowance,
+    beyond: Beyond,
+) {
+    let told = beyond.told_ms_ago;
+    let told = told.map_or_else(|| "-".to_owned(), |ms| ms.to_string());
+    log::info!(
+        "account: beyond its allowance, account={} rate_per_s={} burst={} part_permille={} \
+         told_ms_ago={told} config={}",
+        account.name,
+        allowance.rate_per_s,
+        allowance.burst,
+        beyond.part_permille,
+        traffic.desired.version(),
+    );
+}
+
 /// A further attempt begins.
 pub(super) fn tell_retry(traffic: &Traffic, call: &Call, after: &Refusal, target: &str) {
     let names = &traffic.settings.header_names;
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -15,6 +15,7 @@
 use crate::adapters::PoolConf;
 use crate::admission::AdmissionConf;
 use crate::admission::usable_slots;
+use crate::control::Freshness;
 use crate::core::Clock;
 use crate::core::Name;
 use crate::core::Published;
@@ -33,6 +34,7 @@
 use crate::traffic::LocalServer;
 use crate::traffic::Reported;
 use crate::traffic::TrafficSettings;
+use crate::traffic::allowances::Allowances;
 use crate::traffic::keyed_routes::KeyedRoutes;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::retry_budgets::RetryBudgets;
@@ -101,6 +103,17 @@
     pub known: Option<KnownServer>,
 }
 
+/// What the listeners share with the control thread.
+pub(super) struct SharedParts {
+    pub metrics: Arc<Metrics>,
+    pub view: Arc<Published<View>>,
+    pub desired: Arc<DesiredInForce>,
+    pub poison: Arc<PoisonWatch>,
+    pub origins: Arc<KnownOrigins>,
+    pub allowances: Arc<Allowances>,
+    pub freshness: Arc<Freshness>,
+}
+
 /// Shared by all listeners.
 pub(super) struct Traffic {
     pub settings: TrafficSettings,
@@ -114,6 +127,9 @@
     pub roots: RootAdmission,
     pub origins: Arc<KnownOrigins>,
     pub keyed_routes: KeyedRoutes,
+    pub allowances: Arc<Allowances>,
+    /// How fresh what gossip tells is.
+    pub freshness: Arc<Freshness>,
     pub running: Arc<RunningRoutes>,
     pub poison: Arc<PoisonWatch>,
     /// What bodies of requests and answers take of the memory.
@@ -136,15 +152,7 @@
 }
 
 impl Traffic {
-    pub(super) fn new(
-        settings: TrafficSettings,
-        clock: Clock,
-        metrics: Arc<Metrics>,
-        view: Arc<Published<View>>,
-        desired: Arc<DesiredInForce>,
-        poison: Arc<PoisonWatch>,
-        origins: Arc<KnownOrigins>,
-    ) -> Self {
+    pub(super) fn new(settings: TrafficSettings, clock: Clock, shared: SharedParts) -> Self {
         let bodies = BodyBudget::new(settings.live.held_body_bytes);
         let pool = |connect_timeout_ms, idle_ms| {
             let conf = PoolConf {
@@ -165,14 +173,16 @@
         Self {
             peers: pool(PEER_CONNECT_MS, PEER_IDLE_MS),
             backend: pool(BACKEND_CONNECT_MS, BACKEND_IDLE_MS),
-            gate: Gate::new(clock, metrics.clone(), true, admission_conf()),
+            gate: Gate::new(clock, shared.metrics.clone(), true, admission_conf()),
             targets: Targets::with_conf(picker_conf()),
             budgets: RetryBudgets::new(settings.live.retry_bound),
             roots: RootAdmission::default(),
-            origins,
+            origins: shared.origins,
             keyed_routes: KeyedRoutes::default(),
+            allowances: shared.allowances,
+            freshness: shared.freshness,
             running: Arc::default(),
-            poison,
+            poison: shared.poison,
             bodies,
             stopping: watch::Sender::new(false),
             guard_closed: watch::Sender::new(false),
@@ -185,9 +195,9 @@
             live: Published::from_pointee(settings.live),
             settings,
             clock,
-            metrics,
-            view,
-            desired,
+            metrics: shared.metrics,
+            view: shared.view,
+            desired: shared.desired,
         }
     }
 
@@ -202,10 +212,24 @@
         if live.retry_bound != self.live().retry_bound {
             self.budgets.set_bound(live.retry_bound);
         }
+        self.allowances.set_bound(live.allowance_bound);
         self.local().set_heartbeat_ms(live.heartbeat_ms);
         self.live.store(Arc::new(live));
     }
 
+    /// Whether keys are relied on.
+    ///
+    /// Guards, where the operator asks for it, against a node that is cut off and goes on serving by keys
+    /// that were taken away meanwhile. It holds because the store's word that nothing is newer, which gossip
+    /// carries with its age, must not be older than the operator says.
+    pub(super) fn keys_hold(&self) -> bool {
+        let Some(hold_ms) = self.live().keys_hold_ms else {
+            return true;
+        };
+        let confirmed = self.freshness.confirmed();
+        self.clock.now().since(confirmed) < hold_ms
+    }
+
     /// The local backend server as far as is known. Never held across an await.
     pub(super) fn local(&self) -> MutexGuard<'_, LocalServer> {
         self.local.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/tests/accounts_fleet/node.rs
@@ -0,0 +1,57 @@
+//! One node of the fleet.
+
+use sassafrasgap::accounts::AllowanceBound;
+use sassafrasgap::accounts::AllowanceKeeper;
+use sassafrasgap::accounts::AllowanceWay;
+use sassafrasgap::accounts::EntryAllowances;
+use sassafrasgap::accounts::Fleet;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::TimeMs;
+
+pub struct Node {
+    pub starts: TimeMs,
+    /// It has been there from the beginning.
+    pub is_first: bool,
+    pub entry: EntryAllowances,
+    pub keeper: AllowanceKeeper,
+}
+
+impl Node {
+    pub fn new(
+        at: usize,
+        domain: usize,
+        way: AllowanceWay,
+        bound: AllowanceBound,
+        is_first: bool,
+        starts: TimeMs,
+        process: u32,
+    ) -> Self {
+        debug_assert!(at >= domain);
+        Self {
+            starts,
+            is_first,
+            entry: EntryAllowances::new(way, bound, is_first, process, starts),
+            keeper: AllowanceKeeper::new(is_first, starts),
+        }
+    }
+}
+
+pub fn name(at: usize) -> Name {
+    Name::from(format!("n{at:04}"))
+}
+
+pub fn domain(at: usize) -> Name {
+    Name::from(format!("d{at}"))
+}
+
+/// What all nodes know of each other.
+pub fn fleet(own: usize, domains: usize, nodes: usize) -> Fleet {
+    let of = |domain: usize| (0..nodes).filter(move |at| at % domains == domain);
+    let others = (0..domains).filter(|each| *each != own);
+    Fleet {
+        own: of(own).map(name).collect(),
+        others: others
+            .map(|each| (domain(each), of(each).count()))
+            .collect(),
+    }
+}
--- a/tests/desired_store_watch.rs
+++ b/tests/desired_store_watch.rs
@@ -42,6 +42,7 @@
     first_start_ms_ago: None,
     heard_ms_ago: 300,
     confirmed_ms_ago: 2_500,
+    keys_hold_ms: None,
 };
 
 /// A fleet of `size` nodes in one failure domain.
