--- a/src/traffic/allowances.rs
+++ b/src/traffic/allowances.rs
@@ -113,7 +113,9 @@
         }
         let keepers = self.follow(now, view, in_force);
         let mut told = Vec::new();
-        if let Some(report) = self.entry().report(now) {
+        // Not in the condition itself, which would hold the lock for the whole block.
+        let report = self.entry().report(now);
+        if let Some(report) = report {
             self.tell_report(now, &keepers, report, &mut told);
         }
         if keepers.first() == Some(&self.node) {
@@ -175,8 +177,8 @@
                 told.push((keeper.clone(), AllowanceMessage::Report(report)));
                 continue;
             }
-            if let Some((_, AllowanceMessage::Word(word))) = self.take_report(now, keeper, &report)
-            {
+            let word = self.keeping().keeper.take_report(now, keeper, &report);
+            if let Some(word) = word {
                 self.entry().take_word(now, &word);
             }
         }
