Accounts' ranks first, then routes': one order of importance out of both

Change: the pairs of ranks that a desired state can bring make up the places, ordered by account and then by route.

--- a/src/accounts/mod.rs
+++ b/src/accounts/mod.rs
@@ -13,6 +13,7 @@
 mod identity;
 mod key_hash;
 mod message;
+mod ranking;
 
 pub use account::Account;
 pub use account::Allowance;
@@ -37,5 +38,6 @@
 pub use message::Part;
 pub use message::Report;
 pub use message::Word;
+pub use ranking::Ranking;
 
 use decayed_rate::DecayedRate;
--- a/src/admission/root_level.rs
+++ b/src/admission/root_level.rs
@@ -5,7 +5,7 @@
 use crate::core::TimeMs;
 
 /// Classes that are told apart; higher ones share the last place.
-const CLASSES: usize = 8;
+const CLASSES: usize = 16;
 /// Ranks of a class, which identifiers spread evenly.
 const RANKS: f32 = 65_536.0;
 /// How often a level is worked out anew, in milliseconds: about as long as a call tree takes to show
--- a/src/traffic/desired_in_force.rs
+++ b/src/traffic/desired_in_force.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwapOption;
 
 use crate::accounts::AccountTable;
+use crate::accounts::Ranking;
 use crate::control::ConfigDocument;
 use crate::core::Name;
 use crate::desired::ClientLimits;
@@ -20,6 +21,8 @@
     pub routes: RouteTable,
     /// `None` where no request needs a key.
     pub accounts: Option<AccountTable>,
+    /// The order of importance of its accounts' and routes' ranks.
+    pub ranking: Ranking,
 }
 
 /// What is in force; `None` until a first desired state is known.
@@ -58,8 +61,9 @@
         }
         let routes = RouteTable::new(&state);
         let accounts = state.accounts.as_deref().map(AccountTable::new);
+        let ranking = ranking(&state);
         log::info!(
-            "config: in force, version={} routes={} accounts={}",
+            "config: in force, version={} routes={} accounts={} ranks={ranking:?}",
             state.version,
             state.routes.len(),
             accounts.as_ref().map_or(0, AccountTable::len)
@@ -68,6 +72,7 @@
             state,
             routes,
             accounts,
+            ranking,
         })));
         true
     }
@@ -102,3 +107,10 @@
         }
     }
 }
+
+fn ranking(state: &DesiredState) -> Ranking {
+    let accounts = state.accounts.iter().flatten();
+    let accounts: Vec<Option<u8>> = accounts.map(|account| account.rank).collect();
+    let routes: Vec<u8> = state.routes.iter().map(|route| route.rank).collect();
+    Ranking::new(&accounts, &routes)
+}
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -21,6 +21,7 @@
 use crate::accounts::Caller;
 use crate::accounts::Identity;
 use crate::accounts::Presented;
+use crate::accounts::Ranking;
 use crate::accounts::identify;
 use crate::adapters::WholeAnswer;
 use crate::adapters::read_whole;
@@ -184,19 +185,17 @@
     if traffic.entry_closed.load(Ordering::Relaxed) {
         return Err(not_run(RefusalReason::Draining));
     }
-    if in_force.is_none() {
-        return Err(not_run(RefusalReason::NoPreset));
-    }
+    let in_force = in_force.ok_or_else(|| not_run(RefusalReason::NoPreset))?;
     let found = found.ok_or(Rejected::Status(StatusCode::NOT_FOUND))?;
     let route = &found.route.name;
-    let caller = caller_of(traffic, in_force.as_deref(), &found, &parts.headers)?;
+    let caller = caller_of(traffic, &in_force, &found, &parts.headers)?;
     let is_certain_origin = !matches!(caller, Caller::Anybody);
     let origin = match &caller {
         Caller::Account(..) => Some(RouteOrigin::Callers),
         Caller::Backend => Some(RouteOrigin::Backends),
         Caller::Anybody => traffic.origins.of(route),
     };
-    let class = class(&found, origin, &caller);
+    let class = class(&in_force.ranking, &found, origin, &caller);
     let priority = priority(traffic, class, &parts.headers);
     let service = found.split.next_service();
     let repeated_permille = match origin {
@@ -220,7 +219,7 @@
         priority,
         origin,
         is_certain_origin,
-        account: account(caller, in_force.as_deref()),
+        account: account(caller, &in_force),
         objective_ms: found.route.objective_ms as u32,
         repeated_permille,
         deadline,
@@ -258,13 +257,13 @@
 /// Whose a request is, by its key.
 fn caller_of(
     traffic: &Traffic,
-    in_force: Option<&InForce>,
+    in_force: &InForce,
     found: &RouteInForce,
     headers: &HeaderMap,
 ) -> Result<Caller, Rejected> {
     let route = &found.route;
     let identity = Identity {
-        accounts: in_force.and_then(|in_force| in_force.accounts.as_ref()),
+        accounts: in_force.accounts.as_ref(),
         route_is_public: route.is_public,
         route_is_callers: traffic.keyed_routes.contains(&route.name),
         presented: presented(headers, &traffic.settings.header_names.account_key),
@@ -294,19 +293,24 @@
     headers.remove(&names.account);
 }
 
-fn account(caller: Caller, in_force: Option<&InForce>) -> Option<CallAccount> {
+fn account(caller: Caller, in_force: &InForce) -> Option<CallAccount> {
     let Caller::Account(account, key) = caller else {
         return None;
     };
     Some(CallAccount {
         name: account.name.clone(),
         key,
-        version: in_force.map_or(0, |in_force| in_force.state.version),
+        version: in_force.state.version,
     })
 }
 
-/// The account's rank goes before the route's.
-fn class(found: &RouteInForce, origin: Option<RouteOrigin>, caller: &Caller) -> u8 {
+/// Calls of backend servers first, then callers' requests by the ranks of account and route.
+fn class(
+    ranking: &Ranking,
+    found: &RouteInForce,
+    origin: Option<RouteOrigin>,
+    caller: &Caller,
+) -> u8 {
     if origin == Some(RouteOrigin::Backends) {
         return DEEP_CLASS;
     }
@@ -314,8 +318,8 @@
         Caller::Account(account, _) => account.rank,
         Caller::Backend | Caller::Anybody => None,
     };
-    let rank = of_account.unwrap_or(found.route.rank);
-    rank.saturating_add(DEEP_CLASS + 1)
+    let place = ranking.place(of_account, found.route.rank);
+    place.saturating_add(DEEP_CLASS + 1)
 }
 
 /// Within a class, requests are ranked by their identifiers, so that every node keeps the same.
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -55,7 +55,7 @@
 /// News of routes that wait to be told; more are dropped, since others find them out as well.
 const MOST_WAITING_ROUTES: usize = 256;
 /// Classes of priority: calls of backend servers, and callers' requests by rank.
-const CLASSES: usize = 8;
+const CLASSES: usize = 16;
 
 /// What a node needs from outside.
 pub struct TrafficInputs {
