--- a/src/accounts/entry_allowances.rs
+++ b/src/accounts/entry_allowances.rs
@@ -3,7 +3,6 @@
 use crate::accounts::AccountId;
 use crate::accounts::Allowance;
 use crate::accounts::AllowanceBound;
-use crate::accounts::AllowanceWay;
 use crate::accounts::Count;
 use crate::accounts::DecayedRate;
 use crate::accounts::Report;
@@ -74,7 +73,6 @@
 /// an account far below its allowance needs none. An entry without a word lets in its equal share.
 #[derive(Clone, Debug)]
 pub struct EntryAllowances {
-    way: AllowanceWay,
     bound: AllowanceBound,
     process: u32,
     started: TimeMs,
@@ -93,15 +91,8 @@
     pub const WORD_MISSED_MS: u64 = 700;
 
     /// Nothing is known yet. `process` is a random number for this process.
-    pub fn new(
-        way: AllowanceWay,
-        bound: AllowanceBound,
-        is_first_start: bool,
-        process: u32,
-        now: TimeMs,
-    ) -> Self {
+    pub fn new(bound: AllowanceBound, is_first_start: bool, process: u32, now: TimeMs) -> Self {
         Self {
-            way,
             bound,
             process,
             started: now,
@@ -169,7 +160,7 @@
             true => HASTY_REPORT_MS,
             false => REPORT_MS,
         };
-        if self.way != AllowanceWay::FollowDemand || since_ms < due_ms {
+        if since_ms < due_ms {
             return None;
         }
         self.reported = now;
@@ -212,27 +203,22 @@
         allowance: Allowance,
         nodes: usize,
     ) -> Standing {
-        let share = Standing::Share {
-            per_s: allowance.rate_per_s / nodes.max(LEAST_NODES) as f32,
-        };
-        match (self.way, self.worded) {
-            (AllowanceWay::Unbounded, _) => Standing::Free,
-            (AllowanceWay::EqualShares, _) => Standing::Share {
-                per_s: allowance.rate_per_s / nodes.max(1) as f32,
+        match self.worded {
+            Some(at) if now.since(at) < WORD_HOLDS_MS => self.told(at, account),
+            None if now.since(self.started) < FIRST_WORD_MS => self.before_word(allowance),
+            _ => Standing::Share {
+                per_s: allowance.rate_per_s / nodes.max(LEAST_NODES) as f32,
             },
-            (AllowanceWay::FollowDemand, Some(at)) if now.since(at) < WORD_HOLDS_MS => {
-                self.told(at, account)
-            }
-            (AllowanceWay::FollowDemand, None) if now.since(self.started) < FIRST_WORD_MS => {
-                match self.is_first_start {
-                    true => Standing::Free,
-                    false => Standing::Part {
-                        part: self.part_before_word(allowance),
-                        told: None,
-                    },
-                }
-            }
-            (AllowanceWay::FollowDemand, _) => share,
+        }
+    }
+
+    fn before_word(&self, allowance: Allowance) -> Standing {
+        if self.is_first_start {
+            return Standing::Free;
+        }
+        Standing::Part {
+            part: self.part_before_word(allowance),
+            told: None,
         }
     }
 
--- a/src/traffic/allowances.rs
+++ b/src/traffic/allowances.rs
@@ -11,7 +11,6 @@
 use crate::accounts::AllowanceBound;
 use crate::accounts::AllowanceKeeper;
 use crate::accounts::AllowanceMessage;
-use crate::accounts::AllowanceWay;
 use crate::accounts::Beyond;
 use crate::accounts::EntryAllowances;
 use crate::accounts::Report;
@@ -58,18 +57,11 @@
         now: TimeMs,
     ) -> Self {
         let process = fastrand::u32(1..);
-        let way = AllowanceWay::default();
         Self {
             node,
             domain,
             nodes: AtomicUsize::new(0),
-            entry: Mutex::new(EntryAllowances::new(
-                way,
-                bound,
-                is_first_start,
-                process,
-                now,
-            )),
+            entry: Mutex::new(EntryAllowances::new(bound, is_first_start, process, now)),
             keeping: Mutex::new(Keeping {
                 keeper: AllowanceKeeper::new(is_first_start, now),
                 fleet: FleetWatch::default(),
--- a/tests/accounts_allowances.rs
+++ b/tests/accounts_allowances.rs
@@ -4,7 +4,6 @@
 
 use accounts_fleet::World;
 use rstest::rstest;
-use sassafrasgap::accounts::AllowanceWay;
 use sassafrasgap::core::TimeMs;
 
 /// What accounts usually ask for, as a part of their allowance.
@@ -18,8 +17,8 @@
 const LARGE: &str = "a0";
 const SMALL: &str = "a9";
 
-fn world(nodes: usize, way: AllowanceWay, seed: u64) -> World {
-    let mut world = World::new(nodes, 3, way, seed);
+fn world(nodes: usize, seed: u64) -> World {
+    let mut world = World::new(nodes, 3, seed);
     world.many_accounts(USUAL);
     world.run(4_000);
     world
@@ -57,7 +56,7 @@
 #[case(195)]
 #[case(720)]
 fn accounts_below_their_allowances_are_let_in(#[case] nodes: usize) {
-    let world = world(nodes, AllowanceWay::FollowDemand, 1);
+    let world = world(nodes, 1);
     assert!(let_in(&world, TimeMs(0)) >= 0.99);
     assert!(world.messages_per_node_s() <= 12.0);
 }
@@ -71,7 +70,7 @@
 ) {
     let mut rates = [0.0; 2];
     for seed in 0..SEEDS {
-        let mut world = world(nodes, AllowanceWay::FollowDemand, seed);
+        let mut world = world(nodes, seed);
         heat(&mut world, by);
         let from = world.now + 2_000;
         world.run(10_000);
@@ -90,7 +89,7 @@
     #[values(0, 2_000)] heated_after_ms: u64,
 ) {
     for seed in 0..SEEDS {
-        let mut world = world(nodes, AllowanceWay::FollowDemand, seed);
+        let mut world = world(nodes, seed);
         world.cut_domains(&[0]);
         world.run(heated_after_ms);
         heat(&mut world, HOT);
@@ -108,7 +107,7 @@
 #[rstest]
 fn a_part_goes_where_it_is_asked_for() {
     for seed in 0..SEEDS {
-        let mut world = world(81, AllowanceWay::FollowDemand, seed);
+        let mut world = world(81, seed);
         heat(&mut world, HOT);
         world.of(LARGE).only_in = Some(1);
         world.run(4_000);
@@ -127,7 +126,7 @@
 #[rstest]
 fn nodes_that_are_cut_off_take_equal_shares(#[values(81, 195)] nodes: usize) {
     for seed in 0..SEEDS {
-        let mut world = world(nodes, AllowanceWay::FollowDemand, seed);
+        let mut world = world(nodes, seed);
         heat(&mut world, HOT);
         world.run(3_000);
         world.cut_nodes(3);
@@ -146,7 +145,7 @@
     #[values(300, 1_000)] down_ms: u64,
 ) {
     for seed in 0..SEEDS {
-        let mut world = world(nodes, AllowanceWay::FollowDemand, seed);
+        let mut world = world(nodes, seed);
         heat(&mut world, 4.1);
         world.run(5_000);
         world.restart_all(down_ms);
@@ -160,7 +159,7 @@
 #[rstest]
 fn keepers_that_die_take_nothing_along() {
     for seed in 0..SEEDS {
-        let mut world = world(81, AllowanceWay::FollowDemand, seed);
+        let mut world = world(81, seed);
         heat(&mut world, HOT);
         world.run(4_000);
         world.restart(|at| at < 6, 1_000);
@@ -174,7 +173,7 @@
 #[rstest]
 fn a_lower_allowance_binds() {
     for seed in 0..SEEDS {
-        let mut world = world(81, AllowanceWay::FollowDemand, seed);
+        let mut world = world(81, seed);
         for name in [LARGE, SMALL] {
             let account = world.of(name);
             account.allowance.rate_per_s = account.per_s / 3.0;
@@ -187,42 +186,39 @@
     }
 }
 
-const ALL: [AllowanceWay; 3] = [
-    AllowanceWay::Unbounded,
-    AllowanceWay::EqualShares,
-    AllowanceWay::FollowDemand,
-];
+/// Each node lets in its equal share, whatever comes there: the way that was compared.
+fn equal_shares(nodes: usize, seed: u64) -> World {
+    let mut world = World::new(nodes, 3, seed);
+    world.many_accounts(USUAL);
+    world.cut_all_nodes();
+    world.run(4_000);
+    world.sent.clear();
+    world
+}
 
-/// Prints the ways side by side: `cargo test --test accounts_allowances -- --ignored --nocapture`.
+/// Prints equal shares beside parts by demand:
+/// `cargo test --release --test accounts_allowances -- --ignored --nocapture`.
 #[rstest]
 #[ignore = "a measurement, not a check"]
 fn ways_compared(#[values(81, 195, 720)] nodes: usize) {
-    for way in ALL {
-        let usual = world(nodes, way, 1);
-        let mut hot = world(nodes, way, 2);
-        let from = hot.now;
+    let ways: [(&str, fn(usize, u64) -> World); 2] =
+        [("equal shares", equal_shares), ("parts by demand", world)];
+    for (way, start) in ways {
+        let mut usual = start(nodes, 1);
+        let from = usual.now;
+        usual.run(8_000);
+        let mut hot = start(nodes, 2);
+        let heated = hot.now;
         heat(&mut hot, HOT);
         hot.run(9_000);
-        let mut cut = world(nodes, way, 3);
-        cut.cut_domains(&[0]);
-        cut.run(2_000);
-        heat(&mut cut, HOT);
-        cut.run(8_000);
-        let mut restart = world(nodes, way, 4);
-        heat(&mut restart, 4.1);
-        restart.run(5_000);
-        restart.restart_all(1_000);
-        restart.run(6_000);
         println!(
-            "{nodes} {way:?}: usual let in {:.3}, worst window {:.2}; hot {:.2}, let in {:.2} and {:.2} \
-             of the allowance; cut {:.2}; restart {:.2}; messages a node and s {:.2}",
-            let_in(&usual, TimeMs(0)),
+            "{nodes} {way}: let in {:.3} of what is usual, worst window {:.2}; hot {:.2}, let in {:.2} \
+             and {:.2} of the allowance; messages a node and s {:.2}",
+            let_in(&usual, from),
             usual.worst(),
             hot.worst(),
-            rate(&hot, LARGE, from),
-            rate(&hot, SMALL, from),
-            cut.worst(),
-            restart.worst(),
+            rate(&hot, LARGE, heated),
+            rate(&hot, SMALL, heated),
             usual.messages_per_node_s(),
         );
     }
--- a/tests/accounts_fleet/mod.rs
+++ b/tests/accounts_fleet/mod.rs
@@ -12,7 +12,6 @@
 use sassafrasgap::accounts::Allowance;
 use sassafrasgap::accounts::AllowanceBound;
 use sassafrasgap::accounts::AllowanceMessage;
-use sassafrasgap::accounts::AllowanceWay;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::TimeMs;
 
@@ -45,7 +44,6 @@
     nodes: Vec<Node>,
     domains: usize,
     bound: AllowanceBound,
-    way: AllowanceWay,
     /// Failure domains that cannot be reached from others.
     cut_domains: Vec<usize>,
     /// Nodes that nobody can be reached from.
@@ -57,12 +55,12 @@
 
 impl World {
     /// A fleet that has run for a while, or starts for the first time.
-    pub fn new(nodes: usize, domains: usize, way: AllowanceWay, seed: u64) -> Self {
+    pub fn new(nodes: usize, domains: usize, seed: u64) -> Self {
         let bound = AllowanceBound::default();
         let mut rng = Rng::with_seed(seed);
         let now = TimeMs(10_000);
         let nodes = (0..nodes)
-            .map(|at| Node::new(at, at % domains, way, bound, true, now, rng.u32(..)))
+            .map(|at| Node::new(at, at % domains, bound, true, now, rng.u32(..)))
             .collect();
         Self {
             now,
@@ -71,7 +69,6 @@
             nodes,
             domains,
             bound,
-            way,
             cut_domains: Vec::new(),
             cut_nodes: Vec::new(),
             on_the_way: Vec::new(),
@@ -124,6 +121,11 @@
         self.cut_nodes = (0..self.nodes.len()).filter(|at| at % part == 0).collect();
     }
 
+    /// No node hears any other one, so each has its equal share.
+    pub fn cut_all_nodes(&mut self) {
+        self.cut_nodes = (0..self.nodes.len()).collect();
+    }
+
     /// Everything is reached again.
     pub fn heal(&mut self) {
         self.cut_domains.clear();
@@ -144,7 +146,7 @@
             let starts = self.now + down_ms + self.rng.u64(..300);
             let process = self.rng.u32(..);
             let domain = at % self.domains;
-            self.nodes[at] = Node::new(at, domain, self.way, self.bound, false, starts, process);
+            self.nodes[at] = Node::new(at, domain, self.bound, false, starts, process);
         }
     }
 
--- a/tests/accounts_fleet/node.rs
+++ b/tests/accounts_fleet/node.rs
@@ -2,7 +2,6 @@
 
 use sassafrasgap::accounts::AllowanceBound;
 use sassafrasgap::accounts::AllowanceKeeper;
-use sassafrasgap::accounts::AllowanceWay;
 use sassafrasgap::accounts::EntryAllowances;
 use sassafrasgap::accounts::Fleet;
 use sassafrasgap::core::Name;
@@ -20,7 +19,6 @@
     pub fn new(
         at: usize,
         domain: usize,
-        way: AllowanceWay,
         bound: AllowanceBound,
         is_first: bool,
         starts: TimeMs,
@@ -30,7 +28,7 @@
         Self {
             starts,
             is_first,
-            entry: EntryAllowances::new(way, bound, is_first, process, starts),
+            entry: EntryAllowances::new(bound, is_first, process, starts),
             keeper: AllowanceKeeper::new(is_first, starts),
         }
     }
