--- a/src/accounts/entry_allowances.rs
+++ b/src/accounts/entry_allowances.rs
@@ -50,6 +50,16 @@
     pub told_ms_ago: Option<u64>,
 }
 
+/// What comes of one account at an entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AccountUse {
+    pub account: AccountId,
+    /// Requests a second, lately.
+    pub per_s: f32,
+    /// The part that a keeper says to let in, in thousandths.
+    pub part_permille: u16,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
     wanted: u32,
@@ -191,6 +201,18 @@
         self.parts = parts.map(|part| (part.account, part.permille)).collect();
     }
 
+    /// What comes of each account here, the busiest first, and which part of it is let in.
+    pub fn uses(&self, now: TimeMs) -> Vec<AccountUse> {
+        let uses = self.accounts.iter().map(|(account, known)| AccountUse {
+            account: *account,
+            per_s: known.usual.per_s(now, USUAL_MS),
+            part_permille: self.parts.get(account).copied().unwrap_or(1_000),
+        });
+        let mut uses: Vec<AccountUse> = uses.collect();
+        uses.sort_unstable_by(|one, other| other.per_s.total_cmp(&one.per_s));
+        uses
+    }
+
     /// When a keeper last gave a word.
     pub fn worded(&self) -> Option<TimeMs> {
         self.worded
--- a/src/accounts/mod.rs
+++ b/src/accounts/mod.rs
@@ -21,6 +21,7 @@
 pub use allowance_bound::AllowanceBound;
 pub use allowance_keeper::AllowanceKeeper;
 pub use allowance_keeper::Fleet;
+pub use entry_allowances::AccountUse;
 pub use entry_allowances::Beyond;
 pub use entry_allowances::EntryAllowances;
 pub use identity::Caller;
--- a/src/accounts/ranking.rs
+++ b/src/accounts/ranking.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// How many places there are.
+    pub fn places(&self) -> usize {
+        self.pairs.len().min(MOST_PLACES)
+    }
+
     /// The place of a request, 0 being the most important.
     pub fn place(&self, account: Option<u8>, route: u8) -> u8 {
         let pair = (account.unwrap_or(route), route);
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::accounts::AccountUse;
 use crate::admission::PressedService;
 use crate::core::RefusalReason;
 use crate::core::RetryReason;
@@ -25,6 +26,9 @@
     10.0, 30.0,
 ];
 
+/// Accounts shown by name at most.
+const MOST_ACCOUNTS: usize = 10;
+
 /// Everything that a node counts.
 pub struct Metrics {
     registry: Registry,
@@ -64,6 +68,8 @@
     pub failing_permille: IntGauge,
     pressures: IntGaugeVec,
     admitted: IntGaugeVec,
+    account_asked: IntGaugeVec,
+    account_part: IntGaugeVec,
     pub guard_wait: Histogram,
     pub backend_latency: Histogram,
 }
@@ -209,6 +215,18 @@
                 "sassafrasgap_admitted_percent",
                 "The part of callers' requests that is let in for a pressed service's sake.",
             ),
+            account_asked: gauge_by(
+                &registry,
+                "sassafrasgap_account_asked_per_minute",
+                "Requests of the busiest accounts that come here, and of all others together.",
+                "account",
+            ),
+            account_part: gauge_by(
+                &registry,
+                "sassafrasgap_account_part_permille",
+                "The part of an account's requests that its allowance lets in.",
+                "account",
+            ),
             guard_wait: histogram(
                 "sassafrasgap_guard_wait_seconds",
                 "The wait of admitted calls in the guard's queue.",
@@ -258,6 +276,26 @@
         }
     }
 
+    /// Sets what comes of each account, the busiest first. Labels are bounded: all others are one.
+    pub fn set_accounts<'a>(&self, accounts: impl Iterator<Item = (&'a str, AccountUse)>) {
+        self.account_asked.reset();
+        self.account_part.reset();
+        let mut others_per_minute = 0.0;
+        for (order, (name, account)) in accounts.enumerate() {
+            let per_minute = account.per_s * 60.0;
+            if order >= MOST_ACCOUNTS {
+                others_per_minute += per_minute;
+                continue;
+            }
+            let asked = self.account_asked.with_label_values(&[name]);
+            asked.set(per_minute as i64);
+            let part = self.account_part.with_label_values(&[name]);
+            part.set(i64::from(account.part_permille));
+        }
+        let others = self.account_asked.with_label_values(&["(others)"]);
+        others.set(others_per_minute as i64);
+    }
+
     /// Refusals given so far as entry.
     pub fn entry_refusals(&self, reason: RefusalReason) -> u64 {
         self.entry_refusals.get(reason as usize)
@@ -332,8 +370,12 @@
 }
 
 fn gauge_by_service(registry: &Registry, name: &str, help: &str) -> IntGaugeVec {
+    gauge_by(registry, name, help, "service")
+}
+
+fn gauge_by(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
     let opts = Opts::new(name, help);
-    let gauge = IntGaugeVec::new(opts, &["service"]).expect("the name of a gauge is valid");
+    let gauge = IntGaugeVec::new(opts, &[label]).expect("the name of a gauge is valid");
     registry
         .register(Box::new(gauge.clone()))
         .expect("the name of a gauge is free");
--- a/src/traffic/allowances.rs
+++ b/src/traffic/allowances.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::accounts::AccountId;
+use crate::accounts::AccountUse;
 use crate::accounts::Allowance;
 use crate::accounts::AllowanceBound;
 use crate::accounts::AllowanceKeeper;
@@ -93,6 +94,11 @@
         self.entry().give_back(account);
     }
 
+    /// What comes of each account here; see [`EntryAllowances::uses`].
+    pub(super) fn uses(&self, now: TimeMs) -> Vec<AccountUse> {
+        self.entry().uses(now)
+    }
+
     /// When a keeper last gave a word.
     pub(super) fn worded(&self) -> Option<TimeMs> {
         self.entry().worded()
--- a/src/traffic/desired_in_force.rs
+++ b/src/traffic/desired_in_force.rs
@@ -63,10 +63,11 @@
         let accounts = state.accounts.as_deref().map(AccountTable::new);
         let ranking = ranking(&state);
         log::info!(
-            "config: in force, version={} routes={} accounts={} ranks={ranking:?}",
+            "config: in force, version={} routes={} accounts={} places={}",
             state.version,
             state.routes.len(),
-            accounts.as_ref().map_or(0, AccountTable::len)
+            accounts.as_ref().map_or(0, AccountTable::len),
+            ranking.places()
         );
         self.in_force.store(Some(Arc::new(InForce {
             state,
--- a/tests/accounts_allowances.rs
+++ b/tests/accounts_allowances.rs
@@ -196,13 +196,15 @@
     world
 }
 
+/// How a world of one way begins, by its nodes and seed.
+type Start = fn(usize, u64) -> World;
+
 /// Prints equal shares beside parts by demand:
 /// `cargo test --release --test accounts_allowances -- --ignored --nocapture`.
 #[rstest]
 #[ignore = "a measurement, not a check"]
 fn ways_compared(#[values(81, 195, 720)] nodes: usize) {
-    let ways: [(&str, fn(usize, u64) -> World); 2] =
-        [("equal shares", equal_shares), ("parts by demand", world)];
+    let ways: [(&str, Start); 2] = [("equal shares", equal_shares), ("parts by demand", world)];
     for (way, start) in ways {
         let mut usual = start(nodes, 1);
         let from = usual.now;
