--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
-use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -17,23 +16,15 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::accounts::AccountId;
 use crate::accounts::Caller;
-use crate::accounts::Identity;
-use crate::accounts::Presented;
-use crate::accounts::Ranking;
-use crate::accounts::identify;
 use crate::adapters::WholeAnswer;
 use crate::adapters::read_whole;
-use crate::core::Priority;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
-use crate::core::RequestId;
 use crate::core::RouteOrigin;
 use crate::core::RunState;
 use crate::desired::RouteInForce;
 use crate::errors::SendError;
-use crate::traffic::HeaderNames;
 use crate::traffic::InForce;
 use crate::traffic::call::Call;
 use crate::traffic::call::Message;
@@ -41,12 +32,16 @@
 use crate::traffic::caller_response::answer_response;
 use crate::traffic::caller_response::refusal_response;
 use crate::traffic::caller_response::status_response;
+use crate::traffic::entry_account::account;
+use crate::traffic::entry_account::ask_allowance;
+use crate::traffic::entry_account::caller_of;
+use crate::traffic::entry_account::class;
+use crate::traffic::entry_account::priority;
+use crate::traffic::entry_account::strip_account;
 use crate::traffic::forward::forward;
 use crate::traffic::passed_headers::strip_request;
 use crate::traffic::story::EntryStory;
-use crate::traffic::story::tell_beyond;
 use crate::traffic::traffic::Traffic;
-use crate::wire::CallAccount;
 
 /// When to come back while nothing is known yet, in milliseconds.
 const LATER_MS: u64 = 500;
@@ -56,9 +51,6 @@
 const SHED_SPREAD_MS: u64 = 600;
 /// The deadline of a request that names none and whose route is not known either.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
-/// The class of calls of backend servers: work has been done for them already, so they go before
-/// every caller's own request.
-const DEEP_CLASS: u8 = 0;
 
 /// Why a request is not forwarded.
 enum Rejected {
@@ -116,7 +108,7 @@
 ) -> Result<WholeAnswer, Rejected> {
     let call = take(traffic, request).await?;
     story.taken(&call);
-    let allowed = ask_allowance(traffic, &call)?;
+    let allowed = ask_allowance(traffic, &call).map_err(Rejected::Refusal)?;
     let answer = match admit_root(traffic, &call) {
         Ok(()) => forward(traffic, call, progress).await,
         Err(refusal) => Err(refusal),
@@ -129,28 +121,6 @@
     answer.map_err(Rejected::Refusal)
 }
 
-/// Turns a request away that is beyond its account's allowance. Answers from which account it took a part.
-fn ask_allowance(traffic: &Traffic, call: &Call) -> Result<Option<AccountId>, Rejected> {
-    let Some(account) = &call.account else {
-        return Ok(None);
-    };
-    let in_force = traffic.desired.load();
-    let accounts = in_force
-        .as_ref()
-        .and_then(|in_force| in_force.accounts.as_ref());
-    let allowance = accounts.and_then(|accounts| accounts.named(&account.name)?.allowance);
-    let Some(allowance) = allowance else {
-        return Ok(None);
-    };
-    let id = AccountId::of(&account.name);
-    let asked = traffic.allowances.ask(traffic.clock.now(), id, allowance);
-    asked.map(|()| Some(id)).map_err(|beyond| {
-        tell_beyond(traffic, account, allowance, beyond);
-        let refusal = Refusal::not_run(RefusalReason::AllowanceSpent, beyond.retry_after_ms);
-        Rejected::Refusal(refusal)
-    })
-}
-
 /// Turns a caller's own request away where a service of its call tree is pressed. A call of a backend
 /// server is noted instead, for what it says of the routes that run there.
 fn admit_root(traffic: &Traffic, call: &Call) -> Result<(), Refusal> {
@@ -188,7 +158,8 @@
     let in_force = in_force.ok_or_else(|| not_run(RefusalReason::NoPreset))?;
     let found = found.ok_or(Rejected::Status(StatusCode::NOT_FOUND))?;
     let route = &found.route.name;
-    let caller = caller_of(traffic, &in_force, &found, &parts.headers)?;
+    let caller = caller_of(traffic, &in_force, &found, &parts.headers);
+    let caller = caller.map_err(Rejected::Refusal)?;
     let is_certain_origin = !matches!(caller, Caller::Anybody);
     let origin = match &caller {
         Caller::Account(..) => Some(RouteOrigin::Callers),
@@ -254,81 +225,6 @@
         .ok_or(Rejected::Status(StatusCode::BAD_REQUEST))
 }
 
-/// Whose a request is, by its key.
-fn caller_of(
-    traffic: &Traffic,
-    in_force: &InForce,
-    found: &RouteInForce,
-    headers: &HeaderMap,
-) -> Result<Caller, Rejected> {
-    let route = &found.route;
-    let identity = Identity {
-        accounts: in_force.accounts.as_ref(),
-        route_is_public: route.is_public,
-        route_is_callers: traffic.keyed_routes.contains(&route.name),
-        presented: presented(headers, &traffic.settings.header_names.account_key),
-    };
-    let caller = identify(identity).map_err(not_run)?;
-    if matches!(caller, Caller::Account(..)) {
-        if !traffic.keys_hold() {
-            return Err(not_run(RefusalReason::AccountKeysUnsure));
-        }
-        traffic.keyed_routes.note(&route.name);
-    }
-    Ok(caller)
-}
-
-fn presented<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Presented<'a> {
-    let mut keys = headers.get_all(name).iter();
-    match (keys.next(), keys.next()) {
-        (None, _) => Presented::None,
-        (Some(key), None) => Presented::One(key.as_bytes()),
-        (Some(_), Some(_)) => Presented::Several,
-    }
-}
-
-/// A key ends here, and only this program says whose a request is.
-fn strip_account(names: &HeaderNames, headers: &mut HeaderMap) {
-    headers.remove(&names.account_key);
-    headers.remove(&names.account);
-}
-
-fn account(caller: Caller, in_force: &InForce) -> Option<CallAccount> {
-    let Caller::Account(account, key) = caller else {
-        return None;
-    };
-    Some(CallAccount {
-        name: account.name.clone(),
-        key,
-        version: in_force.state.version,
-    })
-}
-
-/// Calls of backend servers first, then callers' requests by the ranks of account and route.
-fn class(
-    ranking: &Ranking,
-    found: &RouteInForce,
-    origin: Option<RouteOrigin>,
-    caller: &Caller,
-) -> u8 {
-    if origin == Some(RouteOrigin::Backends) {
-        return DEEP_CLASS;
-    }
-    let of_account = match caller {
-        Caller::Account(account, _) => account.rank,
-        Caller::Backend | Caller::Anybody => None,
-    };
-    let place = ranking.place(of_account, found.route.rank);
-    place.saturating_add(DEEP_CLASS + 1)
-}
-
-/// Within a class, requests are ranked by their identifiers, so that every node keeps the same.
-fn priority(traffic: &Traffic, class: u8, headers: &HeaderMap) -> Priority {
-    let id = headers.get(&traffic.settings.header_names.request_id);
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
-    Priority::new(class, RequestId::of_key("", id).rank())
-}
-
 async fn take_body(traffic: &Traffic, body: Incoming, left_ms: u64) -> Result<Bytes, Rejected> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -21,6 +21,7 @@
 mod desired_in_force;
 mod desired_task;
 mod entry;
+mod entry_account;
 mod find_others;
 mod fleet_watch;
 mod forward;
