Allowances: a report that was overtaken on its way counts for nothing

Cause, found in reading: counts go round at their end, so an older report that comes after a newer one looked like billions of requests, and its account would have been shut out for minutes. Change: what goes back is left out. Test: four of one keeper's reports; the overtaken one failed before (part told below 1,000), all four pass.

--- a/src/accounts/allowance_keeper.rs
+++ b/src/accounts/allowance_keeper.rs
@@ -34,6 +34,8 @@
 const TOLD_FROM: f32 = 0.25;
 /// What is told of an account holds for so long, in milliseconds.
 const TOLD_HOLDS_MS: u64 = 2_000;
+/// More requests than this between two reports are none: counts went back.
+const MOST_WANTED: u32 = u32::MAX / 2;
 /// A first count up to this one is all new.
 const MOST_NEW: u32 = 8;
 /// So long after it knew of another node a keeper knows most of them, in milliseconds.
@@ -238,9 +240,14 @@
         entry.heard = now;
         let mut news = Vec::with_capacity(report.counts.len());
         for count in &report.counts {
-            let before = entry.counts.insert(count.account, *count);
+            let before = entry.counts.get(&count.account).copied();
             let before = before.unwrap_or_else(|| base_of(count));
             let wanted = count.wanted.wrapping_sub(before.wanted);
+            if wanted > MOST_WANTED {
+                // An older report has come after a newer one.
+                continue;
+            }
+            entry.counts.insert(count.account, *count);
             let used = count.used.wrapping_sub(before.used);
             news.push((count.account, wanted, used));
         }
