--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -29,6 +29,9 @@
 
 /// How often the membership looks at the time. It also batches news for this long.
 const TICK: Duration = Duration::from_millis(100);
+/// How often gauges are set from the view: counting all members at each change would cost the square of
+/// them in a start of all.
+const SHOW: Duration = Duration::from_millis(500);
 /// Datagrams taken in before commands and ticks get their turn.
 const MAX_BATCH: usize = 64;
 /// How many of the seeds that it is told are asked for all members at once: one is enough, others may be
@@ -57,6 +60,9 @@
     pub async fn run(mut self) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut shows = interval(SHOW);
+        shows.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut shown = 0;
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         self.publish();
         loop {
@@ -73,6 +79,7 @@
                     Some(command) => self.obey(command),
                 },
                 _ = ticks.tick() => {}
+                _ = shows.tick() => self.show(&mut shown),
             }
             let actions = self.membership.tick(self.clock.now());
             self.act(actions);
@@ -162,8 +169,10 @@
         self.membership.add_seeds(seeds);
         let mut others: Vec<SocketAddr> = seeds.to_vec();
         others.retain(|seed| *seed != self.membership.own().control_address);
-        fastrand::shuffle(&mut others);
-        for seed in others.into_iter().take(JOIN_SEEDS) {
+        // The first ones are the best to ask; one any other, should those be gone.
+        let rest = others.split_off(others.len().min(JOIN_SEEDS - 1));
+        others.extend(fastrand::choice(rest));
+        for seed in others {
             self.exchange(seed);
         }
     }
@@ -211,10 +220,18 @@
 
     fn publish(&mut self) {
         let view = self.membership.view();
-        self.metrics.show_view(&view);
         self.view.store(Arc::new(view));
     }
 
+    /// Sets the gauges, unless they show this view already.
+    fn show(&self, shown: &mut u64) {
+        let view = self.view.load();
+        if *shown != view.changes {
+            *shown = view.changes;
+            self.metrics.show_view(&view);
+        }
+    }
+
     fn exchange(&self, with: SocketAddr) {
         let ask = self.membership.exchange_ask();
         let clients = self.clients.clone();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub use clock::TimeMs;
 pub use collections::FastMap;
 pub use collections::FastSet;
+pub use collections::SharedMap;
 pub use identifiers::AttemptId;
 pub use identifiers::RequestId;
 pub use identifiers::fingerprint_of;
--- a/src/core/view.rs
+++ b/src/core/view.rs
@@ -8,6 +8,7 @@
 
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::SharedMap;
 
 /// Where a target stands in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -62,7 +63,7 @@
     /// Targets of each service, ordered by node name so that every node sees the same order.
     pub services: FastMap<Name, Arc<[Arc<Target>]>>,
     /// Every node by name, also those without a backend server.
-    pub nodes: FastMap<Name, Arc<Target>>,
+    pub nodes: SharedMap<Name, Arc<Target>>,
     /// Failure domains from which nothing has been heard lately, as this node sees it.
     pub cut_off_domains: Vec<Name>,
 }
--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -42,7 +42,9 @@
             return;
         }
         if self.lacks_many(header.members) || self.is_catching_up(now) {
-            self.start_exchange(from, now, actions);
+            if self.is_near(&header.from) || self.is_bridge() {
+                self.start_exchange(from, now, actions);
+            }
             return;
         }
         let period_ms = self.settings.compare_period_ms;
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -32,6 +32,8 @@
     digest: u32,
     buckets: [u32; BUCKETS],
     alive: usize,
+    /// How many of these are in each failure domain.
+    alive_by_domain: FastMap<Name, usize>,
     /// Members under suspicion, so that looking after them costs nothing while there are none.
     suspects: FastSet<Name>,
     last_change: TimeMs,
@@ -45,6 +47,7 @@
             digest: 0,
             buckets: [0; BUCKETS],
             alive: 0,
+            alive_by_domain: FastMap::default(),
             suspects: FastSet::default(),
             last_change: TimeMs::default(),
         }
@@ -78,6 +81,11 @@
         self.alive
     }
 
+    /// The same of one failure domain.
+    pub fn alive_in(&self, domain: &str) -> usize {
+        self.alive_by_domain.get(domain).copied().unwrap_or(0)
+    }
+
     /// The digest of all members alive. Tombstones are left out, since nodes forget them at
     /// different times; suspicions are, since they pass by themselves.
     pub fn digest(&self) -> u32 {
@@ -244,6 +252,12 @@
         self.digest ^= digest;
         self.buckets[bucket_of(&member.own.node)] ^= digest;
         self.alive = self.alive.saturating_add_signed(sign);
+        let domain = &member.own.domain;
+        let in_domain = self.alive_in(domain).saturating_add_signed(sign);
+        match in_domain {
+            0 => self.alive_by_domain.remove(domain),
+            _ => self.alive_by_domain.insert(domain.clone(), in_domain),
+        };
     }
 }
 
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -351,9 +351,6 @@
             self.view.note(node, std::iter::empty());
         }
         let table = &self.table;
-        self.watch.retain(|domain| {
-            let mut alive = table.iter().filter(|member| !member.is_tombstone());
-            alive.any(|member| &*member.own.domain == domain)
-        });
+        self.watch.retain(|domain| table.alive_in(domain) > 0);
     }
 }
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -20,6 +20,9 @@
 const SENDS_PER_DIGIT: u32 = 3;
 /// Room in a datagram for short news that waits for nothing: a dozen routes.
 const PRESSING_BYTES: u64 = 300;
+/// Members of each failure domain that carry news of members into others at a time, and ask others for
+/// what differs. It is the same at any size.
+const BRIDGES: f64 = 8.0;
 /// IP and UDP headers, which count as control traffic too.
 pub(super) const PACKET_OVERHEAD_BYTES: u64 = 28;
 
@@ -48,13 +51,28 @@
         SENDS_PER_DIGIT * (members.ilog10() + 1)
     }
 
+    /// Whether this node, this time, carries into other failure domains what its own domain hears too.
+    ///
+    /// Guards against news that crosses the border between two failure domains once for each node: bytes
+    /// that grow with the square of the nodes, and are the dearest. It holds because a handful of members of
+    /// each domain, others each time, carry each piece of news, and domains spread it within.
+    pub(super) fn is_bridge(&mut self) -> bool {
+        let near = self.table.alive_in(&self.own.domain) as f64;
+        near <= BRIDGES || self.rng.f64() * near < BRIDGES
+    }
+
     /// The node of this name at this address, as somebody to send to.
     pub(super) fn receiver(&self, node: &str, address: SocketAddr) -> Receiver {
-        let member = self.table.get(node);
-        let is_near = member.is_some_and(|member| member.own.domain == self.own.domain);
+        let is_near = self.is_near(node);
         Receiver { address, is_near }
     }
 
+    /// Whether the node of this name is known to be of the own failure domain.
+    pub(super) fn is_near(&self, node: &str) -> bool {
+        let member = self.table.get(node);
+        member.is_some_and(|member| member.own.domain == self.own.domain)
+    }
+
     /// Sends a message: `told` first, then as many waiting updates as size and budget allow.
     pub(super) fn send_telling(
         &mut self,
@@ -72,6 +90,8 @@
             .max_datagram_bytes
             .saturating_sub(fixed_bytes + told_bytes)
             .min(self.budget.available_bytes(now) as usize);
+        let carries = to.is_near || self.is_bridge();
+        let room = if carries { room } else { 0 };
         let max_sends = self.max_sends();
         let mut updates = told;
         updates.extend(self.queue.take_pressing(PRESSING_BYTES as usize, max_sends));
@@ -140,7 +160,11 @@
         if !is_for_all && !self.answers_are_urgent {
             return;
         }
-        let mut receivers = self.choose_receivers();
+        // A new configuration has little time to be in force, and who uses a route is needed most when
+        // everything is new, so their few bytes wait for nothing: each member pushes each once.
+        let is_pressing = self.header_is_urgent || self.queue.has_pressing();
+        let crosses = is_pressing || self.is_bridge();
+        let mut receivers = self.choose_receivers(crosses);
         if !is_for_all {
             receivers.retain(|receiver| receiver.is_near);
         }
@@ -151,9 +175,6 @@
         let copies = receivers.len() as u64;
         let fixed_bytes = encoded_bytes(&header) as u64 + 2 + PACKET_OVERHEAD_BYTES;
         let share_bytes = self.budget.available_bytes(now) / copies;
-        // A new configuration has little time to be in force, and who uses a route is needed most when
-        // everything is new, so their few bytes wait for nothing: each member pushes each once.
-        let is_pressing = self.header_is_urgent || self.queue.has_pressing();
         if share_bytes < fixed_bytes && !is_pressing {
             return;
         }
@@ -186,12 +207,17 @@
         }
     }
 
-    /// Half of the receivers are of the own failure domain and half of others, where there are.
-    fn choose_receivers(&mut self) -> Vec<Receiver> {
+    /// Half of the receivers are of the own failure domain and half of others, where there are; all are of
+    /// the own one unless news cross its border.
+    fn choose_receivers(&mut self, crosses: bool) -> Vec<Receiver> {
         let fan_out = self.settings.rumor_fan_out;
         let own_domain = self.own.domain.clone();
         let near = self.usable_addresses(|member| member.own.domain == own_domain);
-        let far = self.usable_addresses(|member| member.own.domain != own_domain);
+        let crosses = crosses || near.len() < fan_out;
+        let far = match crosses {
+            true => self.usable_addresses(|member| member.own.domain != own_domain),
+            false => Vec::new(),
+        };
         let far_count = far.len().min(fan_out.div_ceil(2));
         let near_count = near.len().min(fan_out - far_count);
         let far_count = far.len().min(fan_out - near_count);
--- a/src/membership/view_builder.rs
+++ b/src/membership/view_builder.rs
@@ -33,34 +33,42 @@
     /// The view of the table as it is. Only what changed is built anew; the rest is shared with
     /// the view before.
     pub fn build(&mut self, table: &MemberTable, cut_off_domains: Vec<Name>) -> View {
-        for node in self.changed_nodes.drain() {
-            match table.get(&node) {
-                Some(member) => self.view.nodes.insert(node, member.published.clone()),
-                None => self.view.nodes.remove(&node),
-            };
-        }
         for service in self.changed_services.drain() {
-            let targets = targets_of(table, &service);
+            let before = self.view.targets(&service);
+            let targets = targets_of(table, &service, before, &self.changed_nodes);
             match targets.is_empty() {
                 true => self.view.services.remove(&service),
                 false => self.view.services.insert(service, targets.into()),
             };
         }
+        for node in self.changed_nodes.drain() {
+            match table.get(&node) {
+                Some(member) => self.view.nodes.insert(node, member.published.clone()),
+                None => self.view.nodes.remove(&node),
+            };
+        }
         self.view.cut_off_domains = cut_off_domains;
         self.view.changes += 1;
         self.view.clone()
     }
 }
 
-/// The targets of a service that are not gone, by node name.
-fn targets_of(table: &MemberTable, service: &Name) -> Vec<Arc<Target>> {
-    let mut targets: Vec<Arc<Target>> = table
-        .iter()
+/// The targets of a service that are not gone, by node name: those from `before` that did not change, and
+/// those of the changed nodes.
+fn targets_of(
+    table: &MemberTable,
+    service: &Name,
+    before: &[Arc<Target>],
+    changed_nodes: &FastSet<Name>,
+) -> Vec<Arc<Target>> {
+    let unchanged = before.iter();
+    let unchanged = unchanged.filter(|target| !changed_nodes.contains(&target.node));
+    let changed = changed_nodes.iter().filter_map(|node| table.get(node));
+    let changed = changed
         .map(|member| &member.published)
         .filter(|target| target.service == *service)
-        .filter(|target| !matches!(target.state, TargetState::Dead | TargetState::Left))
-        .cloned()
-        .collect();
+        .filter(|target| !matches!(target.state, TargetState::Dead | TargetState::Left));
+    let mut targets: Vec<Arc<Target>> = unchanged.chain(changed).cloned().collect();
     targets.sort_unstable_by(|a, b| a.node.cmp(&b.node));
     targets
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,6 +9,7 @@
 mod port;
 mod row_keeper;
 mod rows;
+mod store_rates;
 mod table_watch;
 
 pub use counted_store::CountedStore;
@@ -21,5 +22,7 @@
 pub use rows::RowPut;
 pub use rows::StoredRow;
 pub use rows::key_after;
+pub use store_rates::StoreRates;
+pub use store_rates::part_name;
 pub use table_watch::TableWatch;
 pub use table_watch::WatchPause;
--- a/src/store/row_keeper.rs
+++ b/src/store/row_keeper.rs
@@ -65,7 +65,9 @@
                 KeptRow::Written
             }
             Err(error) => {
-                self.version = None;
+                if may_have_changed(&error) {
+                    self.version = None;
+                }
                 KeptRow::Again(error)
             }
         }
@@ -88,3 +90,11 @@
         Ok((!holds_it).then_some(self.version.unwrap_or(0)))
     }
 }
+
+/// Whether the row may be at another version than the one that was written on.
+///
+/// Guards against two calls for each try while the store turns calls away: it shows as most of a large
+/// fleet's calls at its start. What was not done leaves the version as it was.
+fn may_have_changed(error: &StoreError) -> bool {
+    matches!(error, StoreError::Conflict { .. }) || !error.is_not_done()
+}
--- /dev/null
+++ b/src/traffic/cost_log.rs
@@ -0,0 +1,43 @@
+//! What a node costs beside the requests: calls to the store and bytes to other nodes, logged now and then.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus::proto::Metric;
+use prometheus::proto::MetricFamily;
+
+use crate::traffic::traffic::Traffic;
+
+/// How often it is logged.
+const EVERY: Duration = Duration::from_secs(20);
+/// The counters that make up what a node costs.
+const FAMILIES: [&str; 2] = [
+    "sassafrasgap_store_calls_total",
+    "sassafrasgap_control_bytes_total",
+];
+
+/// Logs all that was counted since the start, every 20 s.
+pub(super) async fn log_costs(traffic: Arc<Traffic>) {
+    loop {
+        tokio::time::sleep(EVERY).await;
+        let families = traffic.metrics.registry().gather();
+        let counted = families
+            .iter()
+            .filter(|family| FAMILIES.contains(&family.name()));
+        let words: Vec<String> = counted.flat_map(words_of).collect();
+        log::info!("cost: since the start, {}", words.join(" "));
+    }
+}
+
+fn words_of(family: &MetricFamily) -> Vec<String> {
+    let metrics = family.get_metric().iter();
+    metrics.map(word_of).collect()
+}
+
+/// The labels' values joined by underscores, and the count.
+fn word_of(metric: &Metric) -> String {
+    let labels = metric.get_label().iter().map(|label| label.value());
+    let labels: Vec<&str> = labels.collect();
+    let count = metric.get_counter().value();
+    format!("{}={count}", labels.join("_"))
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod call;
 mod caller_response;
 mod control_link;
+mod cost_log;
 mod desired_in_force;
 mod desired_task;
 mod entry;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -30,6 +30,7 @@
 use crate::traffic::control_link::confirm_version;
 use crate::traffic::control_link::control_settings;
 use crate::traffic::control_link::handlers;
+use crate::traffic::cost_log::log_costs;
 use crate::traffic::desired_task::StoreFollower;
 use crate::traffic::desired_task::fetch_news;
 use crate::traffic::listeners::Listeners;
@@ -180,6 +181,7 @@
         }
         tasks.spawn(poll_gate(traffic.clone()));
         tasks.spawn(log_admission(traffic.clone()));
+        tasks.spawn(log_costs(traffic.clone()));
         log::info!(
             "node: serves, node={} version={} callers={caller_address} peers={peer_address} \
              ready={ready_address} reports={report_address}",
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -18,6 +18,7 @@
 use crate::store::RowName;
 use crate::store::Store;
 use crate::store::WatchPause;
+use crate::store::part_name;
 use crate::traffic::find_others::FindOthers;
 use crate::traffic::recall::recall_server;
 use crate::traffic::roster_row::RosterRow;
@@ -43,17 +44,26 @@
 impl Roster {
     /// Runs for good.
     pub(super) async fn run(self) {
-        let own_key = roster_key(&self.traffic.settings.node);
-        let name = RowName::new(TABLE, own_key.clone());
+        let settings = &self.traffic.settings;
+        let is_first_start = settings.is_first_start;
+        let own_key = roster_key(&settings.node);
+        let name = RowName {
+            table: Name::from(TABLE),
+            part: part_name(settings.store_rates.part_of(&settings.node)),
+            key: own_key.clone(),
+        };
         let mut keeper = RowKeeper::new(self.store.clone(), name);
-        let is_first_start = self.traffic.settings.is_first_start;
         // Holds true once others may be looked for; see [`FindOthers`].
         let (may_find, mut is_time) = watch::channel(!is_first_start);
         let others = FindOthers {
             store: self.store.clone(),
             control: self.control.clone(),
             table: Name::from(TABLE),
+            rates: settings.store_rates,
+            node: settings.node.clone(),
+            domain: settings.domain.clone(),
             own_key,
+            is_first_start,
         };
         let finding = async {
             // The sender lives as long as this does.
@@ -156,6 +166,7 @@
 
     fn wanted(&self, before: Option<&RosterRow>) -> RosterRow {
         let news = self.traffic.local_news.borrow();
-        RosterRow::of(self.control.address, &news, before)
+        let domain = &self.traffic.settings.domain;
+        RosterRow::of(self.control.address, domain, &news, before)
     }
 }
--- a/src/traffic/roster_row.rs
+++ b/src/traffic/roster_row.rs
@@ -33,6 +33,9 @@
 pub struct RosterRow {
     /// Where gossip and control calls reach the node.
     pub control_address: Option<SocketAddr>,
+    /// Its failure domain.
+    #[serde(default)]
+    pub domain: Option<Name>,
     /// The incarnation of its backend server that has said that it leaves, if one has.
     pub leaving: Option<Name>,
     /// When that one started, in Unix milliseconds, if it has said so.
@@ -46,9 +49,15 @@
 impl RosterRow {
     /// The row to keep; `before` is what it held when this process started. That is kept until the
     /// backend server is known anew.
-    pub(super) fn of(control_address: SocketAddr, news: &LocalNews, before: Option<&Self>) -> Self {
+    pub(super) fn of(
+        control_address: SocketAddr,
+        domain: &Name,
+        news: &LocalNews,
+        before: Option<&Self>,
+    ) -> Self {
         let told = Self {
             control_address: Some(control_address),
+            domain: Some(domain.clone()),
             leaving: news.leaving.clone(),
             leaving_started_unix_ms: news.leaving_started_unix_ms,
             known: news.known.clone(),
@@ -56,6 +65,7 @@
         match before {
             Some(before) if told.leaving.is_none() && told.known.is_none() => Self {
                 control_address: told.control_address,
+                domain: told.domain,
                 ..before.clone()
             },
             _ => told,
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -5,6 +5,7 @@
 use crate::accounts::AllowanceBound;
 use crate::core::Name;
 use crate::retry::RetryBound;
+use crate::store::StoreRates;
 use crate::traffic::HeaderNames;
 
 /// Settings that can change while the node serves.
@@ -51,5 +52,7 @@
     pub header_names: HeaderNames,
     /// The whole system starts for the first time, so nothing is stored of this node yet.
     pub is_first_start: bool,
+    /// How many writes the store takes. Where rows lie follows from it, so it holds from start to end.
+    pub store_rates: StoreRates,
     pub live: LiveSettings,
 }
