--- a/src/capacity/protocol_sizes.rs
+++ b/src/capacity/protocol_sizes.rs
@@ -88,6 +88,7 @@
     };
     encode_datagram(&Datagram {
         header: Header {
+            store_era: 0,
             from: target().node,
             incarnation: target().incarnation,
             members_digest: u32::MAX,
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -25,6 +25,8 @@
     SetConfigVersion(u64),
     /// The store holds nothing newer than this version.
     ConfirmConfigVersion(u64),
+    /// The store has answered in this era.
+    RaiseStoreEra(u64),
     SetSlotMapVersion {
         service: Name,
         version: u64,
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -62,6 +62,11 @@
         self.command(Command::ConfirmConfigVersion(version));
     }
 
+    /// Tells all members of an era of the store. Lower ones are ignored.
+    pub fn raise_store_era(&self, era: u64) {
+        self.command(Command::RaiseStoreEra(era));
+    }
+
     /// Tells all members which version of a slot map is held here. Lower ones are ignored.
     pub fn set_slot_map_version(&self, service: &Name, version: u64) {
         self.command(Command::SetSlotMapVersion {
--- a/src/control/control_handlers.rs
+++ b/src/control/control_handlers.rs
@@ -56,6 +56,8 @@
     /// A peer (its control address) has this higher configuration version in force: fetch it
     /// there. Repeated until [`super::ControlHandle::set_config_version`] catches up.
     pub config_news: Arc<dyn Fn(SocketAddr, u64) + Send + Sync>,
+    /// A peer knows a newer era of the store than was known here.
+    pub store_era: Arc<dyn Fn(u64) + Send + Sync>,
     /// A peer knows a newer slot map: fetch it there or from the table. Repeated until
     /// [`super::ControlHandle::set_slot_map_version`] catches up.
     pub slot_map_news: Arc<dyn Fn(SlotMapNews) + Send + Sync>,
@@ -78,6 +80,7 @@
             node_status: Arc::new(String::new),
             drain: Arc::new(|| {}),
             config_news: Arc::new(|_, _| {}),
+            store_era: Arc::new(|_| {}),
             slot_map_news: Arc::new(|_| {}),
             route_use: Arc::new(|_, _| {}),
             allowances: Arc::new(|_, _| {}),
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -142,6 +142,9 @@
             Command::AnnounceRouteUse { route, by } => {
                 self.membership.set_route_use(&route, by);
             }
+            Command::RaiseStoreEra(era) => {
+                self.membership.raise_store_era(era);
+            }
             Command::TellAllowances { to, message } => {
                 let actions = self.membership.tell_allowances(&to, message, now);
                 self.act(actions);
@@ -184,6 +187,7 @@
                 Action::Publish => self.publish(),
                 Action::Exchange { with } => self.exchange(with),
                 Action::ConfigNews { from, version } => (self.handlers.config_news)(from, version),
+                Action::StoreEra { era } => (self.handlers.store_era)(era),
                 Action::SlotMapNews {
                     from,
                     service,
--- a/src/errors/traffic.rs
+++ b/src/errors/traffic.rs
@@ -30,6 +30,10 @@
     /// Nothing was done: the row is at another version.
     #[error("the row is at version {version}")]
     Conflict { version: u64 },
+    /// The answer, or what it rests on, is of before the store was restored from an older copy: what was
+    /// done may be undone.
+    #[error("the answer is of era {era} of the store, which is at {newest}")]
+    EarlierEra { era: u64, newest: u64 },
     /// The store does not take this call as it is.
     #[error("the store refused the call with status {status}")]
     Refused { status: u16 },
@@ -41,7 +45,10 @@
 impl StoreError {
     /// Whether nothing was done and nothing will be.
     pub fn is_not_done(&self) -> bool {
-        !matches!(self, Self::NoAnswer(_) | Self::Malformed(_))
+        !matches!(
+            self,
+            Self::NoAnswer(_) | Self::Malformed(_) | Self::EarlierEra { .. }
+        )
     }
 }
 
--- a/src/membership/action.rs
+++ b/src/membership/action.rs
@@ -18,6 +18,8 @@
     Exchange { with: SocketAddr },
     /// The node at this address has a newer configuration in force.
     ConfigNews { from: SocketAddr, version: u64 },
+    /// The store has a newer era than was known here.
+    StoreEra { era: u64 },
     /// The node at this address knows a newer slot map of a service.
     SlotMapNews {
         from: SocketAddr,
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -34,6 +34,8 @@
     /// How long ago the store was last known to hold no newer version, in tenths of a second; the
     /// highest value says longer ago, or never.
     pub confirmed_tenths: u8,
+    /// The newest era of the store that the sender has heard of.
+    pub store_era: u64,
     /// Digest of the versions of all slot maps that the sender holds.
     #[serde(with = "postcard::fixint::le")]
     pub slot_maps_digest: u32,
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -80,7 +80,8 @@
     pub(super) config_version: u64,
     /// When the store was last known to hold no newer configuration.
     pub(super) config_confirmed: Option<TimeMs>,
-    /// The header has news (a new configuration) that is to be pushed at once.
+    pub(super) store_era: u64,
+    /// The header has news (a new configuration, a new era of the store) that is to be pushed at once.
     pub(super) header_is_urgent: bool,
     /// The own failure domain is to hear at once that another one answers again.
     pub(super) answers_are_urgent: bool,
@@ -125,6 +126,7 @@
             told_routes: FastSet::default(),
             config_version: 0,
             config_confirmed: None,
+            store_era: 0,
             header_is_urgent: false,
             answers_are_urgent: false,
             view: ViewBuilder::default(),
@@ -206,6 +208,17 @@
         self.config_confirmed
     }
 
+    /// Takes in an era of the store, and spreads it at once if it is newer than any that was known.
+    /// Answers whether it is.
+    pub fn raise_store_era(&mut self, era: u64) -> bool {
+        let rises = era > self.store_era;
+        if rises {
+            self.store_era = era;
+            self.header_is_urgent = true;
+        }
+        rises
+    }
+
     /// Sets the version of a slot map held here, and spreads it at once.
     pub fn set_slot_map_version(&mut self, service: &Name, version: u64) {
         if self.slot_maps.raise(service, version) {
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -174,6 +174,10 @@
         if let Some(confirmed) = moment_of(header.confirmed_tenths, now) {
             self.confirm_config(header.config_version, confirmed);
         }
+        if self.raise_store_era(header.store_era) {
+            let era = header.store_era;
+            actions.push(Action::StoreEra { era });
+        }
         let news_age_ms = now.since(self.schedule.last_config_news);
         if header.config_version > self.config_version && news_age_ms >= CONFIG_NEWS_PERIOD_MS {
             self.schedule.last_config_news = now;
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -252,6 +252,7 @@
             confirmed_tenths: self
                 .config_confirmed
                 .map_or(u8::MAX, |at| age_tenths(at, now)),
+            store_era: self.store_era,
             slot_maps_digest: self.slot_maps.digest(),
             heard,
         }
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -19,6 +19,7 @@
 use crate::core::RetryReason;
 use crate::metrics::ByReason;
 use crate::metrics::ByRoute;
+use crate::store::StoreCounters;
 
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKETS_S: &[f64] = &[
@@ -62,8 +63,7 @@
     /// The same by route, for requests that were answered by a backend server.
     pub route_latency: ByRoute,
     pub store_reached: IntGauge,
-    /// By table and kind of call.
-    pub store_calls: IntCounterVec,
+    pub store: StoreCounters,
     pub body_bytes: IntGauge,
     pub failing_permille: IntGauge,
     pressures: IntGaugeVec,
@@ -187,12 +187,20 @@
                 "From the arrival of a request at the entry to its backend server's answer.",
                 BUCKETS_S,
             ),
-            store_calls: counter_by(
-                &registry,
-                "sassafrasgap_store_calls_total",
-                "Calls to the store, answered or not, by table and kind of call.",
-                &["table", "call"],
-            ),
+            store: StoreCounters {
+                calls: counter_by(
+                    &registry,
+                    "sassafrasgap_store_calls_total",
+                    "Calls to the store, answered or not, by table and kind of call.",
+                    &["table", "call"],
+                ),
+                failures: counter_by(
+                    &registry,
+                    "sassafrasgap_store_failures_total",
+                    "Calls to the store that failed, by table, kind of call and reason.",
+                    &["table", "call", "reason"],
+                ),
+            },
             store_reached: gauge(
                 "sassafrasgap_store_reached",
                 "1 while the store answers this node, as far as it has asked lately, else 0.",
--- a/src/store/counted_store.rs
+++ b/src/store/counted_store.rs
@@ -1,8 +1,8 @@
-//! A store whose calls are counted by purpose.
+//! A store whose calls are counted by purpose and result.
 
 use std::sync::Arc;
 
-use futures::future::BoxFuture;
+use futures::FutureExt;
 use prometheus::IntCounterVec;
 
 use crate::core::Name;
@@ -10,40 +10,75 @@
 use crate::store::Changes;
 use crate::store::RowName;
 use crate::store::RowPut;
+use crate::store::RowsRead;
 use crate::store::Store;
+use crate::store::StoreCall;
 use crate::store::StoredRow;
 
-/// Passes calls on and counts them, by table and kind of call: together these say what for. Every call to
-/// a store is paid for, also one that fails, so each counts when it is made.
+/// Counters of calls to the store.
+#[derive(Clone)]
+pub struct StoreCounters {
+    /// By table and kind of call, when a call is made: each is paid for, also one that fails.
+    pub calls: IntCounterVec,
+    /// By table, kind of call and reason, for those that failed.
+    pub failures: IntCounterVec,
+}
+
+/// Passes calls on and counts them, by table and kind of call: together these say what for.
 pub struct CountedStore {
     store: Arc<dyn Store>,
-    calls: IntCounterVec,
+    counters: StoreCounters,
 }
 
 impl CountedStore {
-    /// Counts in `calls`, whose labels are the table and the kind of call.
-    pub fn new(store: Arc<dyn Store>, calls: IntCounterVec) -> Self {
-        Self { store, calls }
+    /// Counts in `counters`.
+    pub fn new(store: Arc<dyn Store>, counters: StoreCounters) -> Self {
+        Self { store, counters }
+    }
+
+    fn counted<'a, T: Send + 'a>(
+        &'a self,
+        table: Name,
+        kind: &'static str,
+        call: StoreCall<'a, T>,
+    ) -> StoreCall<'a, T> {
+        let calls = &self.counters.calls;
+        calls.with_label_values(&[&*table, kind]).inc();
+        let counted = async move {
+            let result = call.await;
+            if let Err(error) = &result {
+                let labels = [&*table, kind, reason(error)];
+                self.counters.failures.with_label_values(&labels).inc();
+            }
+            result
+        };
+        counted.boxed()
     }
+}
 
-    fn count(&self, table: &str, call: &str) {
-        self.calls.with_label_values(&[table, call]).inc();
+fn reason(error: &StoreError) -> &'static str {
+    match error {
+        StoreError::Unreachable(_) => "unreachable",
+        StoreError::NoAnswer(_) => "no_answer",
+        StoreError::Unavailable => "unavailable",
+        StoreError::TooManyCalls => "too_many_calls",
+        StoreError::HistoryGone => "history_gone",
+        StoreError::Conflict { .. } => "conflict",
+        StoreError::EarlierEra { .. } => "earlier_era",
+        StoreError::Refused { .. } => "refused",
+        StoreError::Malformed(_) => "malformed",
     }
 }
 
 impl Store for CountedStore {
-    fn read_part(
-        &self,
-        table: Name,
-        part: Name,
-    ) -> BoxFuture<'_, Result<(Vec<StoredRow>, u64), StoreError>> {
-        self.count(&table, "read_part");
-        self.store.read_part(table, part)
+    fn read_part(&self, table: Name, part: Name) -> StoreCall<'_, RowsRead> {
+        let call = self.store.read_part(table.clone(), part);
+        self.counted(table, "read_part", call)
     }
 
-    fn read_row(&self, name: RowName) -> BoxFuture<'_, Result<Option<StoredRow>, StoreError>> {
-        self.count(&name.table, "read_row");
-        self.store.read_row(name)
+    fn read_row(&self, name: RowName) -> StoreCall<'_, Option<StoredRow>> {
+        let table = name.table.clone();
+        self.counted(table, "read_row", self.store.read_row(name))
     }
 
     fn read_some(
@@ -52,23 +87,18 @@
         part: Name,
         from: Name,
         most: usize,
-    ) -> BoxFuture<'_, Result<Vec<StoredRow>, StoreError>> {
-        self.count(&table, "read_some");
-        self.store.read_some(table, part, from, most)
+    ) -> StoreCall<'_, Vec<StoredRow>> {
+        let call = self.store.read_some(table.clone(), part, from, most);
+        self.counted(table, "read_some", call)
     }
 
-    fn changes(
-        &self,
-        table: Name,
-        after: u64,
-        wait_ms: u64,
-    ) -> BoxFuture<'_, Result<Changes, StoreError>> {
-        self.count(&table, "changes");
-        self.store.changes(table, after, wait_ms)
+    fn changes(&self, table: Name, after: u64, wait_ms: u64) -> StoreCall<'_, Changes> {
+        let call = self.store.changes(table.clone(), after, wait_ms);
+        self.counted(table, "changes", call)
     }
 
-    fn put(&self, put: RowPut) -> BoxFuture<'_, Result<u64, StoreError>> {
-        self.count(&put.name.table, "put");
-        self.store.put(put)
+    fn put(&self, put: RowPut) -> StoreCall<'_, u64> {
+        let table = put.name.table.clone();
+        self.counted(table, "put", self.store.put(put))
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,24 +5,34 @@
 //! stands here once: reading anew when the history is gone, pauses after failures, and finding out
 //! what became of a write whose answer was lost.
 
+mod answered;
 mod counted_store;
+mod era_store;
+mod era_watch;
 mod port;
 mod row_keeper;
 mod rows;
 mod store_rates;
 mod table_watch;
 
+pub use answered::Answered;
 pub use counted_store::CountedStore;
+pub use counted_store::StoreCounters;
+pub use era_store::EraStore;
+pub use era_watch::EraWatch;
 pub use port::Store;
+pub use port::StoreCall;
 pub use row_keeper::KeptRow;
 pub use row_keeper::RowKeeper;
 pub use rows::Changes;
 pub use rows::RowChange;
 pub use rows::RowName;
 pub use rows::RowPut;
+pub use rows::RowsRead;
 pub use rows::StoredRow;
 pub use rows::key_after;
 pub use store_rates::StoreRates;
 pub use store_rates::part_name;
+pub use table_watch::TableNews;
 pub use table_watch::TableWatch;
 pub use table_watch::WatchPause;
--- a/src/store/row_keeper.rs
+++ b/src/store/row_keeper.rs
@@ -17,16 +17,26 @@
     Again(StoreError),
 }
 
+/// At which version the row was, and in which era of the store if that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Held {
+    era: Option<u64>,
+    version: u64,
+}
+
 /// Writes one row, always on the condition of its version.
 ///
 /// Guards against a write whose answer was lost and that the store performs seconds later: without
 /// a condition it would put an old value over a newer one. It holds because after a lost answer the
 /// row is read back, and the next write names the version that was read: the late one then fails.
+///
+/// Guards against a store that was restored from an older copy, and gives versions out again: a write on a
+/// version of before counts only if the answer is of the era in which that was read.
 pub struct RowKeeper {
     store: Arc<dyn Store>,
     name: RowName,
-    /// The version at which the row is, as far as is known.
-    version: Option<u64>,
+    /// `None` while nothing is known of the row.
+    held: Option<Held>,
 }
 
 impl RowKeeper {
@@ -35,38 +45,56 @@
         Self {
             store,
             name,
-            version: None,
+            held: None,
         }
     }
 
     /// Takes the row to be absent. The next write says whether it is, and is made once more if not.
     pub fn take_as_absent(&mut self) {
-        self.version = Some(0);
+        self.held = Some(Held {
+            era: None,
+            version: 0,
+        });
+    }
+
+    /// Forgets what is known of the row: the next write reads it back first.
+    pub fn forget(&mut self) {
+        self.held = None;
     }
 
     /// Makes one try to have the row hold `value`. Sends nothing when it does already.
     pub async fn write(&mut self, value: &[u8]) -> KeptRow {
-        let version = match self.version {
-            Some(version) => version,
+        let held = match self.held {
+            Some(held) => held,
             None => match self.read_back(value).await {
                 Ok(None) => return KeptRow::Written,
-                Ok(Some(version)) => version,
+                Ok(Some(held)) => held,
                 Err(error) => return KeptRow::Again(error),
             },
         };
         let put = RowPut {
             name: self.name.clone(),
             value: value.to_vec(),
-            expected_version: version,
+            expected_version: held.version,
         };
         match self.store.put(put).await {
-            Ok(version) => {
-                self.version = Some(version);
+            Ok(answered) if held.era.is_some_and(|era| era != answered.era) => {
+                self.held = None;
+                KeptRow::Again(StoreError::EarlierEra {
+                    era: held.era.unwrap_or_default(),
+                    newest: answered.era,
+                })
+            }
+            Ok(answered) => {
+                self.held = Some(Held {
+                    era: Some(answered.era),
+                    version: answered.value,
+                });
                 KeptRow::Written
             }
             Err(error) => {
                 if may_have_changed(&error) {
-                    self.version = None;
+                    self.held = None;
                 }
                 KeptRow::Again(error)
             }
@@ -78,16 +106,25 @@
     /// # Errors
     /// When the store does not say.
     pub async fn read(&mut self) -> Result<Option<StoredRow>, StoreError> {
-        let row = self.store.read_row(self.name.clone()).await?;
-        self.version = Some(row.as_ref().map_or(0, |row| row.version));
-        Ok(row)
+        Ok(self.read_held().await?.0)
+    }
+
+    async fn read_held(&mut self) -> Result<(Option<StoredRow>, Held), StoreError> {
+        let answered = self.store.read_row(self.name.clone()).await?;
+        let row = answered.value;
+        let held = Held {
+            era: Some(answered.era),
+            version: row.as_ref().map_or(0, |row| row.version),
+        };
+        self.held = Some(held);
+        Ok((row, held))
     }
 
     /// `None` when the row holds the value already, else the version on which to build.
-    async fn read_back(&mut self, value: &[u8]) -> Result<Option<u64>, StoreError> {
-        let row = self.read().await?;
-        let holds_it = row.as_ref().is_some_and(|row| row.value == value);
-        Ok((!holds_it).then_some(self.version.unwrap_or(0)))
+    async fn read_back(&mut self, value: &[u8]) -> Result<Option<Held>, StoreError> {
+        let (row, held) = self.read_held().await?;
+        let holds_it = row.is_some_and(|row| row.value == value);
+        Ok((!holds_it).then_some(held))
     }
 }
 
--- a/src/store/rows.rs
+++ b/src/store/rows.rs
@@ -26,7 +26,14 @@
 pub struct StoredRow {
     pub name: RowName,
     pub value: Vec<u8>,
-    /// Rises with every change of the row and never repeats.
+    /// Rises with every change of the row, and does not repeat within an era of the store.
+    pub version: u64,
+}
+
+/// All rows of a part, and the store's version when they were read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RowsRead {
+    pub rows: Vec<StoredRow>,
     pub version: u64,
 }
 
--- a/src/store/table_watch.rs
+++ b/src/store/table_watch.rs
@@ -6,6 +6,7 @@
 use crate::errors::StoreError;
 use crate::store::RowChange;
 use crate::store::Store;
+use crate::store::StoredRow;
 
 /// The pause after a first failure, in milliseconds; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
@@ -40,17 +41,35 @@
     }
 }
 
+/// Up to where a table is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownTo {
+    era: u64,
+    version: u64,
+}
+
+/// What a table's feed brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TableNews {
+    pub rows: Vec<RowChange>,
+    /// These are all rows that there are: what is not among them is gone.
+    pub is_whole: bool,
+}
+
 /// One part of a table, followed from one version to the next.
 ///
 /// Guards against a feed that has forgotten what was missed: it shows as [`StoreError::HistoryGone`]
 /// or not at all, so after every failure the whole part is read anew. It holds because a read is of
 /// one moment and the feed goes on from just that moment.
+///
+/// Guards against a store that was restored from an older copy: its versions are given out again, and the
+/// changes up to the one that was known would be missed without a sign. A risen era is read whole.
 pub struct TableWatch {
     store: Arc<dyn Store>,
     table: Name,
     part: Name,
-    /// Up to which version everything is known; `None` before the first read.
-    known_to: Option<u64>,
+    /// Up to where everything is known; `None` before the first read.
+    known_to: Option<KnownTo>,
 }
 
 impl TableWatch {
@@ -64,36 +83,49 @@
         }
     }
 
-    /// The next news: all rows after a start or a failure, later what changed within `wait_ms`.
+    /// The next news: all rows after a start, a failure or a restored store, later what changed within
+    /// `wait_ms`.
     ///
     /// # Errors
     /// What the store's call failed with. The next call then reads the whole part.
-    pub async fn next(&mut self, wait_ms: u64) -> Result<Vec<RowChange>, StoreError> {
-        let Some(after) = self.known_to.take() else {
+    pub async fn next(&mut self, wait_ms: u64) -> Result<TableNews, StoreError> {
+        let Some(known) = self.known_to.take() else {
             return self.read_all().await;
         };
-        let changes = self
-            .store
-            .changes(self.table.clone(), after, wait_ms)
-            .await?;
-        self.known_to = Some(changes.version.max(after));
+        let table = self.table.clone();
+        let answered = self.store.changes(table, known.version, wait_ms).await?;
+        if answered.era != known.era {
+            return self.read_all().await;
+        }
+        let changes = answered.value;
+        self.known_to = Some(KnownTo {
+            era: known.era,
+            version: changes.version.max(known.version),
+        });
         let mut rows = changes.rows;
         rows.retain(|row| row.name.part == self.part);
-        Ok(rows)
+        Ok(TableNews {
+            rows,
+            is_whole: false,
+        })
     }
 
-    async fn read_all(&mut self) -> Result<Vec<RowChange>, StoreError> {
-        let read = self
-            .store
-            .read_part(self.table.clone(), self.part.clone())
-            .await?;
-        let (rows, version) = read;
-        self.known_to = Some(version);
-        let as_change = |row: crate::store::StoredRow| RowChange {
+    async fn read_all(&mut self) -> Result<TableNews, StoreError> {
+        let (table, part) = (self.table.clone(), self.part.clone());
+        let answered = self.store.read_part(table, part).await?;
+        let read = answered.value;
+        self.known_to = Some(KnownTo {
+            era: answered.era,
+            version: read.version,
+        });
+        let as_change = |row: StoredRow| RowChange {
             name: row.name,
             value: Some(row.value),
             version: row.version,
         };
-        Ok(rows.into_iter().map(as_change).collect())
+        Ok(TableNews {
+            rows: read.rows.into_iter().map(as_change).collect(),
+            is_whole: true,
+        })
     }
 }
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -15,6 +15,7 @@
 use crate::desired::Known;
 use crate::desired::asks_store;
 use crate::membership::MembershipSettings;
+use crate::store::EraWatch;
 use crate::traffic::DesiredInForce;
 use crate::traffic::TrafficSettings;
 use crate::traffic::desired_task::AnnounceVersion;
@@ -131,3 +132,21 @@
         control.announce_route_use(route, by);
     }
 }
+
+/// Takes in an era of the store that another member has seen.
+pub(super) fn take_era(eras: &EraWatch) -> Arc<dyn Fn(u64) + Send + Sync> {
+    let eras = eras.clone();
+    Arc::new(move |era| {
+        eras.take(era);
+    })
+}
+
+/// Tells all members of each new era of the store, for nodes that do not ask it have to write again what it
+/// has lost.
+pub(super) async fn announce_eras(control: Arc<ControlHandle>, eras: EraWatch) {
+    let mut newest = eras.subscribe();
+    while newest.changed().await.is_ok() {
+        let era = *newest.borrow_and_update();
+        control.raise_store_era(era.unwrap_or_default());
+    }
+}
--- a/src/traffic/cost_log.rs
+++ b/src/traffic/cost_log.rs
@@ -11,8 +11,9 @@
 /// How often it is logged.
 const EVERY: Duration = Duration::from_secs(20);
 /// The counters that make up what a node costs.
-const FAMILIES: [&str; 2] = [
+const FAMILIES: [&str; 3] = [
     "sassafrasgap_store_calls_total",
+    "sassafrasgap_store_failures_total",
     "sassafrasgap_control_bytes_total",
 ];
 
@@ -38,6 +39,6 @@
 fn word_of(metric: &Metric) -> String {
     let labels = metric.get_label().iter().map(|label| label.value());
     let labels: Vec<&str> = labels.collect();
-    let count = metric.get_counter().value();
+    let count = metric.get_counter().get_value();
     format!("{}={count}", labels.join("_"))
 }
--- a/src/traffic/desired_task.rs
+++ b/src/traffic/desired_task.rs
@@ -20,6 +20,7 @@
 use crate::store::RowChange;
 use crate::store::RowName;
 use crate::store::Store;
+use crate::store::TableNews;
 use crate::store::TableWatch;
 use crate::store::WatchPause;
 use crate::traffic::DesiredInForce;
@@ -59,11 +60,13 @@
     /// Woken when others told of a version and could not hand it over.
     pub(super) ask_now: Arc<Notify>,
     pub(super) reached: IntGauge,
+    /// The version that the store holds, as it last said; `None` where that is unknown.
+    pub(super) stored: Option<u64>,
 }
 
 impl StoreFollower {
     /// Runs for good.
-    pub(super) async fn run(self) {
+    pub(super) async fn run(mut self) {
         let (table, part) = (self.source.row.table.clone(), self.source.row.part.clone());
         let mut watch = TableWatch::new(self.store.clone(), table, part);
         let mut pause = WatchPause::default();
@@ -71,15 +74,14 @@
         loop {
             self.until_it_asks().await;
             match watch.next(WATCH_WAIT_MS).await {
-                Ok(changes) => {
+                Ok(news) => {
                     pause.reset();
                     self.reached.set(1);
                     if !was_reached {
                         log::info!("store: reached again");
                     }
                     was_reached = true;
-                    take_changes(&changes, &self.source, &self.desired, &self.announce);
-                    (self.confirm)(self.desired.version());
+                    self.take(&news);
                 }
                 Err(error) => {
                     self.reached.set(0);
@@ -94,37 +96,51 @@
         }
     }
 
-    async fn until_it_asks(&self) {
-        while !(self.asks)() {
-            let look = sleep(Duration::from_millis(WATCH_LOOK_MS));
-            tokio::select! {
-                () = look => {}
-                () = self.ask_now.notified() => return,
-            }
+    /// Takes in what the store holds, and confirms what is in force if that is the same.
+    ///
+    /// Guards against a store that was restored from an older copy and shows an older state than the one in
+    /// force: that stays, and the store's word says nothing of whether it is the newest.
+    fn take(&mut self, news: &TableNews) {
+        if news.is_whole {
+            self.stored = None;
+        }
+        let of_operator = news.rows.iter().filter(|row| row.name == self.source.row);
+        for row in of_operator {
+            self.stored = self.take_row(row);
+        }
+        if self.stored == Some(self.desired.version()) {
+            (self.confirm)(self.desired.version());
         }
     }
-}
 
-fn take_changes(
-    changes: &[RowChange],
-    source: &DesiredSource,
-    desired: &DesiredInForce,
-    announce: &AnnounceVersion,
-) {
-    let of_operator = changes.iter().filter(|row| row.name == source.row);
-    for row in of_operator {
+    /// Answers which version the row holds.
+    fn take_row(&self, row: &RowChange) -> Option<u64> {
         let Some(value) = &row.value else {
             log::error!("config: the operator's row was dropped; the last version stays in force");
-            continue;
+            return None;
         };
-        match (source.decode)(value) {
+        match (self.source.decode)(value) {
             Ok(state) => {
                 let version = state.version;
-                if desired.offer(state) {
-                    announce(version);
+                if self.desired.offer(state) {
+                    (self.announce)(version);
                 }
+                Some(version)
+            }
+            Err(error) => {
+                log::error!("config: the operator's row is not valid, error={error}");
+                None
+            }
+        }
+    }
+
+    async fn until_it_asks(&self) {
+        while !(self.asks)() {
+            let look = sleep(Duration::from_millis(WATCH_LOOK_MS));
+            tokio::select! {
+                () = look => {}
+                () = self.ask_now.notified() => return,
             }
-            Err(error) => log::error!("config: the operator's row is not valid, error={error}"),
         }
     }
 }
--- a/src/traffic/find_others.rs
+++ b/src/traffic/find_others.rs
@@ -155,7 +155,8 @@
             let part = part_name(cursor.part);
             let from = cursor.from.clone();
             let table = self.table.clone();
-            let read = self.store.read_some(table, part, from, SAMPLE_ROWS).await?;
+            let read = self.store.read_some(table, part, from, SAMPLE_ROWS);
+            let read = read.await?.value;
             match read.last() {
                 Some(last) if read.len() >= SAMPLE_ROWS => cursor.from = key_after(&last.name.key),
                 _ => {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -43,6 +43,7 @@
 mod roster;
 mod roster_row;
 mod route_origins;
+mod row_checks;
 mod running_routes;
 mod server_report;
 mod settings;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -15,6 +15,8 @@
 use crate::errors::TrafficError;
 use crate::metrics::Metrics;
 use crate::store::CountedStore;
+use crate::store::EraStore;
+use crate::store::EraWatch;
 use crate::store::Store;
 use crate::traffic::AdminProtocol;
 use crate::traffic::DesiredInForce;
@@ -23,6 +25,7 @@
 use crate::traffic::allowance_task::keep_allowances;
 use crate::traffic::allowance_task::take_allowances;
 use crate::traffic::allowances::Allowances;
+use crate::traffic::control_link::announce_eras;
 use crate::traffic::control_link::announce_local;
 use crate::traffic::control_link::announce_routes;
 use crate::traffic::control_link::announce_version;
@@ -30,6 +33,7 @@
 use crate::traffic::control_link::confirm_version;
 use crate::traffic::control_link::control_settings;
 use crate::traffic::control_link::handlers;
+use crate::traffic::control_link::take_era;
 use crate::traffic::cost_log::log_costs;
 use crate::traffic::desired_task::StoreFollower;
 use crate::traffic::desired_task::fetch_news;
@@ -102,8 +106,10 @@
             inputs.clock.now(),
         ));
         let (told_sender, told) = channel(MOST_WAITING_ALLOWANCES);
+        let eras = EraWatch::new();
         let handlers = ControlHandlers {
             allowances: take_allowances(told_sender),
+            store_era: take_era(&eras),
             ..handlers(&settings, &desired, &poison, &origins, news_sender)
         };
         let control_settings = control_settings(&settings, peer_address, inputs.clock);
@@ -123,8 +129,8 @@
         traffic.gate.set_classes(CLASSES);
         let announce = announce_version(&control);
         let runtime = &control.runtime;
-        let calls = traffic.metrics.store_calls.clone();
-        let store = Arc::new(CountedStore::new(inputs.store, calls));
+        let counted = CountedStore::new(inputs.store, traffic.metrics.store.clone());
+        let store = Arc::new(EraStore::new(counted, eras.clone()));
         let ask_now = Arc::new(Notify::new());
         let follower = StoreFollower {
             store: store.clone(),
@@ -135,6 +141,7 @@
             asks: asks(&traffic, &control),
             ask_now: ask_now.clone(),
             reached: traffic.metrics.store_reached.clone(),
+            stored: None,
         };
         runtime.spawn(follower.run());
         runtime.spawn(fetch_news(
@@ -150,9 +157,11 @@
         runtime.spawn(tell_targets(crashes, traffic.clone(), control.clone()));
         let roster = Roster {
             store,
+            eras: eras.clone(),
             traffic: traffic.clone(),
             control: control.clone(),
         };
+        runtime.spawn(announce_eras(control.clone(), eras));
         runtime.spawn(roster.run());
         Ok(Self::serve(traffic, control, listeners, &inputs.admin))
     }
@@ -204,6 +213,12 @@
         self.traffic.desired.version()
     }
 
+    /// How long ago the store was last known to hold nothing newer, in milliseconds.
+    pub fn confirmed_ms_ago(&self) -> u64 {
+        let confirmed = self.traffic.freshness.confirmed();
+        self.traffic.clock.now().since(confirmed)
+    }
+
     /// How many targets of a service take work, as far as is known here.
     pub fn targets_of(&self, service: &str) -> usize {
         let view = self.traffic.view.load();
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -13,6 +13,7 @@
 use crate::control::ControlHandle;
 use crate::core::Name;
 use crate::errors::StoreError;
+use crate::store::EraWatch;
 use crate::store::KeptRow;
 use crate::store::RowKeeper;
 use crate::store::RowName;
@@ -23,6 +24,7 @@
 use crate::traffic::recall::recall_server;
 use crate::traffic::roster_row::RosterRow;
 use crate::traffic::roster_row::roster_key;
+use crate::traffic::row_checks::RowChecks;
 use crate::traffic::traffic::LocalNews;
 use crate::traffic::traffic::Traffic;
 
@@ -37,6 +39,7 @@
 /// Keeps the own row and finds others.
 pub(super) struct Roster {
     pub(super) store: Arc<dyn Store>,
+    pub(super) eras: EraWatch,
     pub(super) traffic: Arc<Traffic>,
     pub(super) control: Arc<ControlHandle>,
 }
@@ -140,13 +143,20 @@
     async fn keep_own(&self, keeper: &mut RowKeeper, before: Option<RosterRow>) {
         let mut held = before.clone();
         let mut news = self.traffic.local_news.subscribe();
+        let mut checks = RowChecks::new(&self.eras);
         let mut pause = WatchPause::default();
         loop {
             news.mark_unchanged();
             let wanted = self.wanted(before.as_ref());
             if held.as_ref() == Some(&wanted) {
-                if news.changed().await.is_err() {
-                    return;
+                tokio::select! {
+                    changed = news.changed() => if changed.is_err() {
+                        return;
+                    },
+                    () = checks.due() => {
+                        keeper.forget();
+                        held = None;
+                    }
                 }
                 continue;
             }
--- /dev/null
+++ b/tests/fake_store/mod.rs
@@ -0,0 +1,214 @@
+//! A store in memory, with copies to restore and writes that are performed late.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use futures::FutureExt;
+use futures::future::ready;
+
+use sassafrasgap::core::Name;
+use sassafrasgap::errors::StoreError;
+use sassafrasgap::store::Answered;
+use sassafrasgap::store::Changes;
+use sassafrasgap::store::RowChange;
+use sassafrasgap::store::RowName;
+use sassafrasgap::store::RowPut;
+use sassafrasgap::store::RowsRead;
+use sassafrasgap::store::Store;
+use sassafrasgap::store::StoreCall;
+use sassafrasgap::store::StoredRow;
+
+/// What happens to the next write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextPut {
+    /// It is turned away: nothing is done.
+    TurnedAway,
+    /// It is done, and the answer is lost.
+    Unanswered,
+    /// It is not answered, and done when [`FakeStore::perform_late`] says so, if its condition holds then.
+    Late,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Rows {
+    rows: BTreeMap<RowName, (Vec<u8>, u64)>,
+    history: Vec<RowChange>,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    now: Rows,
+    copy: Rows,
+    era: u64,
+    next_puts: VecDeque<NextPut>,
+    late: Vec<RowPut>,
+    reads: u64,
+    puts: u64,
+}
+
+/// Shared by all that use it.
+#[derive(Clone, Debug, Default)]
+pub struct FakeStore(Arc<Mutex<State>>);
+
+impl FakeStore {
+    /// What happens to the next writes, in order; those after them are done and answered.
+    pub fn next_put(&self, next: NextPut) {
+        self.0.lock().unwrap().next_puts.push_back(next);
+    }
+
+    /// Keeps a copy to restore later.
+    pub fn keep_copy(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.copy = state.now.clone();
+    }
+
+    /// Goes back to the copy: what was acknowledged since is gone, and its versions are given out again.
+    pub fn restore(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.now = state.copy.clone();
+        state.era += 1;
+    }
+
+    /// Performs the writes that were not answered and wait.
+    pub fn perform_late(&self) {
+        let mut state = self.0.lock().unwrap();
+        let late = std::mem::take(&mut state.late);
+        for put in late {
+            drop(state.now.put(&put));
+        }
+    }
+
+    /// Writes a row as somebody else does, without a condition.
+    pub fn write(&self, name: &RowName, value: &[u8]) {
+        let mut state = self.0.lock().unwrap();
+        let held = state.now.rows.get(name).map_or(0, |(_, version)| *version);
+        let put = RowPut {
+            name: name.clone(),
+            value: value.to_vec(),
+            expected_version: held,
+        };
+        state.now.put(&put).unwrap();
+    }
+
+    pub fn value(&self, name: &RowName) -> Option<Vec<u8>> {
+        let state = self.0.lock().unwrap();
+        state.now.rows.get(name).map(|(value, _)| value.clone())
+    }
+
+    /// How many reads and writes were asked for.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.0.lock().unwrap();
+        (state.reads, state.puts)
+    }
+
+    fn read<T: Send + 'static>(&self, read: impl FnOnce(&State) -> T) -> StoreCall<'static, T> {
+        let mut state = self.0.lock().unwrap();
+        state.reads += 1;
+        let answered = Answered {
+            era: state.era,
+            value: read(&state),
+        };
+        ready(Ok(answered)).boxed()
+    }
+}
+
+impl Rows {
+    fn put(&mut self, put: &RowPut) -> Result<u64, StoreError> {
+        let held = self.rows.get(&put.name).map_or(0, |(_, version)| *version);
+        if held != put.expected_version {
+            return Err(StoreError::Conflict { version: held });
+        }
+        self.version += 1;
+        let row = (put.value.clone(), self.version);
+        self.rows.insert(put.name.clone(), row);
+        self.history.push(RowChange {
+            name: put.name.clone(),
+            value: Some(put.value.clone()),
+            version: self.version,
+        });
+        Ok(self.version)
+    }
+
+    fn rows_of(&self, table: &Name, part: &Name) -> Vec<StoredRow> {
+        let rows = self.rows.iter();
+        let rows = rows.filter(|(name, _)| name.table == *table && name.part == *part);
+        let rows = rows.map(|(name, (value, version))| StoredRow {
+            name: name.clone(),
+            value: value.clone(),
+            version: *version,
+        });
+        rows.collect()
+    }
+}
+
+impl Store for FakeStore {
+    fn read_part(&self, table: Name, part: Name) -> StoreCall<'_, RowsRead> {
+        self.read(|state| RowsRead {
+            rows: state.now.rows_of(&table, &part),
+            version: state.now.version,
+        })
+    }
+
+    fn read_row(&self, name: RowName) -> StoreCall<'_, Option<StoredRow>> {
+        self.read(|state| {
+            let rows = state.now.rows_of(&name.table, &name.part);
+            rows.into_iter().find(|row| row.name == name)
+        })
+    }
+
+    fn read_some(
+        &self,
+        table: Name,
+        part: Name,
+        from: Name,
+        most: usize,
+    ) -> StoreCall<'_, Vec<StoredRow>> {
+        self.read(|state| {
+            let rows = state.now.rows_of(&table, &part).into_iter();
+            rows.filter(|row| row.name.key >= from).take(most).collect()
+        })
+    }
+
+    fn changes(&self, table: Name, after: u64, _wait_ms: u64) -> StoreCall<'_, Changes> {
+        let state = self.0.lock().unwrap();
+        if after > state.now.version {
+            return ready(Err(StoreError::HistoryGone)).boxed();
+        }
+        drop(state);
+        self.read(|state| {
+            let rows = state.now.history.iter();
+            let rows = rows.filter(|row| row.name.table == table && row.version > after);
+            Changes {
+                rows: rows.cloned().collect(),
+                version: state.now.version,
+            }
+        })
+    }
+
+    fn put(&self, put: RowPut) -> StoreCall<'_, u64> {
+        let mut state = self.0.lock().unwrap();
+        state.puts += 1;
+        let next = state.next_puts.pop_front();
+        let no_answer = || Err(StoreError::NoAnswer("lost".to_owned()));
+        let result = match next {
+            Some(NextPut::TurnedAway) => Err(StoreError::TooManyCalls),
+            Some(NextPut::Late) => {
+                state.late.push(put);
+                no_answer()
+            }
+            Some(NextPut::Unanswered) => {
+                drop(state.now.put(&put));
+                no_answer()
+            }
+            None => state.now.put(&put).map(|version| Answered {
+                era: state.era,
+                value: version,
+            }),
+        };
+        ready(result).boxed()
+    }
+}
--- a/tests/membership_net/mod.rs
+++ b/tests/membership_net/mod.rs
@@ -359,6 +359,7 @@
                     node.member.set_slot_map_version(&service, version);
                 }
                 Action::RouteUse { route, by } => self.nodes[index].route_uses.push((route, by)),
+                Action::StoreEra { era } => self.nodes[index].store_eras.push(era),
                 Action::Allowances { .. } | Action::CompareSlotMaps { .. } => {}
             }
         }
--- a/tests/membership_net/node.rs
+++ b/tests/membership_net/node.rs
@@ -27,6 +27,7 @@
     pub config_news: Vec<(SocketAddr, u64)>,
     pub slot_map_news: Vec<(Name, u64)>,
     pub route_uses: Vec<(Name, RouteOrigin)>,
+    pub store_eras: Vec<u64>,
 }
 
 impl Node {
@@ -39,6 +40,7 @@
             config_news: Vec::new(),
             slot_map_news: Vec::new(),
             route_uses: Vec::new(),
+            store_eras: Vec::new(),
         }
     }
 
--- a/tests/membership_order.rs
+++ b/tests/membership_order.rs
@@ -52,6 +52,7 @@
 
 fn header(from: &str, incarnation: u64) -> Header {
     Header {
+        store_era: 0,
         from: Name::from(from),
         incarnation,
         members_digest: 0,
