--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -42,7 +42,7 @@
             return;
         }
         if self.lacks_many(header.members) || self.is_catching_up(now) {
-            if self.is_near(&header.from) || self.is_bridge() {
+            if self.is_near(&header.from) || self.asks_across() {
                 self.start_exchange(from, now, actions);
             }
             return;
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -71,7 +71,7 @@
         let differing = self.table.iter().filter(differs).map(as_told);
         let answer = differing.filter(is_news).collect();
         let mut actions = self.merge(now, from, std::slice::from_ref(&ask.own));
-        let may_ask = ask.own.domain == self.own.domain || self.is_bridge();
+        let may_ask = ask.own.domain == self.own.domain || self.asks_across();
         if self.lacks_many(ask.members) && may_ask {
             self.start_exchange(ask.own.control_address, now, &mut actions);
         }
--- a/src/membership/spread.rs
+++ b/src/membership/spread.rs
@@ -20,9 +20,12 @@
 const SENDS_PER_DIGIT: u32 = 3;
 /// Room in a datagram for short news that waits for nothing: a dozen routes.
 const PRESSING_BYTES: u64 = 300;
-/// Members of each failure domain that carry news of members into others at a time, and ask others for
-/// what differs. It is the same at any size.
-const BRIDGES: f64 = 8.0;
+/// Members of each failure domain that carry news of members into others at a time. It is the same at any
+/// size.
+const BRIDGES: f64 = 12.0;
+/// Members of each failure domain that ask others for what differs, at a time: more, for after a start of all
+/// nobody is served by nodes that are not known.
+const ASKING_BRIDGES: f64 = 24.0;
 /// IP and UDP headers, which count as control traffic too.
 pub(super) const PACKET_OVERHEAD_BYTES: u64 = 28;
 
@@ -57,8 +60,18 @@
     /// that grow with the square of the nodes, and are the dearest. It holds because a handful of members of
     /// each domain, others each time, carry each piece of news, and domains spread it within.
     pub(super) fn is_bridge(&mut self) -> bool {
+        self.is_among(BRIDGES)
+    }
+
+    /// The same for exchanges of whole tables.
+    pub(super) fn asks_across(&mut self) -> bool {
+        self.is_among(ASKING_BRIDGES)
+    }
+
+    /// Whether this node is among so many of its failure domain, which are others each time.
+    fn is_among(&mut self, members: f64) -> bool {
         let near = self.table.alive_in(&self.own.domain) as f64;
-        near <= BRIDGES || self.rng.f64() * near < BRIDGES
+        near <= members || self.rng.f64() * near < members
     }
 
     /// The node of this name at this address, as somebody to send to.
