Allowances: a share is not used twice in a long cut; a first word comes sooner

Change: shares of the dead are divided after 20 s, and an entry without a word ends its own share after 20 s, before others can begin. An entry that has had no word yet reports every 100 ms instead of 300.

--- a/src/accounts/entry_allowances.rs
+++ b/src/accounts/entry_allowances.rs
@@ -14,7 +14,8 @@
 const MOST_ACCOUNTS: usize = 4_096;
 /// How often an entry reports, in milliseconds.
 const REPORT_MS: u64 = 300;
-/// The least time between two reports, in milliseconds, when requests come faster than usual.
+/// The least time between two reports, in milliseconds, when requests come faster than usual or no word has
+/// come yet.
 const HASTY_REPORT_MS: u64 = 100;
 /// A report goes out early after so many requests of one account and so many times those expected.
 const HASTY_COUNT: f32 = 3.0;
@@ -97,6 +98,11 @@
 }
 
 impl EntryAllowances {
+    /// An entry that is on its own goes on with its equal share for so long after its last word, in
+    /// milliseconds. Others divide the share of a node that they take for dead no sooner than so long after
+    /// its death is known.
+    pub const SHARE_HOLDS_MS: u64 = 20_000;
+
     /// After this time without a word another keeper is asked, in milliseconds.
     pub const WORD_MISSED_MS: u64 = 700;
 
@@ -166,7 +172,8 @@
     /// The report that is due, if one is.
     pub fn report(&mut self, now: TimeMs) -> Option<Report> {
         let since_ms = now.since(self.reported);
-        let due_ms = match self.is_hasty {
+        // Until its first word an entry lets in a part only, so it asks for that often.
+        let due_ms = match self.is_hasty || self.worded.is_none() {
             true => HASTY_REPORT_MS,
             false => REPORT_MS,
         };
@@ -229,11 +236,23 @@
             Some(at) if now.since(at) < WORD_HOLDS_MS => self.told(at, account),
             None if now.since(self.started) < FIRST_WORD_MS => self.before_word(allowance),
             _ => Standing::Share {
-                per_s: allowance.rate_per_s / nodes.max(LEAST_NODES) as f32,
+                per_s: self.share_per_s(now, allowance, nodes),
             },
         }
     }
 
+    /// The equal share of an entry that is on its own.
+    ///
+    /// Guards against a share that is used twice: by nodes that are cut off from everybody, and by all others
+    /// once they take those for dead. It holds because the cut-off ones end first.
+    fn share_per_s(&self, now: TimeMs, allowance: Allowance, nodes: usize) -> f32 {
+        let alone_ms = now.since(self.worded.unwrap_or(self.started));
+        if alone_ms >= Self::SHARE_HOLDS_MS {
+            return 0.0;
+        }
+        allowance.rate_per_s / nodes.max(LEAST_NODES) as f32
+    }
+
     fn before_word(&self, allowance: Allowance) -> Standing {
         if self.is_first_start {
             return Standing::Free;
--- a/tests/accounts_allowances.rs
+++ b/tests/accounts_allowances.rs
@@ -137,6 +137,26 @@
     }
 }
 
+/// Half of the nodes is cut off from everybody for so long that the others take them for dead and divide what
+/// they had. The cut-off ones went on with it: half more than the allowance. They stop before.
+#[rstest]
+fn a_share_is_not_used_twice_in_a_long_cut(#[values(81, 195)] nodes: usize) {
+    for seed in 0..SEEDS {
+        let mut world = world(nodes, seed);
+        heat(&mut world, HOT);
+        world.run(3_000);
+        world.cut_half_for_good();
+        world.run(32_000);
+        let from = world.now;
+        world.run(6_000);
+        assert!(world.worst() <= 1.0, "seed {seed}: {}", world.worst());
+        assert!(rate(&world, LARGE, from) >= 0.9, "seed {seed}");
+        world.heal();
+        world.run(5_000);
+        assert!(world.worst() <= 1.0, "seed {seed}: {}", world.worst());
+    }
+}
+
 /// All processes are killed and begin anew while two accounts are hot. Nobody remembers what was used a
 /// moment ago; still the fleet must not let in a whole burst once more.
 #[rstest]
--- a/tests/accounts_fleet/mod.rs
+++ b/tests/accounts_fleet/mod.rs
@@ -12,6 +12,7 @@
 use sassafrasgap::accounts::Allowance;
 use sassafrasgap::accounts::AllowanceBound;
 use sassafrasgap::accounts::AllowanceMessage;
+use sassafrasgap::accounts::EntryAllowances;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::TimeMs;
 
@@ -22,6 +23,8 @@
 const STEP_MS: u64 = 10;
 /// Keepers and entries look at the time this often.
 const TICK_MS: u64 = 100;
+/// The soonest that a node's death is known, after it was last heard.
+const DEATH_KNOWN_MS: u64 = 4_000;
 /// How long a restarted node takes to know who is there.
 const JOIN_MS: u64 = 700;
 /// Every so many messages one is lost.
@@ -48,6 +51,8 @@
     cut_domains: Vec<usize>,
     /// Nodes that nobody can be reached from.
     cut_nodes: Vec<usize>,
+    /// When others count those no longer.
+    cut_nodes_gone: TimeMs,
     on_the_way: Vec<(TimeMs, usize, usize, AllowanceMessage)>,
     messages: u64,
     rng: Rng,
@@ -71,6 +76,7 @@
             bound,
             cut_domains: Vec::new(),
             cut_nodes: Vec::new(),
+            cut_nodes_gone: TimeMs(u64::MAX),
             on_the_way: Vec::new(),
             messages: 0,
             rng,
@@ -121,6 +127,15 @@
         self.cut_nodes = (0..self.nodes.len()).filter(|at| at % part == 0).collect();
     }
 
+    /// Cuts half of each failure domain off from everybody, its keepers not among them, until others take
+    /// them for dead and divide what they had.
+    pub fn cut_half_for_good(&mut self) {
+        let keepers = 2 * self.domains;
+        let all = keepers..self.nodes.len();
+        self.cut_nodes = all.filter(|at| at / self.domains % 2 == 1).collect();
+        self.cut_nodes_gone = self.now + DEATH_KNOWN_MS + EntryAllowances::SHARE_HOLDS_MS;
+    }
+
     /// No node hears any other one, so each has its equal share.
     pub fn cut_all_nodes(&mut self) {
         self.cut_nodes = (0..self.nodes.len()).collect();
@@ -130,6 +145,7 @@
     pub fn heal(&mut self) {
         self.cut_domains.clear();
         self.cut_nodes.clear();
+        self.cut_nodes_gone = TimeMs(u64::MAX);
     }
 
     /// All processes end and begin anew after `down_ms`, within 300 ms.
@@ -256,7 +272,9 @@
         let allowances = allowances
             .map(|each| (AccountId::of(&each.name), each.allowance))
             .collect();
-        let fleet = node::fleet(at % self.domains, self.domains, self.nodes.len());
+        let gone = self.now >= self.cut_nodes_gone;
+        let gone: &[usize] = if gone { &self.cut_nodes } else { &[] };
+        let fleet = node::fleet(at % self.domains, self.domains, self.nodes.len(), gone);
         let keeper = &mut self.nodes[at].keeper;
         keeper.set_allowances(allowances);
         keeper.set_fleet(self.now, fleet);
--- a/tests/accounts_fleet/node.rs
+++ b/tests/accounts_fleet/node.rs
@@ -42,9 +42,13 @@
     Name::from(format!("d{at}"))
 }
 
-/// What all nodes know of each other.
-pub fn fleet(own: usize, domains: usize, nodes: usize) -> Fleet {
-    let of = |domain: usize| (0..nodes).filter(move |at| at % domains == domain);
+/// What all nodes know of each other, those that count as gone left out.
+pub fn fleet(own: usize, domains: usize, nodes: usize, gone: &[usize]) -> Fleet {
+    let is_there = |at: &usize| !gone.contains(at);
+    let of = |domain: usize| {
+        let nodes = (0..nodes).filter(is_there);
+        nodes.filter(move |at| at % domains == domain)
+    };
     let others = (0..domains).filter(|each| *each != own);
     Fleet {
         own: of(own).map(name).collect(),
