--- a/src/errors/traffic.rs
+++ b/src/errors/traffic.rs
@@ -85,6 +85,8 @@
     Malformed(String),
     #[error("{field} is missing")]
     Missing { field: &'static str },
+    #[error("the service {0:?} is not in the desired state in force")]
+    UnknownService(String),
 }
 
 /// A desired state that cannot be taken in.
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -14,8 +14,11 @@
 use tokio::time::timeout;
 
 use crate::adapters::read_whole;
+use crate::core::Name;
+use crate::errors::ReportError;
 use crate::traffic::AdminProtocol;
 use crate::traffic::AdminRequest;
+use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
 use crate::traffic::traffic::Traffic;
 
@@ -40,19 +43,21 @@
     let decoded = (protocol.decode)(&parts.method, parts.uri.path(), &body);
     match decoded {
         Ok(AdminRequest::Readiness) => readiness(&traffic),
-        Ok(AdminRequest::Report(report)) => {
-            take_report(&traffic, &report);
-            acknowledged(&protocol)
-        }
+        Ok(AdminRequest::Report(report)) => match take_report(&traffic, &report) {
+            Ok(()) => acknowledged(&protocol),
+            Err(error) => refused(&error),
+        },
         Ok(AdminRequest::Metrics) => metrics(&traffic),
         Ok(AdminRequest::Unknown) => told(StatusCode::NOT_FOUND, "not served here".to_owned()),
-        Err(error) => {
-            log::warn!("local: a report was not taken, error={error}");
-            told(StatusCode::BAD_REQUEST, error.to_string())
-        }
+        Err(error) => refused(&error),
     }
 }
 
+fn refused(error: &ReportError) -> Response<Full<Bytes>> {
+    log::warn!("local: a report was not taken, error={error}");
+    told(StatusCode::BAD_REQUEST, error.to_string())
+}
+
 /// Ready is who knows where requests go and has not begun to stop.
 fn readiness(traffic: &Traffic) -> Response<Full<Bytes>> {
     let is_ready = traffic.desired.version() > 0 && !traffic.is_stopping();
@@ -64,9 +69,28 @@
     told(status, String::new())
 }
 
-fn take_report(traffic: &Traffic, report: &ServerReport) {
+fn take_report(traffic: &Traffic, report: &ServerReport) -> Result<(), ReportError> {
+    if let Some(service) = unknown_service(traffic, report) {
+        return Err(ReportError::UnknownService(service.to_string()));
+    }
     let now = traffic.clock.now();
     traffic.change_local(|local| local.take(now, report));
+    Ok(())
+}
+
+/// The service that a report names, if no operator knows it and the backend server has not borne it before.
+///
+/// Guards against a report of another writer that takes a sound target away from its service. What leaves is
+/// always believed.
+fn unknown_service(traffic: &Traffic, report: &ServerReport) -> Option<Name> {
+    let service = report.service.clone()?;
+    let in_force = traffic.desired.load()?;
+    let mut services = in_force.state.services.iter();
+    let is_known = report.state != ReportedState::Ready
+        || service == traffic.settings.service
+        || traffic.local().service() == Some(&service)
+        || services.any(|each| each.name == service);
+    (!is_known).then_some(service)
 }
 
 fn acknowledged(protocol: &AdminProtocol) -> Response<Full<Bytes>> {
