Desired states: few of each failure domain take a document over from another one

Cause: a node took a changed document over from whoever told of it first, four times in five across a border. And at a first start most nodes took themselves for watchers after 2.5 s, before they knew others, and read the operator's row and its feed: two of 3.8 calls a node. Some wrote their row twice, 1.5 s being shorter than a heartbeat and a start. Change: news of the own domain are hinted at beside those of others; three nodes of a domain go across at once, the rest wait 300 ms for a near one.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -186,7 +186,11 @@
                 Action::Send { to, datagram } => self.send(to, &datagram),
                 Action::Publish => self.publish(),
                 Action::Exchange { with } => self.exchange(with),
-                Action::ConfigNews { from, version } => (self.handlers.config_news)(from, version),
+                Action::ConfigNews {
+                    from,
+                    version,
+                    is_near,
+                } => (self.handlers.config_news)(from, version, is_near),
                 Action::StoreEra { era } => (self.handlers.store_era)(era),
                 Action::SlotMapNews {
                     from,
--- a/src/desired/store_watch.rs
+++ b/src/desired/store_watch.rs
@@ -19,11 +19,14 @@
 /// How many nodes of the whole fleet ask in each look when there is no word from the store.
 const ASKERS: f64 = 4.0;
 
+/// Nodes of each failure domain that take a document over from another domain at once.
+const FETCHERS: f64 = 3.0;
+
 /// When the whole system starts for the first time, nodes have found each other after so long, in
 /// milliseconds: before it each would take itself for a watcher.
-const FOUND_MS: u64 = 2_500;
+const FOUND_MS: u64 = 4_500;
 /// And after so long, in milliseconds, a node that has not been told of a desired state asks itself.
-const TOLD_MS: u64 = 5_000;
+const TOLD_MS: u64 = 7_000;
 
 /// How long a question to the store stays open, in milliseconds. With the time that its answer may take
 /// it ends within 3 s: an outage that swallowed it is noticed before the store counts as calm again.
@@ -84,6 +87,14 @@
     random * (living as f64) < ASKERS
 }
 
+/// Whether a node takes a document over from a peer of another failure domain at once, rather than wait for
+/// one of its own to have it. `random` is uniform in 0..1.
+pub fn fetches_across(view: &View, domain: &str, random: f64) -> bool {
+    let living = view.nodes.values().filter(|peer| lives(peer));
+    let near = living.filter(|peer| &*peer.domain == domain).count();
+    random * (near as f64) < FETCHERS
+}
+
 /// Whether a node is among the first of those that live in its failure domain, by name.
 pub fn is_watcher(view: &View, node: &str, domain: &str) -> bool {
     let before = view.nodes.values().filter(|peer| &*peer.domain == domain);
--- a/src/membership/action.rs
+++ b/src/membership/action.rs
@@ -16,8 +16,12 @@
     Publish,
     /// Exchange all members with this node over a control call and merge the answer.
     Exchange { with: SocketAddr },
-    /// The node at this address has a newer configuration in force.
-    ConfigNews { from: SocketAddr, version: u64 },
+    /// The node at this address, of the own failure domain or not, has a newer configuration in force.
+    ConfigNews {
+        from: SocketAddr,
+        version: u64,
+        is_near: bool,
+    },
     /// The store has a newer era than was known here.
     StoreEra { era: u64 },
     /// The node at this address knows a newer slot map of a service.
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -53,7 +53,8 @@
     pub last_equal: TimeMs,
     pub next_slot_compare: TimeMs,
     pub last_slots_equal: TimeMs,
-    pub last_config_news: TimeMs,
+    pub last_near_config_news: TimeMs,
+    pub last_far_config_news: TimeMs,
     pub next_refutation: TimeMs,
 }
 
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -178,15 +178,36 @@
             let era = header.store_era;
             actions.push(Action::StoreEra { era });
         }
-        let news_age_ms = now.since(self.schedule.last_config_news);
-        if header.config_version > self.config_version && news_age_ms >= CONFIG_NEWS_PERIOD_MS {
-            self.schedule.last_config_news = now;
-            let version = header.config_version;
-            actions.push(Action::ConfigNews { from, version });
+        if header.config_version > self.config_version {
+            self.hint_at_config(header, from, now, actions);
         }
         self.compare_slot_maps(header, from, now, actions);
     }
 
+    /// A near peer is hinted at beside a far one: what it hands over crosses no border.
+    fn hint_at_config(
+        &mut self,
+        header: &Header,
+        from: SocketAddr,
+        now: TimeMs,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_near = self.is_near(&header.from);
+        let last = match is_near {
+            true => &mut self.schedule.last_near_config_news,
+            false => &mut self.schedule.last_far_config_news,
+        };
+        if now.since(*last) < CONFIG_NEWS_PERIOD_MS {
+            return;
+        }
+        *last = now;
+        actions.push(Action::ConfigNews {
+            from,
+            version: header.config_version,
+            is_near,
+        });
+    }
+
     fn compare_slot_maps(
         &mut self,
         header: &Header,
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -21,12 +21,12 @@
 use crate::traffic::desired_task::AnnounceVersion;
 use crate::traffic::desired_task::AsksStore;
 use crate::traffic::desired_task::ConfirmVersion;
-use crate::traffic::desired_task::VersionNews;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::take_report;
 use crate::traffic::route_origins::KnownOrigins;
 use crate::traffic::route_origins::RouteNews;
 use crate::traffic::traffic::Traffic;
+use crate::traffic::version_news::VersionNews;
 
 /// What the control thread has to know of this node.
 pub(super) fn control_settings(
@@ -62,8 +62,13 @@
     ControlHandlers {
         report_suspects: Arc::new(move |news| take_report(&poison, &service, &news)),
         config_above: Arc::new(move |above| asked.document_above(above)),
-        config_news: Arc::new(move |from, version| {
-            if version > held.version() && news.try_send(VersionNews { from, version }).is_err() {
+        config_news: Arc::new(move |from, version, is_near| {
+            let told = VersionNews {
+                from,
+                version,
+                is_near,
+            };
+            if version > held.version() && news.try_send(told).is_err() {
                 log::debug!("config: news were dropped, version={version}");
             }
         }),
--- a/src/traffic/desired_task.rs
+++ b/src/traffic/desired_task.rs
@@ -1,22 +1,17 @@
-//! Keeps the desired state in force up to date, from the store and from peers.
+//! Keeps the desired state in force up to date from the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use prometheus::IntGauge;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::Receiver;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
-use crate::control::PeerClients;
 use crate::desired::DesiredState;
 use crate::desired::WATCH_LOOK_MS;
 use crate::desired::WATCH_PAUSE_MS;
 use crate::desired::WATCH_WAIT_MS;
 use crate::errors::DesiredStateError;
-use crate::errors::PeerCallError;
 use crate::store::RowChange;
 use crate::store::RowName;
 use crate::store::Store;
@@ -45,10 +40,6 @@
 /// Whether this node asks the store now, rather than rely on what others tell.
 pub(super) type AsksStore = Arc<dyn Fn() -> bool + Send + Sync>;
 
-/// How long a peer may take to hand over what it has in force, in milliseconds. Its answer takes a few;
-/// after that the store is asked, while the time in which a change has to be in force goes on.
-const FETCH_WITHIN_MS: u64 = 400;
-
 /// Follows the operator's row.
 pub(super) struct StoreFollower {
     pub(super) store: Arc<dyn Store>,
@@ -144,43 +135,3 @@
         }
     }
 }
-
-/// News that a peer has a version in force.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct VersionNews {
-    pub from: SocketAddr,
-    pub version: u64,
-}
-
-/// Fetches from peers what they have in force and this node has not.
-///
-/// Guards against a store that turns this node away while it serves the operator and others: the
-/// operator's change is acknowledged, and only peers can tell of it. And the other way round, a peer that
-/// tells of a version and cannot hand it over holds nothing up: the store is asked then.
-pub(super) async fn fetch_news(
-    mut news: Receiver<VersionNews>,
-    clients: Arc<PeerClients>,
-    desired: Arc<DesiredInForce>,
-    announce: AnnounceVersion,
-    ask_now: Arc<Notify>,
-) {
-    while let Some(VersionNews { from, version }) = news.recv().await {
-        if version <= desired.version() {
-            continue;
-        }
-        let asking = clients.config_above(from, desired.version());
-        let asking = timeout(Duration::from_millis(FETCH_WITHIN_MS), asking);
-        match asking.await.unwrap_or(Err(PeerCallError::Timeout)) {
-            Ok(Some(document)) => {
-                if desired.offer_document(&document) {
-                    announce(document.version);
-                }
-            }
-            Ok(None) => {}
-            Err(error) => {
-                log::debug!("config: a peer gave no answer, peer={from} error={error}");
-                ask_now.notify_one();
-            }
-        }
-    }
-}
--- a/src/traffic/find_others.rs
+++ b/src/traffic/find_others.rs
@@ -28,9 +28,9 @@
 /// After these pauses in milliseconds the nodes found are asked who is there: at once, and again, for
 /// nodes that start together know few when they are asked first. From then on gossip tells of others.
 const ASK_AGAIN_MS: [u64; 2] = [0, 600];
-/// Nodes that start together begin to read within this time, in milliseconds: whom others have found by
-/// then need not read.
-const READ_SPREAD_MS: u64 = 1_500;
+/// Nodes that start together begin to read within this time for each part of the table, in milliseconds:
+/// whom others have found by then need not read, and a store of many parts is one for many nodes.
+const READ_SPREAD_MS: u64 = 200;
 /// A node that knows so many others, itself included, has been found.
 const FOUND_NODES: usize = 12;
 /// So long after their reading a few nodes of each failure domain read once more, in milliseconds.
@@ -69,7 +69,7 @@
     pub(super) async fn run(self) {
         let mut cursor = self.begin();
         if self.is_first_start {
-            let spread_ms = fastrand::u64(..READ_SPREAD_MS);
+            let spread_ms = fastrand::u64(..READ_SPREAD_MS * self.rates.parts());
             sleep(Duration::from_millis(spread_ms)).await;
         }
         if !self.is_found() {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -51,6 +51,7 @@
 mod story;
 mod traffic;
 mod upkeep;
+mod version_news;
 
 pub use admin_protocol::AdminProtocol;
 pub use admin_protocol::AdminRequest;
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -36,7 +36,6 @@
 use crate::traffic::control_link::take_era;
 use crate::traffic::cost_log::log_costs;
 use crate::traffic::desired_task::StoreFollower;
-use crate::traffic::desired_task::fetch_news;
 use crate::traffic::listeners::Listeners;
 use crate::traffic::listeners::local_address;
 use crate::traffic::listeners::serve_admins;
@@ -50,6 +49,7 @@
 use crate::traffic::traffic::Traffic;
 use crate::traffic::upkeep::log_admission;
 use crate::traffic::upkeep::poll_gate;
+use crate::traffic::version_news::VersionFetch;
 
 /// News of versions that wait; more are dropped, since gossip repeats them.
 const MOST_WAITING_NEWS: usize = 64;
@@ -144,13 +144,14 @@
             stored: None,
         };
         runtime.spawn(follower.run());
-        runtime.spawn(fetch_news(
-            news,
-            control.clients.clone(),
-            desired.clone(),
+        let fetch = VersionFetch {
+            control: control.clone(),
+            domain: traffic.settings.domain.clone(),
+            desired: desired.clone(),
             announce,
             ask_now,
-        ));
+        };
+        runtime.spawn(fetch.run(news));
         runtime.spawn(announce_local(control.clone(), traffic.clone()));
         runtime.spawn(announce_routes(control.clone(), route_news));
         runtime.spawn(keep_allowances(traffic.clone(), control.clone(), told));
