A first start: rows wait for the first report, watchers for nodes to have found each other

Change: a first row waits up to 4.5 s for the report; watchers begin after 5 s and 0.2 s for each part of the table, that is when rows are written and read.

--- a/src/desired/store_watch.rs
+++ b/src/desired/store_watch.rs
@@ -22,11 +22,9 @@
 /// Nodes of each failure domain that take a document over from another domain at once.
 const FETCHERS: f64 = 3.0;
 
-/// When the whole system starts for the first time, nodes have found each other after so long, in
-/// milliseconds: before it each would take itself for a watcher.
-const FOUND_MS: u64 = 4_500;
-/// And after so long, in milliseconds, a node that has not been told of a desired state asks itself.
-const TOLD_MS: u64 = 7_000;
+/// So long after nodes that started together have found each other, in milliseconds, one that has not been
+/// told of a desired state asks itself.
+const TOLD_AFTER_MS: i64 = 2_500;
 
 /// How long a question to the store stays open, in milliseconds. With the time that its answer may take
 /// it ends within 3 s: an outage that swallowed it is noticed before the store counts as calm again.
@@ -42,8 +40,9 @@
 pub struct Known {
     /// It knows a desired state.
     pub any: bool,
-    /// How long ago the node started, if the whole system does so for the first time.
-    pub first_start_ms_ago: Option<u64>,
+    /// For how long nodes have found each other, if the whole system starts for the first time: below 0
+    /// while they still look for each other, and each would take itself for a watcher.
+    pub found_for_ms: Option<i64>,
     /// How long ago it heard of any other node.
     pub heard_ms_ago: u64,
     /// How long ago the store was last known to hold nothing newer.
@@ -65,9 +64,9 @@
 /// which gossip carries with its age; then a few of them ask, whichever, and tell the others.
 pub fn asks_store(view: &View, node: &str, domain: &str, known: Known, random: f64) -> bool {
     if !known.any {
-        return match known.first_start_ms_ago {
-            Some(ago_ms) if ago_ms < FOUND_MS => false,
-            Some(ago_ms) if ago_ms < TOLD_MS => is_watcher(view, node, domain),
+        return match known.found_for_ms {
+            Some(for_ms) if for_ms < 0 => false,
+            Some(for_ms) if for_ms < TOLD_AFTER_MS => is_watcher(view, node, domain),
             _ => true,
         };
     }
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -21,6 +21,7 @@
 use crate::traffic::desired_task::AnnounceVersion;
 use crate::traffic::desired_task::AsksStore;
 use crate::traffic::desired_task::ConfirmVersion;
+use crate::traffic::find_others::found_after_ms;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::take_report;
 use crate::traffic::route_origins::KnownOrigins;
@@ -86,7 +87,10 @@
         let now = traffic.clock.now();
         let known = Known {
             any: traffic.desired.version() > 0,
-            first_start_ms_ago: settings.is_first_start.then(|| now.since(started)),
+            found_for_ms: settings.is_first_start.then(|| {
+                let found_after_ms = found_after_ms(settings.store_rates);
+                now.since(started) as i64 - found_after_ms as i64
+            }),
             heard_ms_ago: now.since(control.freshness.heard()),
             confirmed_ms_ago: now.since(control.freshness.confirmed()),
             keys_hold_ms: traffic.live().keys_hold_ms,
--- a/src/traffic/find_others.rs
+++ b/src/traffic/find_others.rs
@@ -31,6 +31,9 @@
 /// Nodes that start together begin to read within this time for each part of the table, in milliseconds:
 /// whom others have found by then need not read, and a store of many parts is one for many nodes.
 const READ_SPREAD_MS: u64 = 200;
+/// In this time after a first start rows are written, and those who have read them have asked, in
+/// milliseconds.
+const WRITTEN_MS: u64 = 5_000;
 /// A node that knows so many others, itself included, has been found.
 const FOUND_NODES: usize = 12;
 /// So long after their reading a few nodes of each failure domain read once more, in milliseconds.
@@ -58,6 +61,11 @@
     pub(super) is_first_start: bool,
 }
 
+/// After how long nodes that start together for the first time have found each other, in milliseconds.
+pub(super) fn found_after_ms(rates: StoreRates) -> u64 {
+    WRITTEN_MS + READ_SPREAD_MS * rates.parts()
+}
+
 /// Where the next sample begins.
 struct Cursor {
     part: u64,
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -34,7 +34,7 @@
 const OWN_ROW_WITHIN: Duration = Duration::from_millis(1_500);
 /// How long a first row waits for the first report of the backend server, which comes within a heartbeat of
 /// its own start: each write is paid for, and it would be written anew a moment later.
-const FIRST_REPORT_WITHIN: Duration = Duration::from_millis(2_500);
+const FIRST_REPORT_WITHIN: Duration = Duration::from_millis(4_500);
 
 /// Keeps the own row and finds others.
 pub(super) struct Roster {
--- a/tests/desired_store_watch.rs
+++ b/tests/desired_store_watch.rs
@@ -40,7 +40,7 @@
 /// What a node knows while all is well.
 const WELL: Known = Known {
     any: true,
-    first_start_ms_ago: None,
+    found_for_ms: None,
     heard_ms_ago: 300,
     confirmed_ms_ago: 2_500,
     keys_hold_ms: None,
@@ -125,18 +125,18 @@
 /// The whole system starts for the first time. Each node would take itself for a watcher, and all would
 /// ask at once; a moment later they know each other and are told.
 #[rstest]
-#[case(1_000, false, false)]
-#[case(4_000, false, false)]
-#[case(5_000, true, false)]
-#[case(7_000, true, true)]
+#[case(-4_000, false, false)]
+#[case(-1, false, false)]
+#[case(0, true, false)]
+#[case(2_500, true, true)]
 fn at_a_first_start_few_ask(
-    #[case] ago_ms: u64,
+    #[case] found_for_ms: i64,
     #[case] watcher_asks: bool,
     #[case] other_asks: bool,
 ) {
     let known = Known {
         any: false,
-        first_start_ms_ago: Some(ago_ms),
+        found_for_ms: Some(found_for_ms),
         ..WELL
     };
     let fleet = fleet(195);
