--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -20,6 +20,7 @@
 use crate::routing::PickerConf;
 use crate::routing::TargetStats;
 use crate::routing::pick;
+use crate::routing::smoothed;
 use crate::wire::AnswerHeader;
 use crate::wire::LoadReport;
 
@@ -161,8 +162,8 @@
         if known.usual_us.len() >= MOST_ROUTES {
             known.usual_us.clear();
         }
-        let usual_us = known.usual_us.entry(route.clone()).or_insert(took_us);
-        *usual_us = *usual_us - *usual_us / USUAL_SHARE + took_us / USUAL_SHARE;
+        let usual_us = known.usual_us.entry(route.clone()).or_default();
+        *usual_us = smoothed(*usual_us, took_us, USUAL_SHARE);
         if let Some(stats) = known.stats.get_mut(node) {
             stats.note_run(took_us, *usual_us);
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod failing_share;
 mod owner_search;
 mod picker;
+mod smoothed;
 mod target_stats;
 
 pub use domain_reach::DomainReach;
@@ -14,4 +15,5 @@
 pub use picker::PickerConf;
 pub use picker::Spill;
 pub use picker::pick;
+pub use smoothed::smoothed;
 pub use target_stats::TargetStats;
--- a/src/routing/target_stats.rs
+++ b/src/routing/target_stats.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Name;
 use crate::core::TimeMs;
+use crate::routing::smoothed;
 use crate::wire::LoadReport;
 
 /// Failures in a row after which a target is ejected for a while.
@@ -63,12 +64,7 @@
 
     /// An answer came after `took_ms`: the target lives.
     pub fn note_success(&mut self, took_ms: u64) {
-        let took_us = took_ms * 1_000;
-        self.latency_us = if self.latency_us == 0 {
-            took_us
-        } else {
-            self.latency_us - self.latency_us / LATENCY_SHARE + took_us / LATENCY_SHARE
-        };
+        self.latency_us = smoothed(self.latency_us, took_ms * 1_000, LATENCY_SHARE);
         self.failures_in_row = 0;
         self.ejections = 0;
     }
@@ -94,10 +90,7 @@
     pub fn note_run(&mut self, took_us: u64, usual_us: u64) {
         let ratio = took_us * 1_000 / usual_us.max(1);
         let ratio = ratio.clamp(1, MOST_SLOWNESS_PERMILLE);
-        self.slowness_permille = match self.slowness_permille {
-            0 => ratio,
-            before => before - before / SLOWNESS_SHARE + ratio / SLOWNESS_SHARE,
-        };
+        self.slowness_permille = smoothed(self.slowness_permille, ratio, SLOWNESS_SHARE);
     }
 
     /// How long its runs take, in thousandths of what is usual; `None` while unknown.
--- a/tests/routing_failing.rs
+++ b/tests/routing_failing.rs
@@ -4,13 +4,13 @@
 
 use std::sync::Arc;
 
+use fake_targets::choice;
 use fake_targets::target;
 use rstest::rstest;
 use sassafrasgap::core::FastMap;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Target;
 use sassafrasgap::core::TimeMs;
-use sassafrasgap::routing::Choice;
 use sassafrasgap::routing::FailingShare;
 use sassafrasgap::routing::Pick;
 use sassafrasgap::routing::PickerConf;
@@ -38,14 +38,7 @@
         .iter()
         .map(|(name, domain, _)| Arc::new(target(name, domain)))
         .collect();
-    let choice = Choice {
-        targets: &targets,
-        stats: &stats,
-        own_domain: "a",
-        cut_off_domains: &[],
-        tried: &[],
-        is_large: false,
-    };
+    let choice = choice(&targets, &stats);
     let mut random = fastrand::Rng::with_seed(7);
     let mut sent = FastMap::default();
     for _ in 0..CALLS {
--- a/tests/routing_speed.rs
+++ b/tests/routing_speed.rs
@@ -4,13 +4,13 @@
 
 use std::sync::Arc;
 
+use fake_targets::choice;
 use fake_targets::target;
 use rstest::rstest;
 use sassafrasgap::core::FastMap;
 use sassafrasgap::core::Name;
 use sassafrasgap::core::Target;
 use sassafrasgap::core::TimeMs;
-use sassafrasgap::routing::Choice;
 use sassafrasgap::routing::Pick;
 use sassafrasgap::routing::PickerConf;
 use sassafrasgap::routing::TargetStats;
@@ -58,14 +58,7 @@
             known.note_run((took_ms * 1_000.0) as u64, USUAL_US);
             false
         });
-        let choice = Choice {
-            targets: &targets,
-            stats: &stats,
-            own_domain: "a",
-            cut_off_domains: &[],
-            tried: &[],
-            is_large: false,
-        };
+        let choice = choice(&targets, &stats);
         let Pick::Take(picked) = pick(&choice, conf, NOW, |n| random.usize(..n)) else {
             panic!("a target takes work");
         };
