Backend servers' words: what a guard hears of a rate or a departure is counted and logged

The incident's hypotheses could not be told apart by logs and metrics: no node says whether an answer named a rate, which one is in force, or how many calls its backend server gets. Now: backend_calls_total, backend_words_total by word, backend_rate_per_second, and a line each when a rate begins, changes and ends (with how long it held). Decoding is strict: no number, a negative, infinite or NaN one names no rate.

--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use prometheus::Encoder;
+use prometheus::Gauge;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
@@ -40,6 +41,10 @@
     retries: ByReason,
     pub entry_calls: IntCounter,
     pub guard_calls: IntCounter,
+    /// Calls sent to the local backend server.
+    pub backend_calls: IntCounter,
+    backend_words: IntCounterVec,
+    pub backend_rate: Gauge,
     pub forged_headers: IntCounter,
     pub roots_without_context: IntCounter,
     pub joined_calls: IntCounter,
@@ -108,6 +113,21 @@
                 "Calls taken from callers.",
             ),
             guard_calls: counter("sassafrasgap_guard_calls_total", "Calls taken from nodes."),
+            backend_calls: counter(
+                "sassafrasgap_backend_calls_total",
+                "Calls sent to the local backend server.",
+            ),
+            backend_words: counter_by(
+                &registry,
+                "sassafrasgap_backend_words_total",
+                "Answers of the local backend server that say a word of itself, by word.",
+                &["word"],
+            ),
+            backend_rate: float_gauge(
+                &registry,
+                "sassafrasgap_backend_rate_per_second",
+                "Requests a second that the local backend server says it takes; -1 without a limit.",
+            ),
             forged_headers: counter(
                 "sassafrasgap_forged_headers_total",
                 "Internal headers dropped on the callers' listener.",
@@ -262,6 +282,11 @@
         self.retries.inc(reason as usize);
     }
 
+    /// Counts a word that an answer of the local backend server says of itself.
+    pub fn count_word(&self, word: &str) {
+        self.backend_words.with_label_values(&[word]).inc();
+    }
+
     /// Sets how many calls of each class wait at the guard.
     pub fn set_guard_queue(&self, queued: &BTreeMap<u8, i64>) {
         self.guard_queue.reset();
@@ -365,6 +390,14 @@
     gauge
 }
 
+fn float_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("the name of a gauge is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("the name of a gauge is free");
+    gauge
+}
+
 fn gauge_by_class(registry: &Registry) -> IntGaugeVec {
     let opts = Opts::new(
         "sassafrasgap_guard_queue",
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -27,6 +27,9 @@
 /// How long it may take to arrive.
 const BODY_WITHIN: Duration = Duration::from_secs(2);
 
+/// What the gauge of the backend server's rate shows while it names none.
+const NO_RATE: f64 = -1.0;
+
 /// Serves one request on the readiness or the report listener.
 pub(super) async fn serve_admin(
     traffic: Arc<Traffic>,
@@ -107,6 +110,8 @@
         .guard_in_flight
         .set(i64::from(load.in_flight));
     traffic.metrics.guard_limit.set(i64::from(load.limit));
+    let rate_per_s = traffic.local().rate_per_s().unwrap_or(NO_RATE);
+    traffic.metrics.backend_rate.set(rate_per_s);
     let held = traffic.bodies.held_bytes();
     traffic.metrics.body_bytes.set(held as i64);
     let failing = traffic.failing_permille(traffic.clock.now());
--- a/src/traffic/backend.rs
+++ b/src/traffic/backend.rs
@@ -109,6 +109,8 @@
         return BackendEnd::not_sent(not_run(RefusalReason::BadRequest));
     };
     progress.sent();
+    traffic.metrics.backend_calls.inc();
+    let sent_at = traffic.clock.now();
     let address = traffic.live().backend_address;
     let sent = traffic
         .backend
@@ -116,7 +118,7 @@
         .await;
     match sent {
         Ok(mut answer) => {
-            let result = check(traffic, incarnation, id, &answer);
+            let result = check(traffic, incarnation, id, sent_at, &answer);
             strip_answer(&mut answer.headers, &method);
             BackendEnd::sent(result.map(|()| answer))
         }
--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -10,7 +10,11 @@
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
+use crate::core::TimeMs;
 use crate::traffic::HeaderNames;
+use crate::traffic::RateChange;
+use crate::traffic::RateWord;
+use crate::traffic::ServerWords;
 use crate::traffic::guard::not_run;
 use crate::traffic::traffic::Traffic;
 
@@ -26,7 +30,8 @@
     response.headers().get(&names.request_id) == id
 }
 
-/// Checks a whole answer.
+/// Checks a whole answer to a request that was sent at `sent_at`, and takes in what it says of the backend
+/// server.
 ///
 /// # Errors
 /// `not_run` where the backend server says so; otherwise the outcome is unknown.
@@ -34,6 +39,7 @@
     traffic: &Traffic,
     incarnation: &Name,
     id: Option<&HeaderValue>,
+    sent_at: TimeMs,
     answer: &WholeAnswer,
 ) -> Result<(), Refusal> {
     let names = &traffic.settings.header_names;
@@ -46,6 +52,8 @@
         log::warn!("guard: an answer to another request was dropped");
         return Err(broke());
     }
+    let words = ServerWords::of(names, &answer.headers);
+    note_words(traffic, incarnation, sent_at, words);
     if answer.headers.contains_key(&names.not_run) {
         return Err(not_run(RefusalReason::BackendShed));
     }
@@ -58,6 +66,33 @@
     Ok(())
 }
 
+fn note_words(traffic: &Traffic, incarnation: &Name, sent_at: TimeMs, words: ServerWords) {
+    words
+        .said()
+        .for_each(|word| traffic.metrics.count_word(word));
+    if words.rate == RateWord::Malformed {
+        log::warn!("local: a rate cannot be read, incarnation={incarnation}");
+    }
+    let now = traffic.clock.now();
+    let change = traffic
+        .local()
+        .note_rate(now, incarnation, sent_at, words.rate);
+    match change {
+        RateChange::Unchanged => {}
+        RateChange::Begins { per_s } => {
+            log::info!("local: a rate is named, incarnation={incarnation} per_s={per_s}");
+        }
+        RateChange::Changes { per_s } => {
+            log::info!("local: another rate is named, incarnation={incarnation} per_s={per_s}");
+        }
+        RateChange::Ends { held_ms } => {
+            log::info!(
+                "local: no rate is named any more, incarnation={incarnation} held_ms={held_ms}"
+            );
+        }
+    }
+}
+
 fn note_actual(traffic: &Traffic, expected: &Name, answer: &WholeAnswer) {
     let names = &traffic.settings.header_names;
     let actual = answer.headers.get(&names.incarnation);
--- a/src/traffic/header_names.rs
+++ b/src/traffic/header_names.rs
@@ -23,4 +23,8 @@
     pub not_run: HeaderName,
     /// From backend servers: the answer's signature, without which no success is one.
     pub signature: HeaderName,
+    /// From backend servers: how many requests a second they take from all nodes together.
+    pub rate_limit: HeaderName,
+    /// From backend servers: they leave, and take no new requests.
+    pub leaving: HeaderName,
 }
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -8,6 +8,9 @@
 use crate::core::TargetState;
 use crate::core::TimeMs;
 use crate::traffic::KnownServer;
+use crate::traffic::NamedRate;
+use crate::traffic::RateChange;
+use crate::traffic::RateWord;
 use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
 
@@ -20,7 +23,7 @@
 const SILENT_PERCENT: u64 = 160;
 
 /// The incarnation that stands at the backend server's address.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 struct Present {
     incarnation: Name,
     started_unix_ms: Option<u64>,
@@ -32,6 +35,7 @@
     /// It takes no connections: it crashed, or has not opened its port yet.
     is_down: bool,
     heard_at: TimeMs,
+    rate: NamedRate,
 }
 
 /// Whether a report brought news.
@@ -123,6 +127,7 @@
             is_leaving: false,
             is_down: false,
             heard_at: now,
+            rate: NamedRate::default(),
         });
         Reported::News
     }
@@ -243,6 +248,7 @@
             is_leaving: report.state != ReportedState::Ready,
             is_down: false,
             heard_at: now,
+            rate: NamedRate::default(),
         });
     }
 
@@ -258,6 +264,7 @@
         let started_unix_ms = present.started_unix_ms.take();
         present.sequence = 0;
         present.heard_at = now;
+        present.rate = NamedRate::default();
         present.is_leaving = self.gone.iter().any(|gone| gone.incarnation == *actual);
         self.note_gone(&before, started_unix_ms);
         Reported::News
@@ -275,6 +282,26 @@
         }
     }
 
+    /// Takes in what an answer of an incarnation, to a request sent at `sent_at`, says of the rate.
+    pub fn note_rate(
+        &mut self,
+        now: TimeMs,
+        incarnation: &Name,
+        sent_at: TimeMs,
+        word: RateWord,
+    ) -> RateChange {
+        let present = self.present.as_mut();
+        match present.filter(|present| present.incarnation == *incarnation) {
+            Some(present) => present.rate.note(now, sent_at, word),
+            None => RateChange::Unchanged,
+        }
+    }
+
+    /// How many requests a second it says it takes, if it says so.
+    pub fn rate_per_s(&self) -> Option<f64> {
+        self.present.as_ref()?.rate.per_s()
+    }
+
     /// The incarnation to which requests for `service` may be sent.
     pub fn takes_work(&self, service: &str) -> Option<&Name> {
         let present = self.present.as_ref()?;
--- /dev/null
+++ b/src/traffic/server_words.rs
@@ -0,0 +1,52 @@
+//! What a backend server says of itself in its answers.
+
+use http::HeaderMap;
+use http::HeaderValue;
+
+use crate::traffic::HeaderNames;
+use crate::traffic::RateWord;
+
+/// The value that says that a backend server leaves.
+const LEAVES: &str = "1";
+
+/// The words of one answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerWords {
+    /// How many requests a second it takes.
+    pub rate: RateWord,
+    /// It leaves: no new requests.
+    pub is_leaving: bool,
+}
+
+/// The words by which metrics count.
+const RATE: &str = "rate";
+const MALFORMED_RATE: &str = "malformed_rate";
+const LEAVING: &str = "leaving";
+
+impl ServerWords {
+    /// Reads the head of an answer.
+    pub fn of(names: &HeaderNames, headers: &HeaderMap) -> Self {
+        let rates = headers.get_all(&names.rate_limit).iter();
+        let mut leaving = headers.get_all(&names.leaving).iter();
+        Self {
+            rate: rates.map(rate_of).fold(RateWord::Absent, RateWord::and),
+            is_leaving: leaving.any(|value| value.as_bytes().trim_ascii() == LEAVES.as_bytes()),
+        }
+    }
+
+    /// What it says, by the words of the metrics.
+    pub fn said(&self) -> impl Iterator<Item = &'static str> {
+        let rate = match self.rate {
+            RateWord::Absent => None,
+            RateWord::PerS(_) => Some(RATE),
+            RateWord::Malformed => Some(MALFORMED_RATE),
+        };
+        rate.into_iter().chain(self.is_leaving.then_some(LEAVING))
+    }
+}
+
+fn rate_of(value: &HeaderValue) -> RateWord {
+    let per_s = value.to_str().ok();
+    let per_s = per_s.and_then(|text| text.trim().parse::<f64>().ok());
+    per_s.map_or(RateWord::Malformed, RateWord::of)
+}
