A rate that a backend server names is kept at its guard

Callers saw nothing; a backend server in need got 309 requests in 4 s where 153 were allowed. Cause: its word was read by nobody. The guard took from an answer what it checked and passed the rest on; arrivals did not change at the second in which the rate was named, on either server (hypothesis 1; 2 is refuted by limit=113 after it, 3 by arrivals that stayed the same from all nodes).

Now: a token bucket in the guard's admission, which sees every request wherever it began. Steady demand gets 95% of the rate or more. What cannot get a token within 200 ms of others' is refused at once, not run, and tried elsewhere; pressure and the load report count the lesser of slots and rate.

--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -7,6 +7,7 @@
 use crate::admission::Completion;
 use crate::admission::Offer;
 use crate::admission::QueuedCall;
+use crate::admission::TokenBucket;
 use crate::admission::Verdict;
 use crate::admission::call_queue::CallQueue;
 use crate::admission::call_queue::Waiting;
@@ -40,6 +41,9 @@
 const MOST_PRESSURE_PERMILLE: u32 = 4_000;
 /// The weight of one call in how long calls run is one in this.
 const RUN_WEIGHT: u64 = 16;
+/// As many calls may wait for the rate of the backend server as it lets through in this time, in milliseconds.
+/// Others are turned away at once, for another target may take them.
+const RATE_QUEUE_MS: f64 = 200.0;
 
 /// What runs at the local backend server and what waits for it.
 ///
@@ -61,6 +65,10 @@
     /// How long a call runs, smoothed over all classes, in microseconds.
     run_us: u64,
     level: LevelControl,
+    /// Calls a second that the backend server says it takes, if it says so.
+    rate: Option<TokenBucket>,
+    /// Calls turned away for it.
+    beyond_rate: u64,
     random: Rng,
 }
 
@@ -79,6 +87,8 @@
             flow: Flow::default(),
             run_us: 0,
             level: LevelControl::new(&conf),
+            rate: None,
+            beyond_rate: 0,
             random: Rng::with_seed(seed),
             conf,
         }
@@ -90,18 +100,27 @@
         self.level.note_offer(call.priority);
         self.flow.arrive(now);
         self.latency_limit.note_objective(call.due.since(now));
+        self.refill(now);
         if !self.can_be_met(&call, now) {
             return Offer::Refuse(self.refusal(RefusalReason::DeadlineExceeded, now));
         }
-        if self.has_room() && self.queue.would_be_first(&call) {
+        let is_first = self.queue.would_be_first(&call);
+        if self.has_room() && is_first {
             self.start(call.ticket, call.priority, true);
             return Offer::Run;
         }
-        self.limit.note_full();
-        self.latency_limit.note_full();
+        if self.has_slot() {
+            let ahead = if is_first { 0 } else { self.queue.len() };
+            if !self.gets_token_in_time(&call, ahead, now) {
+                return Offer::Refuse(self.beyond_rate());
+            }
+        } else {
+            self.limit.note_full();
+            self.latency_limit.note_full();
+        }
         if self.queue.len() >= self.queue_bound() {
             if !self.queue.outranks_last(&call) {
-                return Offer::Refuse(self.refusal(RefusalReason::Overloaded, now));
+                return Offer::Refuse(self.turned_away(now));
             }
             self.displace_last(now);
         }
@@ -136,6 +155,10 @@
     /// Starts what there is room for and refuses what waited too long. To be called after each
     /// offer that waits, each completion, and every few milliseconds.
     pub fn poll(&mut self, now: TimeMs) -> Vec<Action> {
+        self.refill(now);
+        while self.queue.len() > self.queue_bound() {
+            self.displace_last(now);
+        }
         let mut actions = std::mem::take(&mut self.displaced);
         while let Some(waiting) = self.queue.pop_given_up(now) {
             actions.push(self.give_up(&waiting, now));
@@ -171,7 +194,7 @@
     pub fn load(&self) -> LoadReport {
         LoadReport {
             in_flight: self.running.len() as u32,
-            limit: self.limit(),
+            limit: self.usable_limit(),
             queued: self.queue.len() as u32,
         }
     }
@@ -189,7 +212,8 @@
         let limit = u64::from(self.limit().max(1));
         let wait_us = self.wait_us();
         let mut taken = self.running.len() as u64 * 1_000 / limit;
-        if self.queue.len() as u64 > limit / STANDING_PART {
+        taken = taken.max(self.rate.map_or(0, |rate| rate.taken_permille()));
+        if self.queue.len() as u64 > u64::from(self.usable_limit()) / STANDING_PART {
             taken = (taken as f32 * self.flow.ratio()) as u64;
         }
         let waiting = wait_us / FULL_WAIT_MS;
@@ -203,6 +227,20 @@
         self.limit.set_cap(slots.min(self.conf.most_limit));
     }
 
+    /// Takes over how many calls a second the backend server says it takes; `None` for as many as come.
+    ///
+    /// Answers how many calls were turned away for the rate before, if there was one.
+    pub fn set_rate(&mut self, now: TimeMs, per_s: Option<f64>) -> u64 {
+        match (&mut self.rate, per_s) {
+            (Some(rate), Some(per_s)) => rate.set_per_s(per_s, now),
+            (rate, per_s) => *rate = per_s.map(|per_s| TokenBucket::new(per_s, now)),
+        }
+        if self.rate.is_some() {
+            return self.beyond_rate;
+        }
+        std::mem::take(&mut self.beyond_rate)
+    }
+
     /// Takes over the number of classes of the preset in force.
     pub fn set_classes(&mut self, classes: usize) {
         self.level.set_classes(classes);
@@ -220,21 +258,56 @@
     }
 
     fn wait_us(&self) -> u64 {
-        self.queue.len() as u64 * self.run_us / u64::from(self.limit().max(1))
+        let waiting = self.queue.len();
+        let for_slots = waiting as u64 * self.run_us / u64::from(self.limit().max(1));
+        let for_tokens = self.rate.map_or(0, |rate| rate.wait_ms(waiting) * 1_000);
+        for_slots.max(for_tokens)
     }
 
     /// How many calls may run at once.
-    fn limit(&self) -> u32 {
+    pub fn limit(&self) -> u32 {
         self.limit.get().min(self.latency_limit.get())
     }
 
+    /// How many calls run at once when the backend server gets as many as it takes: its slots, or the
+    /// rate that it names times how long calls run.
+    fn usable_limit(&self) -> u32 {
+        let limit = self.limit();
+        let Some(rate) = &self.rate else {
+            return limit;
+        };
+        let by_rate = rate.per_s() * self.run_us as f64 / 1_000_000.0;
+        limit.min(by_rate.ceil() as u32).max(1)
+    }
+
     fn has_room(&self) -> bool {
+        self.has_slot() && self.rate.is_none_or(|rate| rate.has_token())
+    }
+
+    fn has_slot(&self) -> bool {
         self.running.len() < self.limit() as usize
     }
 
+    fn refill(&mut self, now: TimeMs) {
+        if let Some(rate) = &mut self.rate {
+            rate.refill(now);
+        }
+    }
+
+    fn gets_token_in_time(&self, call: &QueuedCall, ahead: usize, now: TimeMs) -> bool {
+        let wait_ms = self.rate.map_or(0, |rate| rate.wait_ms(ahead + 1));
+        let waiting_ends = now + wait_ms;
+        wait_ms <= u64::from(call.wait_ms) && self.can_be_met(call, waiting_ends)
+    }
+
     fn queue_bound(&self) -> usize {
         let by_limit = self.limit.get() * self.conf.queue_percent / 100;
-        self.conf.queue_least.max(by_limit as usize)
+        let by_slots = self.conf.queue_least.max(by_limit as usize);
+        let Some(rate) = &self.rate else {
+            return by_slots;
+        };
+        let by_rate = rate.per_s() * RATE_QUEUE_MS / 1_000.0;
+        by_slots.min(by_rate as usize)
     }
 
     fn can_be_met(&self, call: &QueuedCall, now: TimeMs) -> bool {
@@ -244,6 +317,9 @@
 
     fn start(&mut self, ticket: u64, priority: Priority, at_once: bool) {
         self.running.insert(ticket, priority);
+        if let Some(rate) = &mut self.rate {
+            rate.take();
+        }
         self.level.note_start(at_once);
         debug_assert!(self.running.len() <= self.limit() as usize);
     }
@@ -270,11 +346,31 @@
         let Some(waiting) = self.queue.pop_last() else {
             return;
         };
-        let refusal = self.refusal(RefusalReason::Overloaded, now);
+        let refusal = self.turned_away(now);
         let action = Action::Refuse(waiting.call.ticket, refusal);
         self.displaced.push(action);
     }
 
+    /// The refusal of a call for which the queue has no place.
+    fn turned_away(&mut self, now: TimeMs) -> Refusal {
+        if self.rate.is_some() && self.has_slot() {
+            self.beyond_rate()
+        } else {
+            self.refusal(RefusalReason::Overloaded, now)
+        }
+    }
+
+    /// A refusal that says when the rate will have let through what waits now, and later by up to half, so
+    /// that those refused together do not come back together.
+    fn beyond_rate(&mut self) -> Refusal {
+        self.beyond_rate += 1;
+        let ahead = self.queue.len() + 1;
+        let room_ms = self.rate.map_or(0, |rate| rate.wait_ms(ahead));
+        let wait_ms = room_ms.clamp(LEAST_RETRY_AFTER_MS, MOST_RETRY_AFTER_MS);
+        let jittered_ms = self.random.u64(wait_ms..=wait_ms + wait_ms / 2);
+        Refusal::not_run(RefusalReason::RateLimited, jittered_ms)
+    }
+
     /// A refusal that says when what waits now will have been worked off, spread by half either
     /// way so that those refused together do not come back together.
     fn refusal(&mut self, reason: RefusalReason, now: TimeMs) -> Refusal {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -22,6 +22,7 @@
 mod root_level;
 mod route_origins;
 mod service_time;
+mod token_bucket;
 mod usable_slots;
 
 pub use admission::Admission;
@@ -43,4 +44,5 @@
 pub use root_control::RootControl;
 pub use route_origins::CallingService;
 pub use route_origins::RouteOrigins;
+pub use token_bucket::TokenBucket;
 pub use usable_slots::usable_slots;
--- a/src/core/outcome.rs
+++ b/src/core/outcome.rs
@@ -119,6 +119,8 @@
         AccountKeysUnsure => "account_keys_unsure",
         /// The account has used what it may for now.
         AllowanceSpent => "allowance_spent",
+        /// The backend server names a rate in its answers, and this call would be beyond it.
+        RateLimited => "rate_limited",
     }
 }
 
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -131,6 +131,11 @@
         self.lock().admission.set_slots(slots);
     }
 
+    /// Takes over how many calls a second the backend server says it takes; see [`Admission::set_rate`].
+    pub(crate) fn set_rate(&self, per_s: Option<f64>) -> u64 {
+        self.lock().admission.set_rate(self.clock.now(), per_s)
+    }
+
     /// Takes over how many classes the preset in force has.
     pub(crate) fn set_classes(&self, classes: usize) {
         self.lock().admission.set_classes(classes);
@@ -178,7 +183,7 @@
     fn permit(self: &Arc<Self>, state: &mut GateState, ticket: u64) -> Permit {
         state.in_flight += 1;
         if self.enabled {
-            let limit = state.admission.load().limit;
+            let limit = state.admission.limit();
             let is_within = state.in_flight <= limit;
             check(&self.metrics, Invariant::InFlightWithinLimit, is_within);
         }
--- a/src/retry/decision.rs
+++ b/src/retry/decision.rs
@@ -54,6 +54,7 @@
         RefusalReason::Overloaded
         | RefusalReason::ShedAtEntry
         | RefusalReason::WaitExceeded
+        | RefusalReason::RateLimited
         | RefusalReason::BackendShed => situation.room_elsewhere.then_some(RetryReason::NotRun),
         RefusalReason::PeerLost => Some(RetryReason::Unreachable),
         RefusalReason::NotOwner => Some(RetryReason::OwnerMoved),
--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -74,20 +74,30 @@
         log::warn!("local: a rate cannot be read, incarnation={incarnation}");
     }
     let now = traffic.clock.now();
-    let change = traffic
-        .local()
-        .note_rate(now, incarnation, sent_at, words.rate);
+    let (change, beyond) = {
+        let mut local = traffic.local();
+        let change = local.note_rate(now, incarnation, sent_at, words.rate);
+        let beyond = match change {
+            RateChange::Unchanged => 0,
+            _ => traffic.gate.set_rate(local.rate_per_s()),
+        };
+        (change, beyond)
+    };
     match change {
         RateChange::Unchanged => {}
         RateChange::Begins { per_s } => {
             log::info!("local: a rate is named, incarnation={incarnation} per_s={per_s}");
         }
         RateChange::Changes { per_s } => {
-            log::info!("local: another rate is named, incarnation={incarnation} per_s={per_s}");
+            log::info!(
+                "local: another rate is named, incarnation={incarnation} per_s={per_s} \
+                 turned_away={beyond}"
+            );
         }
         RateChange::Ends { held_ms } => {
             log::info!(
-                "local: no rate is named any more, incarnation={incarnation} held_ms={held_ms}"
+                "local: no rate is named any more, incarnation={incarnation} held_ms={held_ms} \
+                 turned_away={beyond}"
             );
         }
     }
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -264,6 +264,7 @@
             if local.is_down() || start_of(&local) != before {
                 self.poison.note_ended();
             }
+            self.gate.set_rate(local.rate_per_s());
             LocalNews {
                 service: local
                     .service()
--- /dev/null
+++ b/tests/admission_rate_limit.rs
@@ -0,0 +1,269 @@
+//! The rate that a backend server names, kept at its guard: every sliding window, and who is turned away.
+
+use std::collections::VecDeque;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use sassafrasgap::admission::Action;
+use sassafrasgap::admission::Admission;
+use sassafrasgap::admission::AdmissionConf;
+use sassafrasgap::admission::Completion;
+use sassafrasgap::admission::Offer;
+use sassafrasgap::admission::QueuedCall;
+use sassafrasgap::admission::Verdict;
+use sassafrasgap::core::Priority;
+use sassafrasgap::core::Refusal;
+use sassafrasgap::core::RefusalReason;
+use sassafrasgap::core::TimeMs;
+
+const WINDOW_MS: u64 = 4_000;
+const START: TimeMs = TimeMs(1_000_000);
+
+/// What a backend server may get in a window at a rate.
+fn allowed(per_s: f64) -> f64 {
+    1.5 * WINDOW_MS as f64 / 1_000.0 * per_s + 5.0
+}
+
+fn admission() -> Admission {
+    let conf = AdmissionConf {
+        learns_from_time: false,
+        queue_percent: 1_000,
+        queue_least: 128,
+        ..AdmissionConf::default()
+    };
+    let mut admission = Admission::new(conf, 7);
+    admission.set_slots(100);
+    admission
+}
+
+fn call(ticket: u64, class: u8, now: TimeMs) -> QueuedCall {
+    QueuedCall {
+        ticket,
+        priority: Priority::new(class, 0),
+        depth: 0,
+        wait_ms: 3_000,
+        due: now + 1_000,
+        deadline: now + 3_000,
+    }
+}
+
+const RAN: Completion = Completion {
+    service_us: 20_000,
+    child_us: 0,
+    verdict: Verdict::Ok,
+};
+
+/// A guard whose calls take 20 ms, and when it sent each.
+struct World {
+    admission: Admission,
+    running: VecDeque<(TimeMs, u64)>,
+    sent: Vec<TimeMs>,
+    refused: Vec<Refusal>,
+    next_ticket: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            admission: admission(),
+            running: VecDeque::new(),
+            sent: Vec::new(),
+            refused: Vec::new(),
+            next_ticket: 0,
+        }
+    }
+
+    fn arrive(&mut self, now: TimeMs) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        match self.admission.offer(now, call(ticket, 1, now)) {
+            Offer::Run => self.start(now, ticket),
+            Offer::Refuse(refusal) => self.refused.push(refusal),
+            Offer::Wait => {}
+        }
+    }
+
+    fn start(&mut self, now: TimeMs, ticket: u64) {
+        self.sent.push(now);
+        self.running.push_back((now + 20, ticket));
+    }
+
+    fn pass(&mut self, now: TimeMs) {
+        while self.running.front().is_some_and(|(ends, _)| *ends <= now) {
+            let (_, ticket) = self.running.pop_front().unwrap();
+            self.admission.complete(now, ticket, RAN);
+        }
+        for action in self.admission.poll(now) {
+            match action {
+                Action::Start(ticket) => self.start(now, ticket),
+                Action::Refuse(_, refusal) => self.refused.push(refusal),
+            }
+        }
+    }
+
+    /// The most calls sent in any window that began at `since` or later.
+    fn most_in_a_window(&self, since: TimeMs) -> usize {
+        let sent: Vec<_> = self.sent.iter().filter(|at| **at >= since).collect();
+        let within = |first: usize| {
+            let last = *sent[first] + WINDOW_MS;
+            sent[first..].iter().take_while(|at| ***at < last).count()
+        };
+        (0..sent.len()).map(within).max().unwrap_or(0)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against arrivals of any pattern that bring a window beyond the bound, at rates from a tenth of a
+    /// request to thousands a second.
+    #[test]
+    fn no_window_is_beyond_the_bound(
+        log_rate in -1.0f64..3.6,
+        bursts in prop::collection::vec((0u64..1_500, 1usize..400), 1..40),
+    ) {
+        let per_s = 10f64.powf(log_rate);
+        let mut world = World::new();
+        world.admission.set_rate(START, Some(per_s));
+        let mut now = START;
+        for (gap_ms, count) in bursts {
+            for _ in 0..gap_ms / 10 {
+                now = now + 10;
+                world.pass(now);
+            }
+            for _ in 0..count {
+                world.arrive(now);
+            }
+            world.pass(now);
+        }
+        let most = world.most_in_a_window(START) as f64;
+        prop_assert!(most <= allowed(per_s), "{most} of {}", allowed(per_s));
+    }
+
+    /// Guards against a change of the rate that gives out again what was taken before it.
+    #[test]
+    fn no_window_is_beyond_the_bound_of_its_highest_rate(
+        changes in prop::collection::vec((200u64..6_000, -1.0f64..2.5), 2..8),
+    ) {
+        let mut world = World::new();
+        let mut now = START;
+        let mut highest = Vec::new();
+        for (lasts_ms, log_rate) in changes {
+            let per_s = 10f64.powf(log_rate);
+            world.admission.set_rate(now, Some(per_s));
+            highest.push((now, per_s));
+            for _ in 0..lasts_ms / 10 {
+                now = now + 10;
+                for _ in 0..5 {
+                    world.arrive(now);
+                }
+                world.pass(now);
+            }
+        }
+        for first in &world.sent {
+            let last = *first + WINDOW_MS;
+            let in_force = highest.iter().enumerate().filter(|(order, (since, _))| {
+                let until = highest.get(order + 1).map_or(now, |next| next.0);
+                *since < last && until > *first
+            });
+            let most = in_force.map(|(_, (_, per_s))| *per_s).fold(0.0, f64::max);
+            let sent = world.sent.iter().filter(|at| **at >= *first && **at < last).count();
+            prop_assert!(sent as f64 <= allowed(most), "{sent} of {}", allowed(most));
+        }
+    }
+}
+
+/// Guards against a bucket so shallow that a backend server gets far less than it asked for.
+#[rstest]
+#[case(0.5)]
+#[case(25.0)]
+#[case(300.0)]
+fn steady_demand_gets_the_rate_that_is_named(#[case] per_s: f64) {
+    let mut world = World::new();
+    world.admission.set_rate(START, Some(per_s));
+    let mut now = START;
+    for _ in 0..1_000 {
+        now = now + 20;
+        for _ in 0..20 {
+            world.arrive(now);
+        }
+        world.pass(now);
+    }
+    let per_20_s = per_s * 20.0;
+    assert!(
+        world.sent.len() as f64 >= per_20_s * 0.95 - 1.0,
+        "{}",
+        world.sent.len()
+    );
+    let is_honest = |refusal: &Refusal| refusal.reason == RefusalReason::RateLimited;
+    assert!(world.refused.iter().all(is_honest));
+}
+
+/// Guards against a refused call that is told to come back before there is room.
+#[test]
+fn a_refused_call_that_comes_back_when_told_finds_a_token() {
+    let mut admission = admission();
+    admission.set_rate(START, Some(2.0));
+    let Offer::Refuse(refusal) = admission.offer(START, call(1, 1, START)) else {
+        panic!("an empty bucket let a call through");
+    };
+    assert_eq!(refusal.reason, RefusalReason::RateLimited);
+    let later = START + refusal.retry_after_ms;
+    assert_eq!(admission.offer(later, call(2, 1, later)), Offer::Run);
+}
+
+/// Guards against calls that wait for the slots of a backend server, and then for tokens that come too late.
+#[test]
+fn what_waits_beyond_the_rate_is_turned_away_once_it_is_named() {
+    let mut admission = admission();
+    admission.set_slots(1);
+    assert_eq!(admission.offer(START, call(1, 1, START)), Offer::Run);
+    for ticket in 2..20 {
+        assert_eq!(admission.offer(START, call(ticket, 1, START)), Offer::Wait);
+    }
+    admission.set_rate(START, Some(10.0));
+    let refused = admission.poll(START).len();
+    assert_eq!(refused, 16, "a rate of 10 a second leaves two to wait");
+}
+
+/// Guards against a limit that outlasts the word.
+#[test]
+fn no_rate_limits_nobody() {
+    let mut admission = admission();
+    admission.set_rate(START, Some(1.0));
+    assert!(matches!(
+        admission.offer(START, call(1, 1, START)),
+        Offer::Refuse(_)
+    ));
+    assert_eq!(admission.set_rate(START, None), 1);
+    for ticket in 2..50 {
+        assert_eq!(admission.offer(START, call(ticket, 1, START)), Offer::Run);
+    }
+}
+
+/// Guards against entries and roots that go on as if all slots could be used.
+#[test]
+fn pressure_and_limit_follow_the_rate() {
+    let mut world = World::new();
+    let mut now = START;
+    for _ in 0..500 {
+        now = now + 10;
+        world.arrive(now);
+        world.pass(now);
+    }
+    assert!(world.admission.pressure_permille() < 200);
+    world.admission.set_rate(now, Some(25.0));
+    for _ in 0..200 {
+        now = now + 10;
+        world.arrive(now);
+        world.pass(now);
+    }
+    assert_eq!(world.admission.load().limit, 1);
+    assert!(world.admission.pressure_permille() >= 1_000);
+}
