A restarted guard keeps the rate that others were told

A guard's restart excuses its own node only: requests from entries that had passed the word on are bound by it, and the guard had forgotten (24 requests in 4 s of 11 allowed at 1 a second). Now the word goes with the guard's answers, entries keep it by node, and repeat it with each call; the guard takes it over for its present incarnation unless it has heard otherwise. No gossip, no store.

Protocol between nodes is version 5.

--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -18,6 +18,7 @@
 use crate::routing::DomainReach;
 use crate::routing::Pick;
 use crate::routing::PickerConf;
+use crate::routing::TargetPressure;
 use crate::routing::TargetStats;
 use crate::routing::pick;
 use crate::routing::smoothed;
@@ -114,24 +115,23 @@
     }
 
     /// Takes in how hard calls press on one target of a service, and answers how hard they press on
-    /// the service: the mean of all targets heard of lately, for a call may go to any of them.
+    /// the service, by all targets heard of lately; see [`TargetPressure::of_service`].
     pub(crate) fn note_pressure(
         &self,
         view: &View,
         service: &str,
         node: &Name,
-        permille: u32,
+        told: TargetPressure,
         now: TimeMs,
     ) -> u32 {
         let mut known = self.lock();
-        known.stats_of(node, now).note_pressure(permille, now);
+        known.stats_of(node, now).note_pressure(told, now);
         let targets = view.targets(service).iter();
         let heard = targets.filter_map(|target| {
             let stats = known.stats.get(&target.node)?;
-            stats.pressure_permille(now)
+            stats.pressure(now)
         });
-        let (sum, count) = heard.fold((0, 0), |(sum, count), each| (sum + each, count + 1));
-        u32::checked_div(sum, count).unwrap_or(permille)
+        TargetPressure::of_service(heard).unwrap_or(told.permille)
     }
 
     /// How long answers of a target take; 0 while nothing is known.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod owner_search;
 mod picker;
 mod smoothed;
+mod target_pressure;
 mod target_stats;
 
 pub use domain_reach::DomainReach;
@@ -16,4 +17,5 @@
 pub use picker::Spill;
 pub use picker::pick;
 pub use smoothed::smoothed;
+pub use target_pressure::TargetPressure;
 pub use target_stats::TargetStats;
--- a/src/routing/target_stats.rs
+++ b/src/routing/target_stats.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Name;
 use crate::core::TimeMs;
+use crate::routing::TargetPressure;
 use crate::routing::smoothed;
 use crate::wire::LoadReport;
 
@@ -40,7 +41,7 @@
     failures_in_row: u32,
     ejections: u32,
     ejected_until: TimeMs,
-    pressure_permille: u32,
+    pressure: TargetPressure,
     pressed_at: TimeMs,
     failing_permille: u32,
     failing_at: TimeMs,
@@ -116,16 +117,16 @@
     }
 
     /// Takes in how hard calls press on the target, as its guard said.
-    pub fn note_pressure(&mut self, permille: u32, now: TimeMs) {
-        self.pressure_permille = permille;
+    pub fn note_pressure(&mut self, pressure: TargetPressure, now: TimeMs) {
+        self.pressure = pressure;
         self.pressed_at = now;
     }
 
     /// How hard calls press on the target, if its guard has said so lately.
-    pub fn pressure_permille(&self, now: TimeMs) -> Option<u32> {
+    pub fn pressure(&self, now: TimeMs) -> Option<TargetPressure> {
         let is_fresh =
             self.pressed_at != TimeMs(0) && now.since(self.pressed_at) <= PRESSURE_FRESH_MS;
-        is_fresh.then_some(self.pressure_permille)
+        is_fresh.then_some(self.pressure)
     }
 
     /// Takes in which share of its calls fails at the target, as its guard said.
--- a/src/traffic/attempt.rs
+++ b/src/traffic/attempt.rs
@@ -6,6 +6,7 @@
 use crate::core::RefusalReason;
 use crate::core::RouteOrigin;
 use crate::wire::LoadReport;
+use crate::wire::ServerWord;
 
 /// What the guard said beside its answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     pub pressure: Option<Pressure>,
     /// Who uses the call's route.
     pub origin: Option<RouteOrigin>,
+    /// What the backend server has said of itself, if it binds.
+    pub word: Option<ServerWord>,
 }
 
 /// The end of an attempt.
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -18,8 +18,10 @@
 use crate::retry::Situation;
 use crate::retry::retry_reason;
 use crate::routing::Pick;
+use crate::routing::TargetPressure;
 use crate::traffic::account_check::check_account;
 use crate::traffic::attempt::AttemptEnd;
+use crate::traffic::attempt::GuardNews;
 use crate::traffic::call::Call;
 use crate::traffic::call::Progress;
 use crate::traffic::guard;
@@ -37,6 +39,8 @@
 const FIRST_TARGET_LOOK_MS: u64 = 50;
 /// From this length on a body counts as large when it would cross between failure domains.
 const LARGE_BODY_BYTES: usize = 16 * 1024;
+/// All of a target's slots, in thousandths.
+const ALL_PERMILLE: u32 = 1_000;
 /// Targets tried in vain at most, counting those that were never sent the call: each costs a round
 /// trip.
 const MOST_TRIED: usize = 6;
@@ -150,7 +154,11 @@
     in_flight.ended(&end, &call.route);
     if let Some(news) = &end.news {
         let now = traffic.clock.now();
-        let pressure = service_pressure(traffic, call, target, news.pressure.clone());
+        let has_run = end.reached_backend && end.result.is_ok();
+        traffic
+            .told_words()
+            .note(now, &target.node, news.word.clone(), has_run);
+        let pressure = service_pressure(traffic, call, target, news);
         let is_root = call.origin == Some(RouteOrigin::Callers);
         traffic
             .roots
@@ -188,21 +196,38 @@
     traffic: &Traffic,
     call: &Call,
     target: &Target,
-    pressure: Option<Pressure>,
+    news: &GuardNews,
 ) -> Option<Pressure> {
-    let mut pressure = pressure?;
+    let mut pressure = news.pressure.clone()?;
     if pressure.service == call.service {
         let view = traffic.view.load();
         let now = traffic.clock.now();
-        let (service, permille) = (&call.service, pressure.permille);
+        let told = TargetPressure {
+            permille: pressure.permille,
+            usable_permille: usable_permille(target, news),
+        };
         pressure.permille =
             traffic
                 .targets
-                .note_pressure(&view, service, &target.node, permille, now);
+                .note_pressure(&view, &call.service, &target.node, told, now);
     }
     Some(pressure)
 }
 
+/// The part of its slots that a target can use, in thousandths: all, unless its backend server names a rate.
+fn usable_permille(target: &Target, news: &GuardNews) -> u32 {
+    let is_limited = news
+        .word
+        .as_ref()
+        .and_then(|word| word.rate_milli)
+        .is_some();
+    if !is_limited {
+        return ALL_PERMILLE;
+    }
+    let usable = news.load.limit.saturating_mul(ALL_PERMILLE) / target.slots.max(1);
+    usable.clamp(1, ALL_PERMILLE)
+}
+
 /// Decides on a further attempt. One after which a backend server gets the call a second time is
 /// paid for out of the service's budget; a guard that refused without sending costs nothing.
 fn next_attempt(
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -27,6 +27,7 @@
 use crate::core::Target;
 use crate::core::TimeMs;
 use crate::errors::SendError;
+use crate::traffic::Reported;
 use crate::traffic::account_check::check_account;
 use crate::traffic::attempt::AttemptEnd;
 use crate::traffic::attempt::GuardNews;
@@ -129,6 +130,7 @@
     let route = call.hop.route.clone();
     let story = GuardStory::new(traffic, &call);
     let origin = note_origin(traffic, &call.hop);
+    take_word(traffic, &call.hop);
     let refusal = refuse_root(traffic, &call, origin).or_else(|| refuse_repeat(traffic, &call));
     let end = match refusal {
         Some(refusal) => BackendEnd::not_sent(refusal),
@@ -143,6 +145,26 @@
     end
 }
 
+/// Takes over what the caller's entry was told of the local backend server.
+fn take_word(traffic: &Traffic, hop: &HopCall) {
+    let Some(word) = &hop.word else {
+        return;
+    };
+    let now = traffic.clock.now();
+    traffic.change_local(|local| {
+        let reported = local.take_word(now, word);
+        if reported == Reported::News {
+            log::info!(
+                "local: told by an entry, incarnation={} leaving={} rate_milli={:?}",
+                word.incarnation,
+                word.is_leaving,
+                word.rate_milli
+            );
+        }
+        reported
+    });
+}
+
 fn note_origin(traffic: &Traffic, hop: &HopCall) -> Option<RouteOrigin> {
     if hop.is_certain_origin {
         return hop.origin;
@@ -263,6 +285,7 @@
         failing_permille: traffic.failing_permille(now),
         pressure: traffic.roots.on_answer(now, route, own),
         origin,
+        word: traffic.local().word(),
     }
 }
 
@@ -275,6 +298,7 @@
         origin: news.origin,
         load: news.load,
         failing_permille: news.failing_permille,
+        word: news.word,
     };
     let refused = || WholeAnswer {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -13,6 +13,7 @@
 use crate::traffic::RateWord;
 use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
+use crate::wire::ServerWord;
 
 /// Incarnations remembered as gone, so that their late reports change nothing.
 const MOST_GONE: usize = 32;
@@ -22,6 +23,9 @@
 /// missed, and the next one is late.
 const SILENT_PERCENT: u64 = 160;
 
+/// Thousandths in a whole.
+const MILLI: f64 = 1_000.0;
+
 /// The incarnation that stands at the backend server's address.
 #[derive(Clone, Debug, PartialEq)]
 struct Present {
@@ -297,6 +301,46 @@
         }
     }
 
+    /// Takes in what a peer was told of a backend server, perhaps before this process started.
+    pub fn take_word(&mut self, now: TimeMs, word: &ServerWord) -> Reported {
+        let present = self.present.as_ref();
+        let present = present.filter(|present| present.incarnation == word.incarnation);
+        if present.is_some_and(|present| is_later(present.started_unix_ms, word.started_unix_ms)) {
+            return Reported::Nothing;
+        }
+        let incarnation = word.incarnation.clone();
+        let left = if word.is_leaving {
+            self.take(
+                now,
+                &ServerReport::departure(incarnation, word.started_unix_ms),
+            )
+        } else {
+            Reported::Nothing
+        };
+        let is_meant = |present: &&mut Present| present.incarnation == word.incarnation;
+        let present = self.present.as_mut().filter(is_meant);
+        let change = present.zip(word.rate_milli).map(|(present, rate_milli)| {
+            let per_s = rate_milli as f64 / MILLI;
+            present.rate.take_over(now, per_s)
+        });
+        match change {
+            None | Some(RateChange::Unchanged) => left,
+            Some(_) => Reported::News,
+        }
+    }
+
+    /// What the incarnation that stands there has said of itself, if it binds whoever sends it requests.
+    pub fn word(&self) -> Option<ServerWord> {
+        let present = self.present.as_ref()?;
+        let rate_milli = present.rate.per_s().map(|per_s| (per_s * MILLI) as u64);
+        (present.is_leaving || rate_milli.is_some()).then(|| ServerWord {
+            incarnation: present.incarnation.clone(),
+            started_unix_ms: present.started_unix_ms,
+            is_leaving: present.is_leaving,
+            rate_milli,
+        })
+    }
+
     /// How many requests a second it says it takes, if it says so.
     pub fn rate_per_s(&self) -> Option<f64> {
         self.present.as_ref()?.rate.per_s()
--- a/src/traffic/named_rate.rs
+++ b/src/traffic/named_rate.rs
@@ -77,8 +77,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NamedRate {
     named: Option<Named>,
-    /// An answer of this incarnation has told this process whether there is a rate.
-    is_known: bool,
+    /// Answers without a rate that this process has got; counted up to [`ENDING_ANSWERS`].
+    answers_without: u32,
 }
 
 impl NamedRate {
@@ -87,6 +87,15 @@
         self.named.map(|named| named.per_s)
     }
 
+    /// Takes over a rate that a peer was told, perhaps before this process started. What this process has heard
+    /// itself goes before it.
+    pub fn take_over(&mut self, now: TimeMs, per_s: f64) -> RateChange {
+        if self.named.is_some() || self.answers_without >= ENDING_ANSWERS {
+            return RateChange::Unchanged;
+        }
+        self.name(now, per_s)
+    }
+
     /// Takes in the word of an answer to a request that was sent at `sent_at`.
     pub fn note(&mut self, now: TimeMs, sent_at: TimeMs, word: RateWord) -> RateChange {
         match word {
@@ -100,7 +109,6 @@
     }
 
     fn name(&mut self, now: TimeMs, per_s: f64) -> RateChange {
-        self.is_known = true;
         let before = self.named.replace(Named {
             per_s,
             since: self.named.map_or(now, |named| named.since),
@@ -123,7 +131,7 @@
 
     fn note_absent(&mut self, now: TimeMs, sent_at: TimeMs) -> RateChange {
         let Some(named) = &mut self.named else {
-            self.is_known = true;
+            self.answers_without = ENDING_ANSWERS.min(self.answers_without + 1);
             return RateChange::Unchanged;
         };
         if sent_at <= named.heard_at {
@@ -135,7 +143,7 @@
         }
         let held_ms = now.since(named.since);
         self.named = None;
-        self.is_known = true;
+        self.answers_without = ENDING_ANSWERS;
         RateChange::Ends { held_ms }
     }
 }
--- a/src/traffic/server_report.rs
+++ b/src/traffic/server_report.rs
@@ -27,3 +27,17 @@
     /// How many requests it says it runs at once; an upper bound, not the truth.
     pub slots: Option<u32>,
 }
+
+impl ServerReport {
+    /// The backend server leaves, and says nothing more.
+    pub fn departure(incarnation: Name, started_unix_ms: Option<u64>) -> Self {
+        Self {
+            incarnation,
+            started_unix_ms,
+            state: ReportedState::Left,
+            sequence: None,
+            service: None,
+            slots: None,
+        }
+    }
+}
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -33,6 +33,7 @@
 use crate::traffic::LiveSettings;
 use crate::traffic::LocalServer;
 use crate::traffic::Reported;
+use crate::traffic::ToldWords;
 use crate::traffic::TrafficSettings;
 use crate::traffic::allowances::Allowances;
 use crate::traffic::keyed_routes::KeyedRoutes;
@@ -148,6 +149,7 @@
     pub local_news: watch::Sender<LocalNews>,
     live: Published<LiveSettings>,
     local: Mutex<LocalServer>,
+    told_words: Mutex<ToldWords>,
     failing: Mutex<FailingShare>,
     requests: AtomicUsize,
 }
@@ -192,6 +194,7 @@
             local_news: watch::Sender::new(unknown),
             failing: Mutex::default(),
             local: Mutex::new(LocalServer::new(settings.live.heartbeat_ms)),
+            told_words: Mutex::default(),
             requests: AtomicUsize::new(0),
             live: Published::from_pointee(settings.live),
             settings,
@@ -236,6 +239,13 @@
         self.local.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What backend servers have said in answers that came through here. Never held across an await.
+    pub(super) fn told_words(&self) -> MutexGuard<'_, ToldWords> {
+        self.told_words
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes the end of a call at the local backend server.
     pub(super) fn note_end(&self, has_failed: bool) {
         let now = self.clock.now();
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -8,7 +8,7 @@
 use crate::errors::WireError;
 
 /// The version of the protocol between nodes; a peer of another version is refused by name.
-pub const PROTOCOL_VERSION: u8 = 4;
+pub const PROTOCOL_VERSION: u8 = 5;
 
 /// Encodes a message for a header.
 pub fn encode<T: Serialize>(message: &T) -> String {
--- a/src/wire/hop_answer.rs
+++ b/src/wire/hop_answer.rs
@@ -9,6 +9,7 @@
 use crate::core::RouteOrigin;
 use crate::errors::WireError;
 use crate::wire::LoadReport;
+use crate::wire::ServerWord;
 use crate::wire::codec;
 use crate::wire::headers;
 
@@ -27,6 +28,8 @@
     pub load: LoadReport,
     /// Which share of calls fails at the backend server lately, in thousandths.
     pub failing_permille: u32,
+    /// What the backend server has said of itself, if it binds whoever sends it requests.
+    pub word: Option<ServerWord>,
 }
 
 impl HopAnswer {
--- a/src/wire/hop_call.rs
+++ b/src/wire/hop_call.rs
@@ -9,6 +9,7 @@
 use crate::core::Priority;
 use crate::core::RouteOrigin;
 use crate::errors::WireError;
+use crate::wire::ServerWord;
 use crate::wire::codec;
 use crate::wire::headers;
 
@@ -50,6 +51,8 @@
     pub repeated_permille: u16,
     /// What remains of the deadline when the header is written.
     pub deadline_left_ms: u32,
+    /// What the sender was told of the backend server, if it binds: the guard may have been restarted.
+    pub word: Option<ServerWord>,
 }
 
 impl HopCall {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod hop_answer;
 mod hop_call;
 mod owner_hint;
+mod server_word;
 
 pub use answer_header::AnswerHeader;
 pub use answer_header::LoadReport;
@@ -17,3 +18,4 @@
 pub use hop_call::CallAccount;
 pub use hop_call::HopCall;
 pub use owner_hint::OwnerHint;
+pub use server_word::ServerWord;
