A departure that a backend server tells in its answers alone is a departure

10 of 10 later requests reached a backend server that had said in an answer that it leaves, and 5 of 5 after its guard was restarted before anything was stored.

--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -14,6 +14,7 @@
 use crate::traffic::HeaderNames;
 use crate::traffic::RateChange;
 use crate::traffic::RateWord;
+use crate::traffic::ServerReport;
 use crate::traffic::ServerWords;
 use crate::traffic::guard::not_run;
 use crate::traffic::traffic::Traffic;
@@ -43,8 +44,11 @@
     answer: &WholeAnswer,
 ) -> Result<(), Refusal> {
     let names = &traffic.settings.header_names;
+    let words = ServerWords::of(names, &answer.headers);
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
-        note_actual(traffic, incarnation, answer);
+        if let Some(actual) = note_actual(traffic, incarnation, answer) {
+            note_words(traffic, &actual, sent_at, words);
+        }
         return Err(not_run(RefusalReason::BackendReplaced));
     }
     if answer.headers.get(&names.request_id) != id {
@@ -52,7 +56,6 @@
         log::warn!("guard: an answer to another request was dropped");
         return Err(broke());
     }
-    let words = ServerWords::of(names, &answer.headers);
     note_words(traffic, incarnation, sent_at, words);
     if answer.headers.contains_key(&names.not_run) {
         return Err(not_run(RefusalReason::BackendShed));
@@ -66,7 +69,16 @@
     Ok(())
 }
 
-fn note_words(traffic: &Traffic, incarnation: &Name, sent_at: TimeMs, words: ServerWords) {
+/// Takes in what an answer, to a request sent at `sent_at`, says of the incarnation that gave it.
+///
+/// A departure is the same fact as one that is reported, and is known here before the answer is passed on:
+/// whoever gets that answer relies on it.
+pub(super) fn note_words(
+    traffic: &Traffic,
+    incarnation: &Name,
+    sent_at: TimeMs,
+    words: ServerWords,
+) {
     words
         .said()
         .for_each(|word| traffic.metrics.count_word(word));
@@ -74,6 +86,10 @@
         log::warn!("local: a rate cannot be read, incarnation={incarnation}");
     }
     let now = traffic.clock.now();
+    if words.is_leaving {
+        let departure = ServerReport::departure(incarnation.clone(), None);
+        traffic.change_local(|local| local.take(now, &departure));
+    }
     let (change, beyond) = {
         let mut local = traffic.local();
         let change = local.note_rate(now, incarnation, sent_at, words.rate);
@@ -103,16 +119,15 @@
     }
 }
 
-fn note_actual(traffic: &Traffic, expected: &Name, answer: &WholeAnswer) {
+/// The incarnation that refused a call meant for another one, if it names itself.
+fn note_actual(traffic: &Traffic, expected: &Name, answer: &WholeAnswer) -> Option<Name> {
     let names = &traffic.settings.header_names;
-    let actual = answer.headers.get(&names.incarnation);
-    let Some(actual) = actual.and_then(|actual| actual.to_str().ok()) else {
-        return;
-    };
+    let actual = answer.headers.get(&names.incarnation)?.to_str().ok()?;
     let actual = Name::from(actual);
     log::info!("local: another incarnation answers, expected={expected} actual={actual}");
     let now = traffic.clock.now();
     traffic.change_local(|local| local.note_actual(now, expected, &actual));
+    Some(actual)
 }
 
 fn broke() -> Refusal {
--- a/src/traffic/in_flight.rs
+++ b/src/traffic/in_flight.rs
@@ -39,7 +39,9 @@
             targets.note_run(&self.target, route, self.news.took_ms);
         }
         self.news.is_lost = end.reason() == Some(RefusalReason::PeerLost);
-        self.news.is_closed = matches!(
+        let word = end.news.as_ref().and_then(|news| news.word.as_ref());
+        let is_leaving = word.is_some_and(|word| word.is_leaving);
+        let is_closed = matches!(
             end.reason(),
             Some(
                 RefusalReason::Draining
@@ -48,6 +50,7 @@
                     | RefusalReason::NoTarget
             )
         );
+        self.news.is_closed = is_closed || is_leaving;
     }
 }
 
--- a/src/traffic/recall.rs
+++ b/src/traffic/recall.rs
@@ -14,6 +14,8 @@
 use tokio::time::timeout;
 
 use crate::core::Name;
+use crate::traffic::ServerWords;
+use crate::traffic::backend_answer::note_words;
 use crate::traffic::traffic::Traffic;
 
 /// How long the backend server may take to answer. Its reports come every second or two, so a later
@@ -41,19 +43,30 @@
 /// after each restart of a node. It holds because the backend server's own word names its incarnation,
 /// and says that it is not leaving; of another one nothing is known, so its report is waited for.
 pub(super) async fn recall_server(traffic: Arc<Traffic>, known: KnownServer) {
+    let sent_at = traffic.clock.now();
     let asking = ask(&traffic, &known.service);
-    let Ok(Some(incarnation)) = timeout(ANSWER_WITHIN, asking).await else {
+    let Ok(Some(checked)) = timeout(ANSWER_WITHIN, asking).await else {
         return;
     };
-    if incarnation != known.incarnation {
+    if checked.incarnation != known.incarnation {
         return;
     }
     let now = traffic.clock.now();
-    traffic.change_local(|local| local.recall(now, &known));
+    if checked.is_well {
+        traffic.change_local(|local| local.recall(now, &known));
+    }
+    note_words(&traffic, &known.incarnation, sent_at, checked.words);
+}
+
+/// What a health check told.
+struct Checked {
+    incarnation: Name,
+    is_well: bool,
+    words: ServerWords,
 }
 
-/// The incarnation that says that it is well.
-async fn ask(traffic: &Traffic, service: &Name) -> Option<Name> {
+/// Asks the backend server's health check.
+async fn ask(traffic: &Traffic, service: &Name) -> Option<Checked> {
     let path = health_check_path(traffic, service).await?;
     let address = traffic.live().backend_address;
     let request = Request::builder()
@@ -71,7 +84,11 @@
         .ok()?;
     let names = &traffic.settings.header_names;
     let incarnation = answer.headers.get(&names.incarnation)?.to_str().ok()?;
-    answer.status.is_success().then(|| Name::from(incarnation))
+    Some(Checked {
+        incarnation: Name::from(incarnation),
+        is_well: answer.status.is_success(),
+        words: ServerWords::of(names, &answer.headers),
+    })
 }
 
 async fn health_check_path(traffic: &Traffic, service: &Name) -> Option<Name> {
