All hear what a limited backend server can use, and one alone does not make its service look full

By reading, for a fleet: an entry with 1.5 calls a second hears of one target in the 500 ms for which pressure counts. Is that one limited, its own pressure (1,000 to 2,000 of 1,000) was the service's, and roots were refused while hundreds of others had room. Now gossip tells the slots that a limited target can use, once when a rate begins, changes or ends; a service's pressure counts targets by these; and where a limited one is all that was heard of, the largest other one counts as having room (2,000 -> 32; all limited stays at 1,333 to 1,500). Rows in the store are not written for it.

--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -120,7 +120,7 @@
         }
         if self.queue.len() >= self.queue_bound() {
             if !self.queue.outranks_last(&call) {
-                return Offer::Refuse(self.turned_away(now));
+                return Offer::Refuse(self.no_place(now));
             }
             self.displace_last(now);
         }
@@ -228,17 +228,16 @@
     }
 
     /// Takes over how many calls a second the backend server says it takes; `None` for as many as come.
-    ///
-    /// Answers how many calls were turned away for the rate before, if there was one.
-    pub fn set_rate(&mut self, now: TimeMs, per_s: Option<f64>) -> u64 {
+    pub fn set_rate(&mut self, now: TimeMs, per_s: Option<f64>) {
         match (&mut self.rate, per_s) {
             (Some(rate), Some(per_s)) => rate.set_per_s(per_s, now),
             (rate, per_s) => *rate = per_s.map(|per_s| TokenBucket::new(per_s, now)),
         }
-        if self.rate.is_some() {
-            return self.beyond_rate;
-        }
-        std::mem::take(&mut self.beyond_rate)
+    }
+
+    /// Calls turned away for the rate so far.
+    pub fn turned_away(&self) -> u64 {
+        self.beyond_rate
     }
 
     /// Takes over the number of classes of the preset in force.
@@ -271,7 +270,7 @@
 
     /// How many calls run at once when the backend server gets as many as it takes: its slots, or the
     /// rate that it names times how long calls run.
-    fn usable_limit(&self) -> u32 {
+    pub fn usable_limit(&self) -> u32 {
         let limit = self.limit();
         let Some(rate) = &self.rate else {
             return limit;
@@ -346,13 +345,13 @@
         let Some(waiting) = self.queue.pop_last() else {
             return;
         };
-        let refusal = self.turned_away(now);
+        let refusal = self.no_place(now);
         let action = Action::Refuse(waiting.call.ticket, refusal);
         self.displaced.push(action);
     }
 
     /// The refusal of a call for which the queue has no place.
-    fn turned_away(&mut self, now: TimeMs) -> Refusal {
+    fn no_place(&mut self, now: TimeMs) -> Refusal {
         if self.rate.is_some() && self.has_slot() {
             self.beyond_rate()
         } else {
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -131,9 +131,17 @@
         self.lock().admission.set_slots(slots);
     }
 
-    /// Takes over how many calls a second the backend server says it takes; see [`Admission::set_rate`].
-    pub(crate) fn set_rate(&self, per_s: Option<f64>) -> u64 {
-        self.lock().admission.set_rate(self.clock.now(), per_s)
+    /// Takes over how many calls a second the backend server says it takes. Answers how many calls it can run
+    /// at once then; see [`Admission::usable_limit`].
+    pub(crate) fn set_rate(&self, per_s: Option<f64>) -> u32 {
+        let mut state = self.lock();
+        state.admission.set_rate(self.clock.now(), per_s);
+        state.admission.usable_limit()
+    }
+
+    /// Calls turned away for the rate of the backend server so far.
+    pub(crate) fn turned_away(&self) -> u64 {
+        self.lock().admission.turned_away()
     }
 
     /// Takes over how many classes the preset in force has.
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -115,23 +115,34 @@
     }
 
     /// Takes in how hard calls press on one target of a service, and answers how hard they press on
-    /// the service, by all targets heard of lately; see [`TargetPressure::of_service`].
+    /// the service, by all targets heard of lately; see [`TargetPressure::of_service`]. Where the target
+    /// `is_limited` by a rate, the largest that was not heard of counts as having room.
     pub(crate) fn note_pressure(
         &self,
         view: &View,
         service: &str,
         node: &Name,
         told: TargetPressure,
+        is_limited: bool,
         now: TimeMs,
     ) -> u32 {
         let mut known = self.lock();
         known.stats_of(node, now).note_pressure(told, now);
-        let targets = view.targets(service).iter();
-        let heard = targets.filter_map(|target| {
+        let pressure_of = |target: &Arc<Target>| {
             let stats = known.stats.get(&target.node)?;
             stats.pressure(now)
-        });
-        TargetPressure::of_service(heard).unwrap_or(told.permille)
+        };
+        let targets = view.targets(service);
+        let heard = targets.iter().filter_map(pressure_of);
+        if !is_limited {
+            return TargetPressure::of_service(heard).unwrap_or(told.permille);
+        }
+        let unheard = targets
+            .iter()
+            .filter(|target| target.state.takes_work() && pressure_of(target).is_none());
+        let largest = unheard.map(|target| target.slots).max();
+        let with_room = largest.map(TargetPressure::with_room);
+        TargetPressure::of_service(heard.chain(with_room)).unwrap_or(told.permille)
     }
 
     /// How long answers of a target take; 0 while nothing is known.
--- a/src/routing/target_pressure.rs
+++ b/src/routing/target_pressure.rs
@@ -1,22 +1,28 @@
 //! How hard calls press on a service, from what its targets tell.
 
-/// How hard calls press on a target, and what it can use of its slots; both in thousandths.
+/// How hard calls press on a target, in thousandths, and how many calls it can run at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetPressure {
     pub permille: u32,
-    pub usable_permille: u32,
+    pub slots: u32,
 }
 
 impl TargetPressure {
+    /// What is believed of a target that has not told lately, where others are limited by a rate: calls that
+    /// those turn away come there, and its answer tells at once if it is full as well.
+    pub fn with_room(slots: u32) -> Self {
+        Self { permille: 0, slots }
+    }
+
     /// How hard calls press on a service, in thousandths; `None` where no target tells.
     ///
-    /// A call may go to any target, so it is their mean. Each counts by what it can use of its slots, or one
-    /// that takes a few requests a second would make its whole service look full.
+    /// A call may go to any target, so it is their mean. Each counts by its slots, or one that takes a few
+    /// requests a second would make its whole service look full.
     pub fn of_service(targets: impl Iterator<Item = Self>) -> Option<u32> {
-        let (sum, usable) = targets.fold((0, 0), |(sum, usable), each| {
-            let part = u64::from(each.usable_permille);
-            (sum + u64::from(each.permille) * part, usable + part)
+        let (sum, slots) = targets.fold((0, 0), |(sum, slots), each| {
+            let part = u64::from(each.slots.max(1));
+            (sum + u64::from(each.permille) * part, slots + part)
         });
-        u64::checked_div(sum, usable).map(|mean| mean as u32)
+        u64::checked_div(sum, slots).map(|mean| mean as u32)
     }
 }
--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -14,6 +14,7 @@
 use crate::traffic::HeaderNames;
 use crate::traffic::RateChange;
 use crate::traffic::RateWord;
+use crate::traffic::Reported;
 use crate::traffic::ServerReport;
 use crate::traffic::ServerWords;
 use crate::traffic::guard::not_run;
@@ -90,15 +91,15 @@
         let departure = ServerReport::departure(incarnation.clone(), None);
         traffic.change_local(|local| local.take(now, &departure));
     }
-    let (change, beyond) = {
-        let mut local = traffic.local();
-        let change = local.note_rate(now, incarnation, sent_at, words.rate);
-        let beyond = match change {
-            RateChange::Unchanged => 0,
-            _ => traffic.gate.set_rate(local.rate_per_s()),
-        };
-        (change, beyond)
-    };
+    let mut change = RateChange::Unchanged;
+    traffic.change_local(|local| {
+        change = local.note_rate(now, incarnation, sent_at, words.rate);
+        match change {
+            RateChange::Unchanged => Reported::Nothing,
+            _ => Reported::News,
+        }
+    });
+    let turned_away = traffic.gate.turned_away();
     match change {
         RateChange::Unchanged => {}
         RateChange::Begins { per_s } => {
@@ -107,13 +108,13 @@
         RateChange::Changes { per_s } => {
             log::info!(
                 "local: another rate is named, incarnation={incarnation} per_s={per_s} \
-                 turned_away={beyond}"
+                 turned_away={turned_away}"
             );
         }
         RateChange::Ends { held_ms } => {
             log::info!(
                 "local: no rate is named any more, incarnation={incarnation} held_ms={held_ms} \
-                 turned_away={beyond}"
+                 turned_away={turned_away}"
             );
         }
     }
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -39,8 +39,6 @@
 const FIRST_TARGET_LOOK_MS: u64 = 50;
 /// From this length on a body counts as large when it would cross between failure domains.
 const LARGE_BODY_BYTES: usize = 16 * 1024;
-/// All of a target's slots, in thousandths.
-const ALL_PERMILLE: u32 = 1_000;
 /// Targets tried in vain at most, counting those that were never sent the call: each costs a round
 /// trip.
 const MOST_TRIED: usize = 6;
@@ -204,30 +202,21 @@
         let now = traffic.clock.now();
         let told = TargetPressure {
             permille: pressure.permille,
-            usable_permille: usable_permille(target, news),
+            slots: target.slots,
         };
-        pressure.permille =
-            traffic
-                .targets
-                .note_pressure(&view, &call.service, &target.node, told, now);
+        let rate = news.word.as_ref().and_then(|word| word.rate_milli);
+        pressure.permille = traffic.targets.note_pressure(
+            &view,
+            &call.service,
+            &target.node,
+            told,
+            rate.is_some(),
+            now,
+        );
     }
     Some(pressure)
 }
 
-/// The part of its slots that a target can use, in thousandths: all, unless its backend server names a rate.
-fn usable_permille(target: &Target, news: &GuardNews) -> u32 {
-    let is_limited = news
-        .word
-        .as_ref()
-        .and_then(|word| word.rate_milli)
-        .is_some();
-    if !is_limited {
-        return ALL_PERMILLE;
-    }
-    let usable = news.load.limit.saturating_mul(ALL_PERMILLE) / target.slots.max(1);
-    usable.clamp(1, ALL_PERMILLE)
-}
-
 /// Decides on a further attempt. One after which a backend server gets the call a second time is
 /// paid for out of the service's budget; a guard that refused without sending costs nothing.
 fn next_attempt(
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -222,9 +222,15 @@
 
     /// How many targets of a service take work, as far as is known here.
     pub fn targets_of(&self, service: &str) -> usize {
+        self.slots_of(service).len()
+    }
+
+    /// How many calls each target of a service that takes work can run at once, as far as is known here.
+    pub fn slots_of(&self, service: &str) -> Vec<u32> {
         let view = self.traffic.view.load();
         let targets = view.targets(service).iter();
-        targets.filter(|target| target.state.takes_work()).count()
+        let open = targets.filter(|target| target.state.takes_work());
+        open.map(|target| target.slots).collect()
     }
 }
 
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -95,6 +95,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct LocalNews {
     pub service: Name,
+    /// How many calls it can run at once: what it says, or what it can use of that at the rate that it names.
     pub slots: u32,
     pub state: TargetState,
     /// The incarnation that has said that it leaves, if it has.
@@ -274,13 +275,15 @@
             if local.is_down() || start_of(&local) != before {
                 self.poison.note_ended();
             }
-            self.gate.set_rate(local.rate_per_s());
+            self.gate.set_slots(usable_slots(local.slots()));
+            let rate = local.rate_per_s();
+            let usable = self.gate.set_rate(rate);
             LocalNews {
                 service: local
                     .service()
                     .cloned()
                     .unwrap_or_else(|| self.settings.service.clone()),
-                slots: local.slots(),
+                slots: rate.map_or(local.slots(), |_| usable),
                 state: local.state(),
                 leaving: local.leaving().cloned(),
                 known: local.known(),
@@ -293,7 +296,6 @@
             news.state,
             news.slots
         );
-        self.gate.set_slots(usable_slots(news.slots));
         self.local_news.send_replace(news);
     }
 
