Connections to servers are given up before their servers close them

Found by listing every word of a backend server against the code that obeys it: Keep-Alive was read by nobody. A server that keeps idle connections for a second got requests on them for 1.5 s; one that meets the close may have run, and an unsafe one is lost. Now a connection is used no longer than its server says, less 300 ms, and Connection: close is found among other options.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -25,6 +25,7 @@
 use tokio::net::TcpStream;
 
 use crate::adapters::BodyBudget;
+use crate::adapters::kept_for::kept_for_ms;
 use crate::adapters::read_whole;
 use crate::core::Clock;
 use crate::core::FastMap;
@@ -58,7 +59,8 @@
 
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
-    since: TimeMs,
+    /// From then on it is not used again.
+    until: TimeMs,
 }
 
 /// Connections by address. Bounded in number and in time.
@@ -98,8 +100,9 @@
         let keep = is_sound(&response);
         let (parts, body) = response.into_parts();
         let body = read_whole(body, usize::MAX, &self.bodies).await?;
-        if keep && !is_closing(&parts.headers) && !sender.is_closed() {
-            self.give_back(address, sender);
+        let kept_ms = kept_for_ms(&parts.headers).unwrap_or(self.conf.idle_ms);
+        if keep && kept_ms > 0 && !sender.is_closed() {
+            self.give_back(address, sender, kept_ms.min(self.conf.idle_ms));
         }
         Ok(WholeAnswer {
             status: parts.status,
@@ -158,23 +161,23 @@
         let now = self.clock.now();
         let mut idle = self.lock();
         let kept = idle.get_mut(&address)?;
-        kept.retain(|each| !each.sender.is_closed() && now.since(each.since) <= self.conf.idle_ms);
+        kept.retain(|each| !each.sender.is_closed() && now < each.until);
         let ready = kept.iter().rposition(|each| each.sender.is_ready())?;
         Some(kept.swap_remove(ready).sender)
     }
 
-    fn give_back(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
-        let since = self.clock.now();
+    fn give_back(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, kept_ms: u64) {
+        let now = self.clock.now();
+        let until = now + kept_ms;
         let mut idle = self.lock();
         if idle.len() >= MOST_ADDRESSES && !idle.contains_key(&address) {
-            let most = self.conf.idle_ms;
-            idle.retain(|_, kept| kept.iter().any(|each| since.since(each.since) <= most));
+            idle.retain(|_, kept| kept.iter().any(|each| now < each.until));
         }
         let kept = idle.entry(address).or_default();
         if kept.len() >= MOST_IDLE {
             kept.remove(0);
         }
-        kept.push(Idle { sender, since });
+        kept.push(Idle { sender, until });
     }
 
     fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<Idle>>> {
@@ -198,8 +201,3 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(Duration::from_millis(silence_ms)))
 }
-
-fn is_closing(headers: &HeaderMap) -> bool {
-    let value = headers.get(http::header::CONNECTION);
-    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
-}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -5,6 +5,7 @@
 mod http_client;
 mod http_listener;
 mod http_server;
+mod kept_for;
 mod whole_body;
 
 pub use body_budget::BodyBudget;
