--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -275,7 +275,7 @@
             if local.is_down() || start_of(&local) != before {
                 self.poison.note_ended();
             }
-            self.gate.set_slots(usable_slots(local.slots()));
+            self.bound_slots(&local);
             let rate = local.rate_per_s();
             let usable = self.gate.set_rate(rate);
             LocalNews {
@@ -299,6 +299,25 @@
         self.local_news.send_replace(news);
     }
 
+    /// Bounds what runs at the local backend server by what may have changed: the slots that it announces, or the
+    /// connections that the operator says it accepts. Each call that runs there takes one of both.
+    pub(super) fn bound_slots(&self, local: &LocalServer) {
+        let usable = usable_slots(local.slots());
+        let accepted = local
+            .service()
+            .and_then(|service| self.max_connections(service));
+        self.gate
+            .set_slots(accepted.map_or(usable, |accepted| usable.min(accepted)));
+    }
+
+    /// How many connections a backend server of a service accepts, if the operator says so.
+    fn max_connections(&self, service: &Name) -> Option<u32> {
+        let in_force = self.desired.load()?;
+        let mut services = in_force.state.services.iter();
+        let conf = services.find(|conf| conf.name == *service)?;
+        (conf.max_connections > 0).then_some(conf.max_connections)
+    }
+
     pub(super) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
