An account that its entry forgot counts anew at its keeper

Reports are numbered now, so one that was overtaken is known by its number, and a count that goes back begins anew. Gossip is version 5.

--- a/src/accounts/allowance_keeper.rs
+++ b/src/accounts/allowance_keeper.rs
@@ -34,8 +34,8 @@
 const TOLD_FROM: f32 = 0.25;
 /// What is told of an account holds for so long, in milliseconds.
 const TOLD_HOLDS_MS: u64 = 2_000;
-/// More requests than this between two reports are none: counts went back.
-const MOST_WANTED: u32 = u32::MAX / 2;
+/// A number further ahead of another one than this is behind it.
+const MOST_AHEAD: u32 = u32::MAX / 2;
 /// A first count up to this one is all new.
 const MOST_NEW: u32 = 8;
 /// So long after it knew of another node a keeper knows most of them, in milliseconds.
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug, Default)]
 struct Entry {
     process: u32,
+    /// The number of its newest report.
+    sequence: u32,
     heard: TimeMs,
     counts: FastMap<AccountId, Count>,
 }
@@ -234,20 +236,20 @@
     fn count(&mut self, now: TimeMs, node: &Name, report: &Report) {
         let entry = self.entries.entry(node.clone()).or_default();
         if entry.process != report.process {
-            entry.process = report.process;
-            entry.counts.clear();
+            *entry = Entry {
+                process: report.process,
+                ..Entry::default()
+            };
+        } else if !is_newer(report.sequence, entry.sequence) {
+            return;
         }
+        entry.sequence = report.sequence;
         entry.heard = now;
         let mut news = Vec::with_capacity(report.counts.len());
         for count in &report.counts {
-            let before = entry.counts.get(&count.account).copied();
-            let before = before.unwrap_or_else(|| base_of(count));
+            let before = entry.counts.insert(count.account, *count);
+            let before = before.map_or_else(|| base_of(count), |before| base_after(before, count));
             let wanted = count.wanted.wrapping_sub(before.wanted);
-            if wanted > MOST_WANTED {
-                // An older report has come after a newer one.
-                continue;
-            }
-            entry.counts.insert(count.account, *count);
             let used = count.used.wrapping_sub(before.used);
             news.push((count.account, wanted, used));
         }
@@ -361,6 +363,25 @@
     }
 }
 
+/// Whether a report comes after another one of the same process; their numbers wrap around.
+fn is_newer(sequence: u32, other: u32) -> bool {
+    sequence != other && sequence.wrapping_sub(other) <= MOST_AHEAD
+}
+
+/// From where a further count of an account goes.
+///
+/// Guards against an account that its entry forgot, among thousands, and counts from nothing again.
+fn base_after(before: Count, count: &Count) -> Count {
+    if count.wanted.wrapping_sub(before.wanted) <= MOST_AHEAD {
+        return before;
+    }
+    Count {
+        wanted: 0,
+        used: 0,
+        ..*count
+    }
+}
+
 /// From where the first count of an account goes that a keeper hears of an entry. A small one was made
 /// lately; of a large one it is not known how much of it is new, for the keeper may have begun after it.
 fn base_of(count: &Count) -> Count {
--- a/src/accounts/entry_allowances.rs
+++ b/src/accounts/entry_allowances.rs
@@ -94,6 +94,8 @@
     worded: Option<TimeMs>,
     parts: FastMap<AccountId, u16>,
     reported: TimeMs,
+    /// The number of the last report.
+    sequence: u32,
     is_hasty: bool,
 }
 
@@ -117,6 +119,7 @@
             worded: None,
             parts: FastMap::default(),
             reported: now,
+            sequence: 0,
             is_hasty: false,
         }
     }
@@ -181,6 +184,7 @@
             return None;
         }
         self.reported = now;
+        self.sequence = self.sequence.wrapping_add(1);
         self.is_hasty = false;
         let mut counts = Vec::new();
         for (account, known) in &mut self.accounts {
@@ -196,6 +200,7 @@
         }
         Some(Report {
             process: self.process,
+            sequence: self.sequence,
             wants_word: true,
             counts,
         })
--- a/src/accounts/message.rs
+++ b/src/accounts/message.rs
@@ -22,6 +22,8 @@
 pub struct Report {
     /// Tells the reporting process from earlier ones of the same node.
     pub process: u32,
+    /// Numbers the reports of a process, so that one which was overtaken is known.
+    pub sequence: u32,
     /// Only one keeper of the failure domain is asked to answer.
     pub wants_word: bool,
     /// The accounts with news.
--- a/src/membership/codec.rs
+++ b/src/membership/codec.rs
@@ -10,7 +10,7 @@
 use crate::errors::GossipError;
 
 /// The version of the datagrams; those of another version are counted and dropped.
-pub const GOSSIP_VERSION: u8 = 4;
+pub const GOSSIP_VERSION: u8 = 5;
 
 /// Encodes a datagram. Updates follow each other to the end, so they need no count.
 pub fn encode_datagram(datagram: &Datagram) -> Vec<u8> {
--- a/tests/accounts_keeper.rs
+++ b/tests/accounts_keeper.rs
@@ -3,8 +3,10 @@
 use rstest::rstest;
 use sassafrasgap::accounts::AccountId;
 use sassafrasgap::accounts::Allowance;
+use sassafrasgap::accounts::AllowanceBound;
 use sassafrasgap::accounts::AllowanceKeeper;
 use sassafrasgap::accounts::Count;
+use sassafrasgap::accounts::EntryAllowances;
 use sassafrasgap::accounts::Fleet;
 use sassafrasgap::accounts::Report;
 use sassafrasgap::core::Name;
@@ -27,10 +29,21 @@
     keeper
 }
 
-/// The part that is let in after a report of so many requests.
+/// The part that is let in after the next report of a process, of so many requests.
 fn told(keeper: &mut AllowanceKeeper, at_ms: u64, process: u32, wanted: u32) -> u16 {
+    told_as(keeper, at_ms, (process, at_ms as u32), wanted)
+}
+
+/// The same after the report of a process with this number.
+fn told_as(
+    keeper: &mut AllowanceKeeper,
+    at_ms: u64,
+    (process, sequence): (u32, u32),
+    wanted: u32,
+) -> u16 {
     let report = Report {
         process,
+        sequence,
         wants_word: true,
         counts: vec![Count {
             account: ACCOUNT,
@@ -48,10 +61,54 @@
 #[rstest]
 fn a_report_that_was_overtaken_changes_nothing() {
     let mut keeper = keeper();
-    for (order, wanted) in [5, 20, 15, 30, 45].into_iter().enumerate() {
+    let reports = [(1, 5), (3, 20), (2, 15), (4, 30), (5, 45)];
+    for (order, (sequence, wanted)) in reports.into_iter().enumerate() {
         let at_ms = 300 * (order as u64 + 1);
-        assert_eq!(told(&mut keeper, at_ms, 1, wanted), 1_000, "{wanted}");
+        let part = told_as(&mut keeper, at_ms, (1, sequence), wanted);
+        assert_eq!(part, 1_000, "{wanted}");
+    }
+}
+
+/// Guards against an account that its entry forgot, among thousands, and counts from nothing again: its requests
+/// counted only once they were more than before.
+#[rstest]
+fn an_account_that_its_entry_forgot_counts_anew() {
+    let mut keeper = keeper();
+    let now = |ms| TimeMs(1_000 + ms);
+    let node = Name::from("n1");
+    let bound = AllowanceBound {
+        window_ms: 5_000,
+        overage: 0.1,
+        slack: 20.0,
+    };
+    let mut entry = EntryAllowances::new(bound, true, 1, now(0));
+    let mut ask = |entry: &mut EntryAllowances, ms: u64, account: AccountId| {
+        let allowance = Allowance {
+            rate_per_s: 100.0,
+            burst: 100.0,
+        };
+        drop(entry.ask(now(ms), account, allowance, 1, 0.5));
+    };
+    for step in 0..100 {
+        (0..6).for_each(|_| ask(&mut entry, step * 100, ACCOUNT));
+        if let Some(report) = entry.report(now(step * 100)) {
+            drop(keeper.take_report(now(step * 100), &node, &report));
+        }
+    }
+    for other in 0..5_000 {
+        ask(&mut entry, 40_000 + other, AccountId(1_000 + other as u32));
+    }
+    let mut word = None;
+    for step in 0..10 {
+        let ms = 60_000 + step * 100;
+        (0..40).for_each(|_| ask(&mut entry, ms, ACCOUNT));
+        if let Some(report) = entry.report(now(ms)) {
+            word = keeper.take_report(now(ms), &node, &report);
+        }
     }
+    let limited = word.unwrap().limited;
+    let part = limited.first().map_or(1_000, |part| part.permille);
+    assert!(part < 500, "{part} of four times the allowance");
 }
 
 /// A report comes twice; its requests count once.
@@ -59,7 +116,7 @@
 fn a_report_that_comes_twice_counts_once() {
     let mut keeper = keeper();
     for order in 0..40 {
-        assert_eq!(told(&mut keeper, 300 + order, 1, 8), 1_000);
+        assert_eq!(told_as(&mut keeper, 300 + order, (1, 1), 8), 1_000);
     }
 }
 
