A spoilt answer that names no rate ends none

Found on reading: an answer without a signature, or in an encoding nobody asked for, counted as one that says nothing, and the third of them ended a limit.

--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -57,19 +57,27 @@
         log::warn!("guard: an answer to another request was dropped");
         return Err(broke());
     }
-    note_words(traffic, incarnation, sent_at, words);
+    let is_sound = is_sound(names, answer);
+    // A spoilt answer that says nothing is no word that nothing is to be said.
+    if is_sound || words.said().next().is_some() {
+        note_words(traffic, incarnation, sent_at, words);
+    }
     if answer.headers.contains_key(&names.not_run) {
         return Err(not_run(RefusalReason::BackendShed));
     }
-    let is_success = answer.status.is_success();
-    let is_signed = answer.headers.contains_key(&names.signature);
-    if answer.headers.contains_key(CONTENT_ENCODING) || (is_success && !is_signed) {
+    if !is_sound {
         traffic.metrics.broken_answers.inc();
         return Err(broke());
     }
     Ok(())
 }
 
+fn is_sound(names: &HeaderNames, answer: &WholeAnswer) -> bool {
+    let headers = &answer.headers;
+    let is_signed = headers.contains_key(&names.signature);
+    !headers.contains_key(CONTENT_ENCODING) && (is_signed || !answer.status.is_success())
+}
+
 /// Takes in what an answer, to a request sent at `sent_at`, says of the incarnation that gave it.
 ///
 /// A departure is the same fact as one that is reported, and is known here before the answer is passed on:
@@ -99,7 +107,12 @@
             _ => Reported::News,
         }
     });
-    let turned_away = traffic.gate.turned_away();
+    tell_change(traffic, incarnation, change);
+}
+
+/// One line for each beginning, change and end of a limit, with how many calls it has turned away so far.
+fn tell_change(traffic: &Traffic, incarnation: &Name, change: RateChange) {
+    let turned_away = || traffic.gate.turned_away();
     match change {
         RateChange::Unchanged => {}
         RateChange::Begins { per_s } => {
@@ -108,13 +121,15 @@
         RateChange::Changes { per_s } => {
             log::info!(
                 "local: another rate is named, incarnation={incarnation} per_s={per_s} \
-                 turned_away={turned_away}"
+                 turned_away={}",
+                turned_away()
             );
         }
         RateChange::Ends { held_ms } => {
             log::info!(
                 "local: no rate is named any more, incarnation={incarnation} held_ms={held_ms} \
-                 turned_away={turned_away}"
+                 turned_away={}",
+                turned_away()
             );
         }
     }
