--- a/src/accounts/allowance_keeper.rs
+++ b/src/accounts/allowance_keeper.rs
@@ -3,22 +3,17 @@
 use crate::accounts::AccountId;
 use crate::accounts::Allowance;
 use crate::accounts::Count;
-use crate::accounts::DecayedRate;
 use crate::accounts::Demand;
 use crate::accounts::DomainNews;
+use crate::accounts::Fleet;
 use crate::accounts::Part;
 use crate::accounts::Report;
 use crate::accounts::Word;
+use crate::accounts::used::Used;
 use crate::core::FastMap;
 use crate::core::Name;
 use crate::core::TimeMs;
 
-/// Memory of demand, in milliseconds. A surge shows by the short one, within a report or two, and the long
-/// one holds on through the gaps between the few requests of a small account.
-const SHORT_MS: f32 = 400.0;
-const LONG_MS: f32 = 1_200.0;
-/// The memory of demand by which failure domains share: chance must not move their parts to and fro.
-const SHARED_MS: f32 = 3_000.0;
 /// Beside what they ask for, failure domains share by their nodes, as if so much of the rate were asked for
 /// evenly: the few requests of a small account say little of the next ones.
 const EVEN_PART: f32 = 0.25;
@@ -50,27 +45,6 @@
 /// Accounts without news for so long are forgotten, in milliseconds.
 const FORGOTTEN_MS: u64 = 60_000;
 
-/// What a keeper knows of who is there.
-#[derive(Clone, Debug, Default)]
-pub struct Fleet {
-    /// The names of the living nodes of the own failure domain.
-    pub own: Vec<Name>,
-    /// The living nodes of each other failure domain, those that cannot be reached included.
-    pub others: Vec<(Name, usize)>,
-}
-
-impl Fleet {
-    /// How many nodes there are.
-    pub fn nodes(&self) -> usize {
-        let others = self.others.iter().map(|(_, nodes)| nodes);
-        self.own.len() + others.sum::<usize>()
-    }
-
-    fn own_part(&self) -> f32 {
-        self.own.len() as f32 / self.nodes().max(1) as f32
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct Entry {
     process: u32,
@@ -80,34 +54,6 @@
     counts: FastMap<AccountId, Count>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Used {
-    /// Of the own failure domain.
-    short: DecayedRate,
-    long: DecayedRate,
-    shared: DecayedRate,
-    /// What may be used beyond the rate; below 0 where more was used than that.
-    saved: f32,
-    saved_at: TimeMs,
-    /// When anything was last heard of it here.
-    heard: TimeMs,
-    /// The own failure domain's part, as last agreed with all others.
-    part: f32,
-    /// That part is more than a guess by the nodes that are known.
-    is_agreed: bool,
-    /// The part that is let in, as last worked out.
-    let_in: f32,
-}
-
-impl Used {
-    /// A few requests in a short time say little, so of those only what is hardly chance counts.
-    fn demand_per_s(&self, now: TimeMs) -> f32 {
-        let short = self.short.per_s(now, SHORT_MS) * SHORT_MS / 1_000.0;
-        let sure = (short - short.sqrt()).max(0.0) * 1_000.0 / SHORT_MS;
-        sure.max(self.long.per_s(now, LONG_MS))
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct Other {
     heard: TimeMs,
@@ -209,7 +155,7 @@
         self.forget(now);
         let told = self.used.iter().filter_map(|(account, used)| {
             let allowance = self.allowances.get(account)?;
-            let per_s = used.shared.per_s(now, SHARED_MS);
+            let per_s = used.shared_per_s(now);
             let least = allowance.rate_per_s * TOLD_FROM * self.fleet.own_part();
             (per_s >= least).then_some(Demand {
                 account: *account,
@@ -263,10 +209,7 @@
             return;
         };
         let known = self.used_of(now, account);
-        known.heard = now;
-        known.short.note(now, wanted, SHORT_MS);
-        known.long.note(now, wanted, LONG_MS);
-        known.shared.note(now, wanted, SHARED_MS);
+        known.note_wanted(now, wanted);
         known.saved -= used;
         let per_s = self.work_out(now, account, allowance);
         let demand = self
@@ -282,14 +225,9 @@
         let own_part = self.fleet.own_part();
         let has_watched = self.is_first_start || now.since(self.started) >= WATCHED_MS;
         let burst = self.allowances.get(&account).map_or(0.0, |all| all.burst);
-        self.used.entry(account).or_insert(Used {
-            saved: if has_watched { burst * own_part } else { 0.0 },
-            saved_at: now,
-            heard: now,
-            part: own_part,
-            let_in: 1.0,
-            ..Used::default()
-        })
+        let saved = if has_watched { burst * own_part } else { 0.0 };
+        let new = || Used::new(now, own_part, saved);
+        self.used.entry(account).or_insert_with(new)
     }
 
     /// Works out the parts of all accounts, also of those that nobody asks for here: others may.
@@ -326,7 +264,7 @@
     /// Guards against two sides of a cut that each take what the other one does not ask for any more, as far
     /// as they hear: the part stays as it was when all were heard.
     fn agreed_part(&self, now: TimeMs, account: AccountId, rate_per_s: f32) -> Option<f32> {
-        let own = self.used.get(&account)?.shared.per_s(now, SHARED_MS);
+        let own = self.used.get(&account)?.shared_per_s(now);
         let mut all = own;
         for (domain, _) in &self.fleet.others {
             let other = self.others.get(domain)?;
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -165,25 +165,13 @@
             })
     }
 
-    /// A call of a route ran well at a target.
-    pub(crate) fn note_run(&self, node: &Name, route: &Name, took_ms: u64) {
+    /// Takes in the end of an attempt. `ran` is the route of a call that ran well.
+    pub(crate) fn ended(&self, node: &Name, end: AttemptNews, ran: Option<&Name>, now: TimeMs) {
         let mut known = self.lock();
         let known = &mut *known;
-        let took_us = took_ms.max(1) * 1_000;
-        if known.usual_us.len() >= MOST_ROUTES {
-            known.usual_us.clear();
-        }
-        let usual_us = known.usual_us.entry(route.clone()).or_default();
-        *usual_us = smoothed(*usual_us, took_us, USUAL_SHARE);
-        if let Some(stats) = known.stats.get_mut(node) {
-            stats.note_run(took_us, *usual_us);
+        if let Some(route) = ran {
+            known.note_run(node, route, end.took_ms);
         }
-    }
-
-    /// Takes in the end of an attempt.
-    pub(crate) fn ended(&self, node: &Name, end: AttemptNews, now: TimeMs) {
-        let mut known = self.lock();
-        let known = &mut *known;
         let Some(stats) = known.stats.get_mut(node) else {
             return;
         };
@@ -232,6 +220,19 @@
             .or_insert_with(|| TargetStats::new(now))
     }
 
+    /// A call of a route ran well at a target.
+    fn note_run(&mut self, node: &Name, route: &Name, took_ms: u64) {
+        let took_us = took_ms.max(1) * 1_000;
+        if self.usual_us.len() >= MOST_ROUTES {
+            self.usual_us.clear();
+        }
+        let usual_us = self.usual_us.entry(route.clone()).or_default();
+        *usual_us = smoothed(*usual_us, took_us, USUAL_SHARE);
+        if let Some(stats) = self.stats.get_mut(node) {
+            stats.note_run(took_us, *usual_us);
+        }
+    }
+
     fn note_sent(&mut self, target: &Target, own_domain: &str, now: TimeMs) {
         if &*target.domain == own_domain {
             return;
@@ -311,6 +312,6 @@
     fn drop(&mut self) {
         self.node.metrics.entry_in_flight.dec();
         let now = self.node.inputs.clock.now();
-        self.node.targets.ended(&self.target, self.news, now);
+        self.node.targets.ended(&self.target, self.news, None, now);
     }
 }
--- a/src/traffic/in_flight.rs
+++ b/src/traffic/in_flight.rs
@@ -15,6 +15,8 @@
     target: Name,
     since: TimeMs,
     news: AttemptNews,
+    /// The route of the call, once it ran well.
+    ran: Option<Name>,
 }
 
 impl InFlightAt {
@@ -26,6 +28,7 @@
             traffic,
             target,
             news: AttemptNews::default(),
+            ran: None,
         }
     }
 
@@ -34,10 +37,7 @@
         self.news.report = end.news.as_ref().map(|news| news.load);
         self.news.failing_permille = end.news.as_ref().map_or(0, |news| news.failing_permille);
         self.news.took_ms = self.traffic.clock.now().since(self.since);
-        if end.ran_well() {
-            let targets = &self.traffic.targets;
-            targets.note_run(&self.target, route, self.news.took_ms);
-        }
+        self.ran = end.ran_well().then(|| route.clone());
         self.news.is_lost = end.reason() == Some(RefusalReason::PeerLost);
         let word = end.news.as_ref().and_then(|news| news.word.as_ref());
         let is_leaving = word.is_some_and(|word| word.is_leaving);
@@ -58,6 +58,7 @@
     fn drop(&mut self) {
         self.traffic.metrics.entry_in_flight.dec();
         let now = self.traffic.clock.now();
-        self.traffic.targets.ended(&self.target, self.news, now);
+        let targets = &self.traffic.targets;
+        targets.ended(&self.target, self.news, self.ran.as_ref(), now);
     }
 }
