--- /dev/null
+++ b/src/traffic/gone_servers.rs
@@ -0,0 +1,64 @@
+//! Incarnations of the local backend server that have ended or said that they leave.
+
+use std::collections::VecDeque;
+
+use crate::core::Name;
+use crate::traffic::ServerReport;
+
+/// Incarnations remembered, so that their late reports change nothing.
+const MOST_GONE: usize = 32;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Gone {
+    incarnation: Name,
+    started_unix_ms: Option<u64>,
+}
+
+/// The last ones, the oldest first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GoneServers {
+    gone: VecDeque<Gone>,
+}
+
+impl GoneServers {
+    /// Remembers an incarnation, with the latest of its starts.
+    pub fn note(&mut self, incarnation: &Name, started_unix_ms: Option<u64>) {
+        let mut known = self.gone.iter_mut();
+        let known = known.find(|gone| gone.incarnation == *incarnation);
+        if let Some(known) = known {
+            known.started_unix_ms = known.started_unix_ms.max(started_unix_ms);
+            return;
+        }
+        if self.gone.len() >= MOST_GONE {
+            self.gone.pop_front();
+        }
+        self.gone.push_back(Gone {
+            incarnation: incarnation.clone(),
+            started_unix_ms,
+        });
+    }
+
+    /// Whether this incarnation is gone, whichever of its starts is meant.
+    pub fn contains(&self, incarnation: &Name) -> bool {
+        self.gone
+            .iter()
+            .any(|gone| gone.incarnation == *incarnation)
+    }
+
+    /// Whether a report is of one that is gone, and not of a later one under the same identifier.
+    pub fn has_sent(&self, report: &ServerReport) -> bool {
+        let is_same = |gone: &&Gone| gone.incarnation == report.incarnation;
+        let mut same = self.gone.iter().filter(is_same);
+        same.any(|gone| !is_later(report.started_unix_ms, gone.started_unix_ms))
+    }
+
+    /// It stands there again.
+    pub fn forget(&mut self, incarnation: &Name) {
+        self.gone.retain(|gone| gone.incarnation != *incarnation);
+    }
+}
+
+/// Whether one start is certainly after another.
+pub(super) fn is_later(one: Option<u64>, other: Option<u64>) -> bool {
+    one.zip(other).is_some_and(|(one, other)| one > other)
+}
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -2,8 +2,6 @@
 //!
 //! Pure: reports and what is met on connections go in, with a time.
 
-use std::collections::VecDeque;
-
 use crate::core::Name;
 use crate::core::TargetState;
 use crate::core::TimeMs;
@@ -13,10 +11,10 @@
 use crate::traffic::RateWord;
 use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
+use crate::traffic::gone_servers::GoneServers;
+use crate::traffic::gone_servers::is_later;
 use crate::wire::ServerWord;
 
-/// Incarnations remembered as gone, so that their late reports change nothing.
-const MOST_GONE: usize = 32;
 /// A report with a sequence up to this is among an incarnation's first: it has just started.
 const FIRST_SEQUENCES: u64 = 2;
 /// The present incarnation counts as silent after so many heartbeat periods, in percent: one was
@@ -60,27 +58,7 @@
 pub struct LocalServer {
     heartbeat_ms: u64,
     present: Option<Present>,
-    gone: VecDeque<Gone>,
-}
-
-/// An incarnation that has ended or said that it leaves.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Gone {
-    incarnation: Name,
-    started_unix_ms: Option<u64>,
-}
-
-impl Gone {
-    /// The report is of this incarnation, and not of a later one under the same identifier.
-    fn has_sent(&self, report: &ServerReport) -> bool {
-        self.incarnation == report.incarnation
-            && !is_later(report.started_unix_ms, self.started_unix_ms)
-    }
-}
-
-/// Whether one start is certainly after another.
-fn is_later(one: Option<u64>, other: Option<u64>) -> bool {
-    one.zip(other).is_some_and(|(one, other)| one > other)
+    gone: GoneServers,
 }
 
 impl LocalServer {
@@ -89,7 +67,7 @@
         Self {
             heartbeat_ms,
             present: None,
-            gone: VecDeque::new(),
+            gone: GoneServers::default(),
         }
     }
 
@@ -100,26 +78,13 @@
 
     /// An incarnation is known to have said that it leaves, from before this process started.
     pub fn note_gone(&mut self, incarnation: &Name, started_unix_ms: Option<u64>) {
-        let known = self.gone.iter_mut();
-        let mut known = known.filter(|gone| gone.incarnation == *incarnation);
-        if let Some(known) = known.next() {
-            known.started_unix_ms = known.started_unix_ms.max(started_unix_ms);
-            return;
-        }
-        if self.gone.len() >= MOST_GONE {
-            self.gone.pop_front();
-        }
-        self.gone.push_back(Gone {
-            incarnation: incarnation.clone(),
-            started_unix_ms,
-        });
+        self.gone.note(incarnation, started_unix_ms);
     }
 
     /// Takes over what is known from before this process started, once the backend server has said
     /// itself that it still is that incarnation. Reports go before it.
     pub fn recall(&mut self, now: TimeMs, known: &KnownServer) -> Reported {
-        let is_gone = |gone: &Gone| gone.incarnation == known.incarnation;
-        if self.present.is_some() || self.gone.iter().any(is_gone) {
+        if self.present.is_some() || self.gone.contains(&known.incarnation) {
             return Reported::Nothing;
         }
         self.present = Some(Present {
@@ -157,8 +122,7 @@
             self.note_gone(&report.incarnation, report.started_unix_ms);
             return Reported::Nothing;
         }
-        let is_gone = self.gone.iter().any(|gone| gone.has_sent(report));
-        if is_gone || !self.may_replace(now, report) {
+        if self.gone.has_sent(report) || !self.may_replace(now, report) {
             return Reported::Nothing;
         }
         self.replace(now, report);
@@ -241,8 +205,7 @@
         if let Some(before) = before.filter(|before| before.incarnation != report.incarnation) {
             self.note_gone(&before.incarnation, before.started_unix_ms);
         }
-        self.gone
-            .retain(|gone| gone.incarnation != report.incarnation);
+        self.gone.forget(&report.incarnation);
         self.present = Some(Present {
             incarnation: report.incarnation.clone(),
             started_unix_ms: report.started_unix_ms,
@@ -269,7 +232,7 @@
         present.sequence = 0;
         present.heard_at = now;
         present.rate = NamedRate::default();
-        present.is_leaving = self.gone.iter().any(|gone| gone.incarnation == *actual);
+        present.is_leaving = self.gone.contains(actual);
         self.note_gone(&before, started_unix_ms);
         Reported::News
     }
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 mod find_others;
 mod fleet_watch;
 mod forward;
+mod gone_servers;
 mod guard;
 mod header_names;
 mod hop;
