Others are told of the local backend server only what is new to them

By reading: a backend server may name a slightly different rate with each answer, and each change went to all nodes by gossip, with a line in the log.

--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -290,13 +290,25 @@
                 leaving_started_unix_ms: local.leaving().and(local.started_unix_ms()),
             }
         };
-        log::info!(
-            "local: backend server, service={} state={:?} slots={}",
-            news.service,
-            news.state,
-            news.slots
-        );
-        self.local_news.send_replace(news);
+        self.tell_others(news);
+    }
+
+    /// Guards against news to all nodes with each answer of a backend server that names a slightly different rate
+    /// each time: what others are told is what it can run at once, which hardly changes.
+    fn tell_others(&self, news: LocalNews) {
+        self.local_news.send_if_modified(|told| {
+            if *told == news {
+                return false;
+            }
+            log::info!(
+                "local: backend server, service={} state={:?} slots={}",
+                news.service,
+                news.state,
+                news.slots
+            );
+            *told = news;
+            true
+        });
     }
 
     /// Bounds what runs at the local backend server by what may have changed: the slots that it announces, or the
