What a backend server names moves to where both ways of a request can use it

NamedRate is a decision (admission), ServerWords a decoder (wire); both stood in traffic, on which the product's own way of a request must not depend.

--- a/src/traffic/named_rate.rs
+++ b/src/admission/named_rate.rs
@@ -29,7 +29,7 @@
     }
 
     /// Two words of one answer: the lower rate holds, and what cannot be told names none.
-    pub(super) fn and(self, other: Self) -> Self {
+    pub fn and(self, other: Self) -> Self {
         match (self, other) {
             (Self::PerS(one), Self::PerS(other)) => Self::PerS(one.min(other)),
             (Self::PerS(one), _) | (_, Self::PerS(one)) => Self::PerS(one),
--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -7,18 +7,18 @@
 use hyper::body::Incoming;
 
 use crate::adapters::WholeAnswer;
+use crate::admission::RateChange;
+use crate::admission::RateWord;
 use crate::core::Name;
 use crate::core::Refusal;
 use crate::core::RefusalReason;
 use crate::core::TimeMs;
 use crate::traffic::HeaderNames;
-use crate::traffic::RateChange;
-use crate::traffic::RateWord;
 use crate::traffic::Reported;
 use crate::traffic::ServerReport;
-use crate::traffic::ServerWords;
 use crate::traffic::guard::not_run;
 use crate::traffic::traffic::Traffic;
+use crate::wire::ServerWords;
 
 /// Whether an answer bears the identifier of the call.
 ///
@@ -45,7 +45,7 @@
     answer: &WholeAnswer,
 ) -> Result<(), Refusal> {
     let names = &traffic.settings.header_names;
-    let words = ServerWords::of(names, &answer.headers);
+    let words = names.words(&answer.headers);
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
         if let Some(actual) = note_actual(traffic, incarnation, answer) {
             note_words(traffic, &actual, sent_at, words);
--- a/src/traffic/header_names.rs
+++ b/src/traffic/header_names.rs
@@ -1,7 +1,10 @@
 //! The names of the headers that a deployment's callers and backend servers speak.
 
+use http::HeaderMap;
 use http::HeaderName;
 
+use crate::wire::ServerWords;
+
 /// Header names by what they carry. An adapter fills them in once; traffic knows only the fields.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -28,3 +31,10 @@
     /// From backend servers: they leave, and take no new requests.
     pub leaving: HeaderName,
 }
+
+impl HeaderNames {
+    /// What a backend server says of itself in an answer.
+    pub fn words(&self, headers: &HeaderMap) -> ServerWords {
+        ServerWords::of(&self.rate_limit, &self.leaving, headers)
+    }
+}
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -2,13 +2,13 @@
 //!
 //! Pure: reports and what is met on connections go in, with a time.
 
+use crate::admission::NamedRate;
+use crate::admission::RateChange;
+use crate::admission::RateWord;
 use crate::core::Name;
 use crate::core::TargetState;
 use crate::core::TimeMs;
 use crate::traffic::KnownServer;
-use crate::traffic::NamedRate;
-use crate::traffic::RateChange;
-use crate::traffic::RateWord;
 use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
 use crate::traffic::gone_servers::GoneServers;
--- a/src/traffic/recall.rs
+++ b/src/traffic/recall.rs
@@ -14,9 +14,9 @@
 use tokio::time::timeout;
 
 use crate::core::Name;
-use crate::traffic::ServerWords;
 use crate::traffic::backend_answer::note_words;
 use crate::traffic::traffic::Traffic;
+use crate::wire::ServerWords;
 
 /// How long the backend server may take to answer. Its reports come every second or two, so a later
 /// answer is of no use.
@@ -87,7 +87,7 @@
     Some(Checked {
         incarnation: Name::from(incarnation),
         is_well: answer.status.is_success(),
-        words: ServerWords::of(names, &answer.headers),
+        words: names.words(&answer.headers),
     })
 }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod hop_call;
 mod owner_hint;
 mod server_word;
+mod server_words;
 
 pub use answer_header::AnswerHeader;
 pub use answer_header::LoadReport;
@@ -19,3 +20,4 @@
 pub use hop_call::HopCall;
 pub use owner_hint::OwnerHint;
 pub use server_word::ServerWord;
+pub use server_words::ServerWords;
--- a/src/traffic/server_words.rs
+++ b/src/wire/server_words.rs
@@ -1,10 +1,10 @@
 //! What a backend server says of itself in its answers.
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 
-use crate::traffic::HeaderNames;
-use crate::traffic::RateWord;
+use crate::admission::RateWord;
 
 /// The value that says that a backend server leaves.
 const LEAVES: &str = "1";
@@ -24,10 +24,10 @@
 const LEAVING: &str = "leaving";
 
 impl ServerWords {
-    /// Reads the head of an answer.
-    pub fn of(names: &HeaderNames, headers: &HeaderMap) -> Self {
-        let rates = headers.get_all(&names.rate_limit).iter();
-        let mut leaving = headers.get_all(&names.leaving).iter();
+    /// Reads the head of an answer, by the names that these words bear there.
+    pub fn of(rate_limit: &HeaderName, leaving: &HeaderName, headers: &HeaderMap) -> Self {
+        let rates = headers.get_all(rate_limit).iter();
+        let mut leaving = headers.get_all(leaving).iter();
         Self {
             rate: rates.map(rate_of).fold(RateWord::Absent, RateWord::and),
             is_leaving: leaving.any(|value| value.as_bytes().trim_ascii() == LEAVES.as_bytes()),
--- a/tests/traffic_named_rate.rs
+++ b/tests/admission_named_rate.rs
@@ -1,10 +1,10 @@
 //! When a rate that a backend server names begins, changes and ends.
 
 use rstest::rstest;
+use sassafrasgap::admission::NamedRate;
+use sassafrasgap::admission::RateChange;
+use sassafrasgap::admission::RateWord;
 use sassafrasgap::core::TimeMs;
-use sassafrasgap::traffic::NamedRate;
-use sassafrasgap::traffic::RateChange;
-use sassafrasgap::traffic::RateWord;
 
 const NAMED_AT: TimeMs = TimeMs(10_000);
 
