The product's own interface: a backend server names a rate there too

The guard of that interface reads sassafrasgap-rate-limit and keeps it by the same bucket and the same rules for its beginning and end; a backend server that goes down loses it. A call whose token would come at the very end of its wait is refused at once.

--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -296,7 +296,7 @@
     fn gets_token_in_time(&self, call: &QueuedCall, ahead: usize, now: TimeMs) -> bool {
         let wait_ms = self.rate.map_or(0, |rate| rate.wait_ms(ahead + 1));
         let waiting_ends = now + wait_ms;
-        wait_ms <= u64::from(call.wait_ms) && self.can_be_met(call, waiting_ends)
+        wait_ms < u64::from(call.wait_ms) && self.can_be_met(call, waiting_ends)
     }
 
     fn queue_bound(&self) -> usize {
--- a/src/node/backend_call.rs
+++ b/src/node/backend_call.rs
@@ -92,9 +92,13 @@
         .ok_or_else(|| not_run(RefusalReason::BadRequest))?;
     let method = call.method.clone();
     let id = call.header.request;
+    let sent_at = node.inputs.clock.now();
     let response = node.backend_client.request(request).await;
     let response = response.map_err(|error| lost(node, id, &error))?;
     node.note_connection(true);
+    let now = node.inputs.clock.now();
+    node.backend_words
+        .take(&node.gate, now, sent_at, response.headers());
     take_answer(node, &method, response).await
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod answer_check;
 mod attempts;
 mod backend_call;
+mod backend_words;
 mod baseline;
 mod body;
 mod call;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -21,6 +21,7 @@
 use crate::node::Announcement;
 use crate::node::LocalBackend;
 use crate::node::NodeInputs;
+use crate::node::backend_words::BackendWords;
 use crate::node::gate::Gate;
 use crate::node::learnt_levels::LearntLevels;
 use crate::node::live_calls::LiveCalls;
@@ -45,6 +46,7 @@
     pub(super) live_calls: LiveCalls,
     pub(super) targets: Targets,
     pub(super) gate: Arc<Gate>,
+    pub(super) backend_words: BackendWords,
     pub(super) levels: LearntLevels,
     slot_router: Mutex<SlotRouter>,
     draining: AtomicBool,
@@ -66,6 +68,7 @@
             inputs,
             peer_client: ArcSwap::from_pointee(peer_client(&settings)),
             backend_client: http_client(BACKEND_IDLE_MS, settings.connect_timeout_ms),
+            backend_words: BackendWords::default(),
             live_calls: LiveCalls::new(),
             targets: Targets::new(),
             levels: LearntLevels::default(),
@@ -146,6 +149,7 @@
         }
         let is_news = self.inputs.local.send_if_modified(LocalBackend::went_down);
         if is_news {
+            self.backend_words.forget(&self.gate);
             log::warn!("node: the backend server takes no connections, state=starting");
         }
     }
--- a/src/wire/headers.rs
+++ b/src/wire/headers.rs
@@ -24,6 +24,8 @@
 pub const HOP_ANSWER: &str = "sassafrasgap-hop-answer";
 /// From backend servers: `1` on a 503 that was shed before it was started.
 pub const SHED: &str = "sassafrasgap-shed";
+/// From backend servers, in their answers: how many requests a second they take from all nodes together.
+pub const RATE_LIMIT: &str = "sassafrasgap-rate-limit";
 
 /// The prefix of every header of the product. On the callers' listener, incoming headers with it
 /// are dropped unless listed in [`CALLER_MAY_SET`], so that a caller cannot forge a class, a retry
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,3 +21,4 @@
 pub use owner_hint::OwnerHint;
 pub use server_word::ServerWord;
 pub use server_words::ServerWords;
+pub use server_words::rate_word;
--- a/src/wire/server_words.rs
+++ b/src/wire/server_words.rs
@@ -26,10 +26,9 @@
 impl ServerWords {
     /// Reads the head of an answer, by the names that these words bear there.
     pub fn of(rate_limit: &HeaderName, leaving: &HeaderName, headers: &HeaderMap) -> Self {
-        let rates = headers.get_all(rate_limit).iter();
         let mut leaving = headers.get_all(leaving).iter();
         Self {
-            rate: rates.map(rate_of).fold(RateWord::Absent, RateWord::and),
+            rate: rate_word(rate_limit, headers),
             is_leaving: leaving.any(|value| value.as_bytes().trim_ascii() == LEAVES.as_bytes()),
         }
     }
@@ -45,6 +44,12 @@
     }
 }
 
+/// What an answer says of the rate; of two values the lower one that can be told.
+pub fn rate_word(name: &HeaderName, headers: &HeaderMap) -> RateWord {
+    let rates = headers.get_all(name).iter();
+    rates.map(rate_of).fold(RateWord::Absent, RateWord::and)
+}
+
 fn rate_of(value: &HeaderValue) -> RateWord {
     let per_s = value.to_str().ok();
     let per_s = per_s.and_then(|text| text.trim().parse::<f64>().ok());
