Without a rate the guard's queue is as it was

Found on reading the diff: a call that came while a slot was free and others waited was turned away for a rate that nobody named if it could not wait at all (refused at once where it waited before; test), the limits were not told that it had to wait, and a queue longer than its bound was cut. All three only happen under a rate now.

--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -109,7 +109,7 @@
             self.start(call.ticket, call.priority, true);
             return Offer::Run;
         }
-        if self.has_slot() {
+        if self.is_held_by_rate() {
             let ahead = if is_first { 0 } else { self.queue.len() };
             if !self.gets_token_in_time(&call, ahead, now) {
                 return Offer::Refuse(self.beyond_rate());
@@ -156,9 +156,7 @@
     /// offer that waits, each completion, and every few milliseconds.
     pub fn poll(&mut self, now: TimeMs) -> Vec<Action> {
         self.refill(now);
-        while self.queue.len() > self.queue_bound() {
-            self.displace_last(now);
-        }
+        self.displace_beyond_rate(now);
         let mut actions = std::mem::take(&mut self.displaced);
         while let Some(waiting) = self.queue.pop_given_up(now) {
             actions.push(self.give_up(&waiting, now));
@@ -287,6 +285,11 @@
         self.running.len() < self.limit() as usize
     }
 
+    /// Whether calls wait for the rate that the backend server names, and not for its slots.
+    fn is_held_by_rate(&self) -> bool {
+        self.rate.is_some() && self.has_slot()
+    }
+
     fn refill(&mut self, now: TimeMs) {
         if let Some(rate) = &mut self.rate {
             rate.refill(now);
@@ -341,6 +344,13 @@
         Action::Refuse(waiting.call.ticket, self.refusal(reason, now))
     }
 
+    /// What waited for slots when a rate was named would wait too long for tokens.
+    fn displace_beyond_rate(&mut self, now: TimeMs) {
+        while self.rate.is_some() && self.queue.len() > self.queue_bound() {
+            self.displace_last(now);
+        }
+    }
+
     fn displace_last(&mut self, now: TimeMs) {
         let Some(waiting) = self.queue.pop_last() else {
             return;
@@ -352,7 +362,7 @@
 
     /// The refusal of a call for which the queue has no place.
     fn no_place(&mut self, now: TimeMs) -> Refusal {
-        if self.rate.is_some() && self.has_slot() {
+        if self.is_held_by_rate() {
             self.beyond_rate()
         } else {
             self.refusal(RefusalReason::Overloaded, now)
--- a/tests/admission_rate_limit.rs
+++ b/tests/admission_rate_limit.rs
@@ -268,3 +268,20 @@
     assert_eq!(world.admission.load().limit, 1);
     assert!(world.admission.pressure_permille() >= 1_000);
 }
+
+/// Guards against a call that is turned away for a rate that nobody names.
+#[test]
+fn without_a_rate_nothing_is_turned_away_for_it() {
+    let mut admission = admission();
+    admission.set_slots(1);
+    assert_eq!(admission.offer(START, call(1, 1, START)), Offer::Run);
+    assert_eq!(admission.offer(START, call(2, 1, START)), Offer::Wait);
+    admission.complete(START, 1, RAN);
+    // A slot is free, and the first one waits for the next look.
+    let hurried = QueuedCall {
+        wait_ms: 0,
+        ..call(3, 2, START + 1)
+    };
+    assert_eq!(admission.offer(START, hurried), Offer::Wait);
+    assert_eq!(admission.turned_away(), 0);
+}
