--- a/src/backend/backend.rs
+++ b/src/backend/backend.rs
@@ -217,6 +217,7 @@
                 honours_deadlines: settings.honours_deadlines,
                 honours_cancellation: settings.honours_cancellation,
                 fail_percent: 0,
+                rate_per_s: None,
             },
             life: LifeState::Up,
             drain_began_at: None,
--- a/src/backend/behaviour.rs
+++ b/src/backend/behaviour.rs
@@ -34,6 +34,8 @@
     pub honours_cancellation: bool,
     /// How many of a hundred calls fail with 500 after they ran.
     pub fail_percent: u8,
+    /// The requests a second that its answers say it takes.
+    pub rate_per_s: Option<f64>,
 }
 
 /// A change: what is left out stays as it is.
@@ -50,6 +52,9 @@
     pub honours_deadlines: Option<bool>,
     pub honours_cancellation: Option<bool>,
     pub fail_percent: Option<u8>,
+    pub rate_per_s: Option<f64>,
+    /// Its answers name no rate any more.
+    pub stop_limiting: bool,
     /// Ends the process at once with the exit code of a crash.
     pub crash: bool,
 }
@@ -69,5 +74,9 @@
             .honours_cancellation
             .unwrap_or(self.honours_cancellation);
         self.fail_percent = change.fail_percent.unwrap_or(self.fail_percent);
+        self.rate_per_s = change.rate_per_s.or(self.rate_per_s);
+        if change.stop_limiting {
+            self.rate_per_s = None;
+        }
     }
 }
--- a/src/backend/server.rs
+++ b/src/backend/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -26,6 +27,7 @@
 use crate::backend::call::handle_call;
 use crate::backend::load_report::reported_load;
 use crate::errors::BackendError;
+use crate::wire::headers;
 
 /// How often a drain looks whether everything has finished.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -76,12 +78,22 @@
                 let cancelled = backend.cancel(request_id);
                 json_answer(StatusCode::OK, &cancelled)
             }
-            None => handle_call(backend, request).await,
+            None => call(backend, request).await,
         },
-        _ => handle_call(backend, request).await,
+        _ => call(backend, request).await,
     }
 }
 
+/// Answers a call, and says in the answer what rate is set.
+async fn call(backend: Arc<Backend>, request: Request<Body>) -> Response<Body> {
+    let mut answer = handle_call(backend.clone(), request).await;
+    let rate = backend.behaviour().rate_per_s;
+    if let Some(rate) = rate.and_then(|rate| HeaderValue::from_str(&rate.to_string()).ok()) {
+        answer.headers_mut().insert(headers::RATE_LIMIT, rate);
+    }
+    answer
+}
+
 /// Announces the drain, waits until nothing is left, and announces the leave.
 async fn drain(backend: &Backend) {
     backend.enter_life(LifeState::Draining);
--- a/src/load/commands/experiment.rs
+++ b/src/load/commands/experiment.rs
@@ -9,11 +9,13 @@
 use crate::load::cli::EXIT_OK;
 use crate::load::experiment::CostExperiment;
 use crate::load::experiment::OverloadExperiment;
+use crate::load::experiment::RateLimitExperiment;
 use crate::load::experiment::SwitchingExperiment;
 use crate::load::experiment::Variant;
 use crate::load::experiment::overload_rows;
 use crate::load::experiment::render_cost;
 use crate::load::experiment::render_overload;
+use crate::load::experiment::render_rate_limit;
 use crate::load::experiment::render_switching;
 use crate::load::load_runtime;
 
@@ -45,6 +47,7 @@
     Overload(OverloadArgs),
     Cost(CostArgs),
     Switching(SwitchingArgs),
+    RateLimit(RateLimitArgs),
 }
 
 /// A surge on a chain whose last service slows down at the same moment: goodput, wasted work and
@@ -153,6 +156,40 @@
     pub out: PathBuf,
 }
 
+/// Backend servers that name a rate in their answers, under ordinary load and a surge: the most requests that each
+/// got in 4 s against what may be, who was served, and what refused callers were told.
+///
+/// Example: sassafrasgap-load experiment rate-limit --targets 3 --limited 3 --out /tmp/results
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rate-limit")]
+pub struct RateLimitArgs {
+    /// backend servers, 3 unless given
+    #[argh(option, default = "3")]
+    pub targets: usize,
+    /// how many of them name the rate, all unless given
+    #[argh(option)]
+    pub limited: Option<usize>,
+    /// requests a second that each of these names, 10 unless given
+    #[argh(option, default = "10.0")]
+    pub rate: f64,
+    /// ordinary load in requests a second, 20 unless given
+    #[argh(option, default = "20.0")]
+    pub load: f64,
+    /// load of the surge in multiples of the ordinary one, 3 unless given
+    #[argh(option, default = "3.0")]
+    pub surge_factor: f64,
+    /// length of the ordinary load and of the surge in milliseconds, 10000 unless given
+    #[argh(option, default = "10000")]
+    pub phase_ms: u64,
+    /// time of a call in milliseconds, 50 unless given
+    #[argh(option, default = "50.0")]
+    pub service_ms: f64,
+    /// folder for the report, in JSON
+    #[argh(option)]
+    pub out: PathBuf,
+}
+
 /// Runs the subcommand.
 ///
 /// # Errors
@@ -162,6 +199,7 @@
         ExperimentCommand::Overload(args) => run_overload(args)?,
         ExperimentCommand::Cost(args) => run_cost(args)?,
         ExperimentCommand::Switching(args) => run_switching(args)?,
+        ExperimentCommand::RateLimit(args) => run_rate_limit(args)?,
     }
     Ok(EXIT_OK)
 }
@@ -218,6 +256,21 @@
     Ok(())
 }
 
+fn run_rate_limit(args: RateLimitArgs) -> Result<(), ExperimentError> {
+    let experiment = RateLimitExperiment {
+        targets: args.targets,
+        limited: args.limited.unwrap_or(args.targets).min(args.targets),
+        rate_per_s: args.rate,
+        load_per_s: args.load,
+        surge_factor: args.surge_factor,
+        phase_ms: args.phase_ms,
+        service_ms: args.service_ms,
+    };
+    let report = load_runtime(THREADS)?.block_on(experiment.run(&args.out))?;
+    print!("{}", render_rate_limit(&report));
+    Ok(())
+}
+
 fn or_else<T>(given: Vec<T>, usual: Vec<T>) -> Vec<T> {
     if given.is_empty() { usual } else { given }
 }
