--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -228,6 +228,7 @@
         deadline: call.deadline,
     };
     let arrived_us = traffic.clock.now_us();
+    traffic.follow_desired();
     let permit = match traffic.gate.admit(queued).await {
         Ok(permit) => permit,
         Err(refusal) => return BackendEnd::not_sent(refusal),
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -153,6 +154,8 @@
     told_words: Mutex<ToldWords>,
     failing: Mutex<FailingShare>,
     requests: AtomicUsize,
+    /// The version of the desired state by which the gate is bounded.
+    bounded_at: AtomicU64,
 }
 
 impl Traffic {
@@ -197,6 +200,7 @@
             local: Mutex::new(LocalServer::new(settings.live.heartbeat_ms)),
             told_words: Mutex::default(),
             requests: AtomicUsize::new(0),
+            bounded_at: AtomicU64::new(0),
             live: Published::from_pointee(settings.live),
             settings,
             clock,
@@ -322,6 +326,15 @@
             .set_slots(accepted.map_or(usable, |accepted| usable.min(accepted)));
     }
 
+    /// Bounds what runs anew if another desired state is in force since: by the first call that meets it, for the
+    /// next look at the gate may come too late.
+    pub(super) fn follow_desired(&self) {
+        let version = self.desired.version();
+        if self.bounded_at.swap(version, Ordering::Relaxed) != version {
+            self.bound_slots(&self.local());
+        }
+    }
+
     /// How many connections a backend server of a service accepts, if the operator says so.
     fn max_connections(&self, service: &Name) -> Option<u32> {
         let in_force = self.desired.load()?;
--- a/src/traffic/upkeep.rs
+++ b/src/traffic/upkeep.rs
@@ -46,12 +46,8 @@
 /// Waiting calls give up in time also when nothing else happens at the guard, and a changed desired state bounds
 /// what runs there.
 pub(super) async fn poll_gate(traffic: Arc<Traffic>) {
-    let mut version = 0;
     loop {
-        if traffic.desired.version() != version {
-            version = traffic.desired.version();
-            traffic.bound_slots(&traffic.local());
-        }
+        traffic.follow_desired();
         let is_busy = traffic.gate.load().queued > 0;
         let look = if is_busy {
             BUSY_GATE_LOOK
