--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod mesh;
 pub mod metrics;
 pub mod node;
+pub mod placement;
 pub mod poison;
 pub mod preset;
 pub mod retry;
--- /dev/null
+++ b/src/placement/domain_split.rs
@@ -0,0 +1,28 @@
+//! Which share of a failure domain's calls to a service stays, and where the rest goes.
+
+use crate::core::Name;
+
+/// The share of a domain's calls that goes to another domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DomainShare {
+    pub domain: Name,
+    pub permille: u16,
+}
+
+/// The split of one domain's calls to a service. The shares and `kept_permille` sum to 1,000.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DomainSplit {
+    pub kept_permille: u16,
+    /// Other domains only.
+    pub shares: Vec<DomainShare>,
+}
+
+impl DomainSplit {
+    /// The split in which all calls stay.
+    pub fn all_kept() -> Self {
+        Self {
+            kept_permille: 1_000,
+            shares: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/placement_table.rs
@@ -0,0 +1,65 @@
+//! What an entry knows of the placement of each service.
+
+use std::sync::Arc;
+
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::TimeMs;
+use crate::placement::DomainLoad;
+use crate::placement::DomainSplit;
+
+/// A placement older than this is not used, in milliseconds: its coordinator is gone or
+/// unreachable, and has missed two reports.
+const MAX_AGE_MS: u64 = 4_000;
+/// The most services that are kept. Beyond it the least recently used one is evicted.
+const MAX_SERVICES: usize = 256;
+
+/// The split of this node's failure domain for one service, and the loads it was computed from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServicePlacement {
+    pub received_at: TimeMs,
+    pub split: DomainSplit,
+    /// Of all domains, the own one included.
+    pub loads: Vec<DomainLoad>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    placement: Arc<ServicePlacement>,
+    used_at: TimeMs,
+}
+
+/// The latest placement of each service that this node's entry calls.
+#[derive(Clone, Debug, Default)]
+pub struct PlacementTable {
+    services: FastMap<Name, Entry>,
+}
+
+impl PlacementTable {
+    /// Replaces the placement of a service.
+    pub fn set(&mut self, now: TimeMs, service: &Name, placement: ServicePlacement) {
+        if self.services.len() >= MAX_SERVICES && !self.services.contains_key(service) {
+            self.evict_least_recently_used();
+        }
+        let entry = Entry {
+            placement: Arc::new(placement),
+            used_at: now,
+        };
+        self.services.insert(service.clone(), entry);
+    }
+
+    /// The placement of a service; `None` if there is none or it is too old to be used.
+    pub fn current(&mut self, now: TimeMs, service: &str) -> Option<Arc<ServicePlacement>> {
+        let entry = self.services.get_mut(service)?;
+        entry.used_at = now;
+        let is_current = now.since(entry.placement.received_at) <= MAX_AGE_MS;
+        is_current.then(|| entry.placement.clone())
+    }
+
+    fn evict_least_recently_used(&mut self) {
+        let oldest = self.services.iter().min_by_key(|(_, entry)| entry.used_at);
+        if let Some(service) = oldest.map(|(service, _)| service.clone()) {
+            self.services.remove(&service);
+        }
+    }
+}
