Compare run times with their usual length before the latency limit falls

Cause: the limit on calls in flight fell whenever runs took longer than 40% of their objective while a downstream service was reported as overloaded. A deep target that is slow and busy without a queue makes runs that long at any number of calls in flight, so the limit fell to an eighth of the slots, calls queued in front of free slots, and entries refused requests.

Runs are now compared with the time that they take while nothing downstream is overloaded.

--- a/src/admission/latency_limit.rs
+++ b/src/admission/latency_limit.rs
@@ -15,6 +15,11 @@
 const MIN_PART: u32 = 8;
 /// Weight of one call in the smoothed latency objective: one part in this.
 const WEIGHT: u64 = 32;
+/// Weight of one span in the usual run time: one part in this.
+const USUAL_WEIGHT: u64 = 8;
+/// The limit falls only while runs take longer than this percentage of their usual time. Below it
+/// the time is not spent in queues, and fewer calls in flight do not shorten it.
+const QUEUEING_PERCENT: u64 = 125;
 
 /// A limit on calls in flight that keeps their run time within the latency objective.
 ///
@@ -28,7 +33,11 @@
 /// time they may take. Further calls wait or are refused before any work is done for them.
 ///
 /// A backend server that is itself slow needs all its slots, so the limit falls only while a
-/// downstream service is overloaded.
+/// downstream service is overloaded. A downstream service that is slow without a queue needs its
+/// calls as well: runs are therefore compared with the time that they take while nothing downstream
+/// is overloaded. Without that, the limit of a failure domain whose deep target is slow falls to its
+/// lower bound whenever that target is busy, calls queue in front of it, and the services above
+/// see an overload that is not there.
 #[derive(Clone, Debug)]
 pub(super) struct LatencyLimit {
     limit: u32,
@@ -37,6 +46,8 @@
     total_run_us: u64,
     was_full: bool,
     objective_ms: u64,
+    /// Run time while no downstream service is overloaded, smoothed; 0 while unknown.
+    usual_run_ms: u64,
     is_downstream_overloaded: bool,
 }
 
@@ -49,6 +60,7 @@
             total_run_us: 0,
             was_full: false,
             objective_ms: 0,
+            usual_run_ms: 0,
             is_downstream_overloaded: false,
         }
     }
@@ -88,7 +100,8 @@
 
     fn roll(&mut self, now: TimeMs, span_ms: u64, cap: u32) {
         let mean_ms = self.total_run_us / self.ended.max(1) / 1_000;
-        let target_ms = (self.objective_ms * RUN_PERCENT / 100).max(1);
+        self.record_usual_run(mean_ms, cap);
+        let target_ms = self.target_run_ms();
         let in_force = self.limit.min(cap);
         if mean_ms > target_ms && self.is_downstream_overloaded {
             let by_rate = self.ended * target_ms / span_ms;
@@ -107,4 +120,22 @@
         self.total_run_us = 0;
         self.was_full = false;
     }
+
+    /// The run time that the limit aims at: the part of the objective that is left for it, or the
+    /// usual run time if that is longer.
+    fn target_run_ms(&self) -> u64 {
+        let by_objective = self.objective_ms * RUN_PERCENT / 100;
+        let by_usual = self.usual_run_ms * QUEUEING_PERCENT / 100;
+        by_objective.max(by_usual).max(1)
+    }
+
+    fn record_usual_run(&mut self, mean_ms: u64, cap: u32) {
+        if self.is_downstream_overloaded || self.limit < cap {
+            return;
+        }
+        self.usual_run_ms = match self.usual_run_ms {
+            0 => mean_ms,
+            usual_ms => (usual_ms * (USUAL_WEIGHT - 1) + mean_ms) / USUAL_WEIGHT,
+        };
+    }
 }
