Guard: ignore a refusal of another incarnation that answers an earlier request

A backend server may answer an earlier request a second time. If that answer was a 421, the call counted as not run although the backend server ran it, and a non-idempotent request ran twice.

--- a/src/traffic/backend_answer.rs
+++ b/src/traffic/backend_answer.rs
@@ -46,13 +46,17 @@
 ) -> Result<(), Refusal> {
     let names = &traffic.settings.header_names;
     let advertisements = names.read_advertisements(&answer.headers);
-    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+    let answered_id = answer.headers.get(&names.request_id);
+    // A refusal of another incarnation may come without a request identifier, but one with the
+    // identifier of an earlier request says nothing about the current one.
+    let is_of_other = answered_id.is_some() && answered_id != id;
+    if answer.status == StatusCode::MISDIRECTED_REQUEST && !is_of_other {
         if let Some(actual) = correct_incarnation(traffic, incarnation, answer) {
             apply_advertisements(traffic, &actual, sent_at, advertisements);
         }
         return Err(not_run(RefusalReason::BackendReplaced));
     }
-    if answer.headers.get(&names.request_id) != id {
+    if answered_id != id {
         traffic.metrics.wrong_answers.inc();
         log::warn!("guard: answer dropped because its request identifier differs");
         return Err(broken_answer());
