Connection pool: tell whether any byte of a request was written

A request may be given up while it waits for a connection or before its first write. Sealing the connection's writes makes this certain, also for requests handed to a connection.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -26,8 +26,11 @@
 use tokio::net::TcpStream;
 
 use crate::adapters::BodyBudget;
+use crate::adapters::Transmission;
+use crate::adapters::connection_writes::ConnectionWrites;
 use crate::adapters::keep_alive::keep_alive_ms;
 use crate::adapters::read_whole;
+use crate::adapters::watched_stream::WatchedStream;
 use crate::core::Clock;
 use crate::core::FastMap;
 use crate::core::TimeMs;
@@ -59,8 +62,13 @@
     pub body: Bytes,
 }
 
-struct IdleConnection {
+struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
+    writes: Arc<ConnectionWrites>,
+}
+
+struct IdleConnection {
+    connection: PooledConnection,
     /// The time from which the connection is not used again.
     expires_at: TimeMs,
 }
@@ -99,13 +107,30 @@
         request: Request<Full<Bytes>>,
         is_reusable: impl FnOnce(&Response<Incoming>) -> bool,
     ) -> Result<WholeAnswer, SendError> {
-        let (sender, response) = self.send_head(address, request).await?;
+        let transmission = Transmission::default();
+        self.send_tracked(address, request, &transmission, is_reusable)
+            .await
+    }
+
+    /// Like [`Self::send`]. `transmission` tells whether any part of the request has left this
+    /// process, also after the future was dropped.
+    ///
+    /// # Errors
+    /// As [`Self::send`].
+    pub async fn send_tracked(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        transmission: &Transmission,
+        is_reusable: impl FnOnce(&Response<Incoming>) -> bool,
+    ) -> Result<WholeAnswer, SendError> {
+        let (connection, response) = self.send_head(address, request, transmission).await?;
         let keep = is_reusable(&response);
         let (parts, body) = response.into_parts();
         let body = read_whole(body, usize::MAX, &self.bodies).await?;
         let reusable_ms = keep_alive_ms(&parts.headers).unwrap_or(self.conf.idle_ms);
-        if keep && reusable_ms > 0 && !sender.is_closed() {
-            self.return_idle(address, sender, reusable_ms.min(self.conf.idle_ms));
+        if keep && reusable_ms > 0 && !connection.sender.is_closed() {
+            self.return_idle(address, connection, reusable_ms.min(self.conf.idle_ms));
         }
         Ok(WholeAnswer {
             status: parts.status,
@@ -118,34 +143,39 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), SendError> {
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((sender, response)),
+        transmission: &Transmission,
+    ) -> Result<(PooledConnection, Response<Incoming>), SendError> {
+        while let Some(mut connection) = self.take_idle(address) {
+            transmission.hand_over(&connection.writes)?;
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((connection, response)),
                 Err(mut error) => match error.take_message() {
                     // The idle connection was already closed, and nothing was sent.
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Lost(error.into_error())),
+                    None => return Err(lost(error.into_error(), transmission)),
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok((sender, response)),
+        let mut connection = self.connect(address).await?;
+        transmission.hand_over(&connection.writes)?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok((connection, response)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Connect(io::ErrorKind::NotConnected.into())),
-                None => Err(SendError::Lost(error.into_error())),
+                None => Err(lost(error.into_error(), transmission)),
             },
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    async fn connect(&self, address: SocketAddr) -> Result<PooledConnection, SendError> {
         let wait = Duration::from_millis(self.conf.connect_timeout_ms);
         let stream = match tokio::time::timeout(wait, TcpStream::connect(address)).await {
             Ok(connected) => connected.map_err(SendError::Connect)?,
             Err(_) => return Err(SendError::Connect(io::ErrorKind::TimedOut.into())),
         };
         set_options(&stream, self.conf.silence_ms).map_err(SendError::Connect)?;
+        let writes = Arc::new(ConnectionWrites::default());
+        let stream = WatchedStream::new(stream, writes.clone());
         let (sender, connection) = Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -155,23 +185,23 @@
                 log::debug!("pool: connection ended, address={address} error={error}");
             }
         });
-        Ok(sender)
+        Ok(PooledConnection { sender, writes })
     }
 
     /// Takes an idle connection. One that is still sending its last request is skipped, because the
     /// server would read the next request as the rest of that one.
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        connections.retain(|each| !each.sender.is_closed() && now < each.expires_at);
+        connections.retain(|each| !each.connection.sender.is_closed() && now < each.expires_at);
         let ready = connections
             .iter()
-            .rposition(|each| each.sender.is_ready())?;
-        Some(connections.swap_remove(ready).sender)
+            .rposition(|each| each.connection.sender.is_ready())?;
+        Some(connections.swap_remove(ready).connection)
     }
 
-    fn return_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, reusable_ms: u64) {
+    fn return_idle(&self, address: SocketAddr, connection: PooledConnection, reusable_ms: u64) {
         let now = self.clock.now();
         let expires_at = now + reusable_ms;
         let mut idle = self.lock();
@@ -182,7 +212,10 @@
         if connections.len() >= MAX_IDLE_PER_ADDRESS {
             connections.remove(0);
         }
-        connections.push(IdleConnection { sender, expires_at });
+        connections.push(IdleConnection {
+            connection,
+            expires_at,
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<IdleConnection>>> {
@@ -190,6 +223,16 @@
     }
 }
 
+/// The error of a request that a connection has not returned. If the connection failed before its
+/// first write for the request, nothing was sent, and nothing will be.
+fn lost(error: hyper::Error, transmission: &Transmission) -> SendError {
+    if transmission.cancel_unsent() {
+        SendError::Unsent(error)
+    } else {
+        SendError::Lost(error)
+    }
+}
+
 /// Sets TCP options: small messages are sent without delay, and an unresponsive peer is detected.
 ///
 /// A connection can stop delivering packets without a reset. A request on it would then wait until
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,10 +2,13 @@
 
 mod body_budget;
 mod connection_pool;
+mod connection_writes;
 mod http_client;
 mod http_listener;
 mod http_server;
 mod keep_alive;
+mod transmission;
+mod watched_stream;
 mod whole_body;
 
 pub use body_budget::BodyBudget;
@@ -22,4 +25,5 @@
 pub use http_server::empty_body;
 pub use http_server::full_body;
 pub use http_server::serve;
+pub use transmission::Transmission;
 pub use whole_body::read_whole;
--- a/src/errors/traffic.rs
+++ b/src/errors/traffic.rs
@@ -60,6 +60,9 @@
     /// No part of the request left this process.
     #[error("no connection: {0}")]
     Connect(io::Error),
+    /// A connection was lost before any part of the request left this process.
+    #[error("lost before it was sent: {0}")]
+    Unsent(hyper::Error),
     /// The request may have arrived.
     #[error("lost after it was sent: {0}")]
     Lost(#[from] hyper::Error),
@@ -74,7 +77,7 @@
 impl SendError {
     /// Whether the server certainly never received the request.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_))
+        matches!(self, Self::Connect(_) | Self::Unsent(_))
     }
 }
 
--- a/tests/adapters_connection_pool.rs
+++ b/tests/adapters_connection_pool.rs
@@ -1,7 +1,9 @@
-//! When the pool reuses a connection to a server.
+//! When the pool reuses a connection to a server, and whether a request was sent that was given up.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,11 +15,17 @@
 use sassafrasgap::adapters::BodyBudget;
 use sassafrasgap::adapters::ConnectionPool;
 use sassafrasgap::adapters::PoolConf;
+use sassafrasgap::adapters::Transmission;
 use sassafrasgap::core::Clock;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longer than anything on loopback takes that is not held up on purpose.
+const SHORT: Duration = Duration::from_millis(200);
 
 /// Starts a server whose answers have these header lines, and counts the connections made to it.
 async fn server(lines: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
@@ -51,10 +59,40 @@
     ConnectionPool::new(conf, Clock::new(), BodyBudget::new(1 << 20))
 }
 
+/// Starts a server that records the paths of the requests it gets.
+async fn recording_server() -> (SocketAddr, Arc<Mutex<HashSet<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let arrived = Arc::<Mutex<HashSet<String>>>::default();
+    let recorded = arrived.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(record(stream, recorded.clone()));
+        }
+    });
+    (address, arrived)
+}
+
+/// Records the requests of a connection. Each arrives whole, since it is sent in one write.
+async fn record(mut stream: TcpStream, arrived: Arc<Mutex<HashSet<String>>>) {
+    let mut head = [0; 1_024];
+    while let Ok(read @ 1..) = stream.read(&mut head).await {
+        let text = String::from_utf8_lossy(&head[..read]);
+        let path = text.split(' ').nth(1).unwrap_or_default();
+        arrived.lock().unwrap().insert(path.to_owned());
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        // The sender may have gone.
+        let _ = stream.write_all(answer).await;
+    }
+}
+
+fn request(path: &str) -> Request<Full<Bytes>> {
+    let request = Request::get(path).header("host", "x");
+    request.body(Full::new(Bytes::new())).unwrap()
+}
+
 async fn send_request(pool: &ConnectionPool, address: SocketAddr) {
-    let request = Request::get("/").header("host", "x");
-    let request = request.body(Full::new(Bytes::new())).unwrap();
-    pool.send(address, request, |_| true).await.unwrap();
+    pool.send(address, request("/"), |_| true).await.unwrap();
 }
 
 /// Failure: a request is sent on a connection that its server is about to close. It may have run,
@@ -81,3 +119,83 @@
     send_request(&pool, address).await;
     assert_eq!(connections.load(Ordering::Relaxed), expected);
 }
+
+/// Failure: a request that waited for a connection which never completed counts as sent.
+#[rstest]
+#[tokio::test]
+async fn a_request_without_a_connection_is_unsent() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    // Once the listener's queue is full, the system drops further attempts to connect.
+    let mut queued = Vec::new();
+    while let Ok(connected) = timeout(SHORT, TcpStream::connect(address)).await {
+        queued.push(connected.unwrap());
+    }
+    let transmission = Transmission::default();
+    let pool = pool();
+    let sending = pool.send_tracked(address, request("/"), &transmission, |_| true);
+    assert!(timeout(SHORT, sending).await.is_err());
+    assert!(transmission.cancel_unsent());
+}
+
+/// Failure: a request counts as unsent although the server has it.
+#[rstest]
+#[tokio::test]
+async fn a_request_that_was_written_is_not_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let transmission = Transmission::default();
+    let pool = pool();
+    let sending = pool.send_tracked(address, request("/"), &transmission, |_| true);
+    let reading = async {
+        let mut stream = listener.accept().await.unwrap().0;
+        stream.read_u8().await.unwrap();
+    };
+    tokio::select! {
+        _ = sending => panic!("nothing was answered"),
+        () = reading => {}
+    }
+    assert!(!transmission.cancel_unsent());
+}
+
+/// The times after which [`what_is_cancelled_as_unsent_never_arrives`] gives requests up: before,
+/// while and after another thread writes them.
+const GIVE_UP_AFTER_US: [u64; 8] = [0, 0, 1, 5, 20, 50, 200, 2_000];
+
+/// Failure: a request is cancelled as unsent, and the server gets it before or afterwards. The
+/// requests are given up after different times, on new and on reused connections.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_is_cancelled_as_unsent_never_arrives() {
+    let (address, arrived) = recording_server().await;
+    let pool = Arc::new(pool());
+    let mut cancelled = Vec::new();
+    for number in 0..4_000 {
+        let transmission = Transmission::default();
+        let path = format!("/{number}");
+        // The first poll hands the request to a connection, and another thread writes it.
+        let sending = pool.send_tracked(address, request(&path), &transmission, |_| true);
+        let waits_us = GIVE_UP_AFTER_US[number % GIVE_UP_AFTER_US.len()];
+        let give_up = async { std::thread::sleep(Duration::from_micros(waits_us)) };
+        tokio::select! {
+            biased;
+            _ = sending => {}
+            () = give_up => {}
+        }
+        if transmission.cancel_unsent() {
+            cancelled.push(path);
+        }
+        if number % 5 == 0 {
+            send_request(&pool, address).await;
+        }
+    }
+    tokio::time::sleep(SHORT).await;
+    let arrived = arrived.lock().unwrap();
+    for path in &cancelled {
+        assert!(!arrived.contains(path), "{path}");
+    }
+    let counts = (cancelled.len(), arrived.len());
+    assert!(counts.0 > 50 && counts.1 > 50, "{counts:?}");
+}
