--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -1,5 +1,6 @@
 //! The guard: every request to the local backend server passes through it.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use crate::core::Target;
 use crate::core::TimeMs;
 use crate::errors::SendError;
+use crate::node::permit::Permit;
 use crate::traffic::LocalChange;
 use crate::traffic::account_check::check_account;
 use crate::traffic::attempt::AttemptEnd;
@@ -233,7 +235,7 @@
     };
     let arrived_us = traffic.clock.now_us();
     traffic.apply_desired_limits();
-    let permit = match traffic.gate.admit(queued).await {
+    let permit = match admit(traffic, queued).await {
         Ok(permit) => permit,
         Err(refusal) => return BackendEnd::not_sent(refusal),
     };
@@ -246,6 +248,21 @@
     }
 }
 
+/// Waits for admission, at most until the call's deadline.
+///
+/// The periodic poll of the gate may notice the deadline so late that the entry has given the call
+/// up as `unknown`, although it was still in the queue. The gate is therefore polled at the
+/// deadline, so its refusal gets the whole margin between the guard's and the entry's deadline.
+async fn admit(traffic: &Arc<Traffic>, call: OfferedCall) -> Result<Permit, Refusal> {
+    let left = Duration::from_millis(call.deadline.since(traffic.clock.now()));
+    let mut admission = pin!(traffic.gate.admit(call));
+    if let Ok(admitted) = timeout(left, &mut admission).await {
+        return admitted;
+    }
+    traffic.gate.poll();
+    admission.await
+}
+
 /// Returns the incarnation to send the call to, unless the account's key was revoked or the call is
 /// suspected of crashing backend servers.
 fn may_run(traffic: &Traffic, call: &GuardedCall) -> Result<Name, Refusal> {
