Entry and guard: answer 503 if nothing of a request was sent

Calls that waited for a connection to a guard or to a backend server counted as sent when their deadline passed or when the target's failure domain became unreachable.

--- a/src/traffic/backend.rs
+++ b/src/traffic/backend.rs
@@ -69,6 +69,10 @@
     let exchange = exchange(traffic, call, &incarnation, left_ms, progress);
     let end = match timeout(Duration::from_millis(left_ms), exchange).await {
         Ok(end) => end,
+        // Connecting can take longer than the call has left.
+        Err(_) if progress.cancel_unsent() => {
+            BackendEnd::not_sent(not_run(RefusalReason::DeadlineExceeded))
+        }
         Err(_) => BackendEnd::sent(Err(unknown(RefusalReason::DeadlineExceeded))),
     };
     let outcome = match &end.result {
@@ -108,13 +112,15 @@
     let Some(request) = request(traffic, call, incarnation, left_ms) else {
         return BackendEnd::not_sent(not_run(RefusalReason::BadRequest));
     };
-    progress.mark_sent();
+    let transmission = progress.start_sending();
     traffic.metrics.backend_calls.inc();
     let sent_at = traffic.clock.now();
     let address = traffic.live().backend_address;
     let sent = traffic
         .backend
-        .send(address, request, |response| matches_id(names, id, response))
+        .send_tracked(address, request, &transmission, |response| {
+            matches_id(names, id, response)
+        })
         .await;
     match sent {
         Ok(mut answer) => {
@@ -161,7 +167,11 @@
     error: &SendError,
 ) -> BackendEnd {
     if error.is_unsent() {
-        traffic.update_local(|local| local.mark_down(incarnation));
+        // Only a refused connection shows that the backend server is down. One that was open may
+        // have been closed for other reasons.
+        if matches!(error, SendError::Connect(_)) {
+            traffic.update_local(|local| local.mark_down(incarnation));
+        }
         return BackendEnd::not_sent(not_run(RefusalReason::BackendDown));
     }
     traffic.poison.record_broken(suspect);
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -1,6 +1,8 @@
 //! A call in progress: as classified by the entry, and as run by the guard.
 
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -10,6 +12,7 @@
 use http::Method;
 use http::uri::PathAndQuery;
 
+use crate::adapters::Transmission;
 use crate::core::Name;
 use crate::core::Priority;
 use crate::core::Refusal;
@@ -67,8 +70,8 @@
 /// Whether a call may have started to run. Read when the call is abandoned.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
-    /// The current attempt may be running.
-    may_run: AtomicBool,
+    /// The sending of the current attempt; `None` while it waits for admission at this node.
+    transmission: Mutex<Option<Arc<Transmission>>>,
     /// An earlier attempt may have run.
     may_have_run: AtomicBool,
     /// An earlier attempt sent the call to a backend server.
@@ -98,14 +101,25 @@
         trace.clone()
     }
 
-    /// Records that the call was sent, so it may run from now on.
-    pub(super) fn mark_sent(&self) {
-        self.may_run.store(true, Ordering::Relaxed);
+    /// Starts the sending of the current attempt to a guard, or to the local backend server.
+    pub(super) fn start_sending(&self) -> Arc<Transmission> {
+        let transmission = Arc::<Transmission>::default();
+        *self.transmission() = Some(transmission.clone());
+        transmission
+    }
+
+    /// Cancels the current attempt if no byte of it was sent. Returns whether that is so. The
+    /// attempt's future must not be polled again then.
+    pub(super) fn cancel_unsent(&self) -> bool {
+        let transmission = self.transmission();
+        transmission
+            .as_ref()
+            .is_none_or(|transmission| transmission.cancel_unsent())
     }
 
     /// Records the end of an attempt that got no answer.
     pub(super) fn end_attempt(&self, run_state: RunState) {
-        self.may_run.store(false, Ordering::Relaxed);
+        *self.transmission() = None;
         if run_state != RunState::NotRun {
             self.may_have_run.store(true, Ordering::Relaxed);
         }
@@ -121,9 +135,9 @@
         self.reached_backend.load(Ordering::Relaxed)
     }
 
-    /// Whether any attempt is running or may have run.
-    pub(super) fn may_have_run_anywhere(&self) -> bool {
-        self.may_run.load(Ordering::Relaxed) || self.may_have_run.load(Ordering::Relaxed)
+    /// Whether an attempt that has ended may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed)
     }
 
     /// Returns the refusal of the whole call, given that of its last attempt.
@@ -131,9 +145,15 @@
     /// The last attempt may be refused as `not_run` although an earlier one was lost and may have
     /// run. The run state of the whole call is then `unknown`.
     pub(super) fn with_earlier_attempts(&self, mut refusal: Refusal) -> Refusal {
-        if refusal.run_state == RunState::NotRun && self.may_have_run.load(Ordering::Relaxed) {
+        if refusal.run_state == RunState::NotRun && self.may_have_run() {
             refusal.run_state = RunState::Unknown;
         }
         refusal
     }
+
+    fn transmission(&self) -> MutexGuard<'_, Option<Arc<Transmission>>> {
+        self.transmission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards a call: chooses a target, sends the call, and retries if allowed.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,13 +58,12 @@
     let answering = run_attempts(traffic, &call, progress);
     match timeout(Duration::from_millis(left_ms), answering).await {
         Ok(result) => result.map_err(|refusal| progress.with_earlier_attempts(refusal)),
-        Err(_) if progress.may_have_run_anywhere() => {
-            Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0))
-        }
-        Err(_) => Err(Refusal::not_run(
+        // The attempt's future has been dropped, so an attempt that is unsent remains so.
+        Err(_) if progress.cancel_unsent() && !progress.may_have_run() => Err(Refusal::not_run(
             RefusalReason::DeadlineExceeded,
             no_target_retry_after_ms(),
         )),
+        Err(_) => Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0)),
     }
 }
 
@@ -176,7 +176,7 @@
 ///
 /// When a domain is cut off, connections into it stay open without traffic. Calls on them would
 /// wait for their deadline, although targets on this side of the cut could still run them. A call
-/// that must not run twice waits for its answer.
+/// that must not run twice waits for its answer, unless nothing of it was sent yet.
 async fn send_until_unreachable(
     traffic: &Arc<Traffic>,
     call: &Call,
@@ -184,13 +184,21 @@
     progress: &Progress,
 ) -> AttemptEnd {
     let sending = hop::send(traffic, call, target, progress);
-    if !call.repeatability.may_repeat() || target.domain == traffic.settings.domain {
+    if target.domain == traffic.settings.domain {
         return sending.await;
     }
+    let mut sending = pin!(sending);
     tokio::select! {
-        end = sending => end,
-        () = traffic.targets.wait_until_unreachable(&target.domain) => hop::lost_unreachable(),
+        end = &mut sending => return end,
+        () = traffic.targets.wait_until_unreachable(&target.domain) => {}
+    }
+    if progress.cancel_unsent() {
+        return hop::unsent_unreachable();
+    }
+    if call.repeatability.may_repeat() {
+        return hop::lost_unreachable();
     }
+    sending.await
 }
 
 /// The pressure to record for an answer. What a target reports of its own service is combined with
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -68,13 +68,13 @@
     let Some(request) = request(traffic, call, target, is_retry) else {
         return AttemptEnd::without_status(Refusal::not_run(RefusalReason::BadRequest, 0), false);
     };
-    progress.mark_sent();
+    let transmission = progress.start_sending();
     let is_guard = |response: &http::Response<hyper::body::Incoming>| {
         response.headers().contains_key(headers::HOP_ANSWER)
     };
     match traffic
         .peers
-        .send(target.peer_address, request, is_guard)
+        .send_tracked(target.peer_address, request, &transmission, is_guard)
         .await
     {
         Ok(answer) => take_answer(traffic, &call.message.method, answer),
@@ -148,11 +148,16 @@
     AttemptEnd::without_status(unknown(), true)
 }
 
-fn lost(error: &SendError) -> AttemptEnd {
+/// The end of an attempt at a target that became unreachable before anything was sent to it.
+pub(super) fn unsent_unreachable() -> AttemptEnd {
     let retry_after_ms = LOST_RETRY_AFTER_MS + fastrand::u64(..LOST_RETRY_AFTER_MS);
+    let refusal = Refusal::not_run(RefusalReason::PeerLost, retry_after_ms);
+    AttemptEnd::without_status(refusal, false)
+}
+
+fn lost(error: &SendError) -> AttemptEnd {
     if error.is_unsent() {
-        let refusal = Refusal::not_run(RefusalReason::PeerLost, retry_after_ms);
-        return AttemptEnd::without_status(refusal, false);
+        return unsent_unreachable();
     }
     AttemptEnd::without_status(unknown(), true)
 }
