--- a/tests/adapters_connection_pool.rs
+++ b/tests/adapters_connection_pool.rs
@@ -1,6 +1,8 @@
 //! When the pool reuses a connection to a server, and whether a request was sent that was given up.
 
 use std::collections::HashSet;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,6 +19,8 @@
 use sassafrasgap::adapters::PoolConf;
 use sassafrasgap::adapters::Transmission;
 use sassafrasgap::core::Clock;
+use sassafrasgap::errors::SendError;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -199,3 +203,35 @@
     let counts = (cancelled.len(), arrived.len());
     assert!(counts.0 > 50 && counts.1 > 50, "{counts:?}");
 }
+
+/// Failure: a server has reset an idle connection, the system therefore accepts nothing of the next
+/// request on it, and that request counts as sent.
+///
+/// This thread does nothing between the reset and the request, so the connection is not found
+/// closed before the request is written.
+#[rstest]
+#[tokio::test]
+async fn a_request_on_a_connection_that_was_reset_is_unsent() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (reset, told_to_reset) = std::sync::mpsc::channel::<()>();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = [0; 1_024];
+        assert!(stream.read(&mut head).unwrap() > 0);
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(answer).unwrap();
+        told_to_reset.recv().unwrap();
+        let at_once = Some(Duration::ZERO);
+        SockRef::from(&stream).set_linger(at_once).unwrap();
+    });
+    let pool = pool();
+    send_request(&pool, address).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    reset.send(()).unwrap();
+    server.join().unwrap();
+    let result = pool.send(address, request("/"), |_| true).await;
+    let error = result.unwrap_err();
+    assert!(matches!(error, SendError::Unsent(_)), "{error}");
+    assert!(error.is_unsent());
+}
