--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -26,11 +26,11 @@
 use tokio::net::TcpStream;
 
 use crate::adapters::BodyBudget;
+use crate::adapters::ConnectionWrites;
 use crate::adapters::Transmission;
-use crate::adapters::connection_writes::ConnectionWrites;
+use crate::adapters::WatchedStream;
 use crate::adapters::keep_alive::keep_alive_ms;
 use crate::adapters::read_whole;
-use crate::adapters::watched_stream::WatchedStream;
 use crate::core::Clock;
 use crate::core::FastMap;
 use crate::core::TimeMs;
--- a/src/adapters/transmission.rs
+++ b/src/adapters/transmission.rs
@@ -6,7 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-use crate::adapters::connection_writes::ConnectionWrites;
+use crate::adapters::ConnectionWrites;
 use crate::errors::SendError;
 
 /// Where a request is.
