--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,6 +9,7 @@
 pub use domain_load::DomainLoad;
 pub use domain_split::DomainShare;
 pub use domain_split::DomainSplit;
+pub use domain_split::split;
 pub use placement_conf::PlacementConf;
 pub use placement_table::PlacementTable;
 pub use placement_table::ServicePlacement;
