Entry: first attempts follow the service's split, and pressure is the mean over domains while it sends calls away

Metrics count first attempts by destination domain and reason, and show the load per domain and service.

--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -20,6 +20,7 @@
 use crate::core::RetryReason;
 use crate::metrics::ByReason;
 use crate::metrics::ByRoute;
+use crate::metrics::PlacementMetrics;
 use crate::store::StoreCounters;
 
 /// Upper bounds of the histograms' buckets, in seconds.
@@ -71,6 +72,7 @@
     pub store: StoreCounters,
     pub body_bytes: IntGauge,
     pub failing_permille: IntGauge,
+    pub placement: PlacementMetrics,
     pressures: IntGaugeVec,
     admitted: IntGaugeVec,
     account_requests: IntGaugeVec,
@@ -233,6 +235,7 @@
                 "sassafrasgap_failing_permille",
                 "The share of calls that failed at the local backend server lately.",
             ),
+            placement: PlacementMetrics::register(&registry),
             pressures: gauge_by_service(
                 &registry,
                 "sassafrasgap_pressure_permille",
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -4,7 +4,9 @@
 mod by_reason;
 mod by_route;
 mod metrics;
+mod placement_metrics;
 
 pub use by_reason::ByReason;
 pub use by_route::ByRoute;
 pub use metrics::Metrics;
+pub use placement_metrics::PlacementMetrics;
--- a/src/node/forward.rs
+++ b/src/node/forward.rs
@@ -16,6 +16,7 @@
 use crate::node::keyed_forward::forward_keyed;
 use crate::node::peer_call::AttemptEnd;
 use crate::node::peer_call::call_peer;
+use crate::node::targets::CallToPlace;
 use crate::retry::AttemptFailure;
 use crate::retry::RetryContext;
 use crate::retry::retry_reason;
@@ -80,10 +81,14 @@
     let view = node.inputs.view.load();
     let now = node.inputs.clock.now();
     let domain = &node.settings.domain;
-    match node
-        .targets
-        .take(&view, &call.service, domain, tried, false, now)
-    {
+    let to_place = CallToPlace {
+        service: &call.service,
+        own_domain: domain,
+        tried,
+        is_large: false,
+        placement: None,
+    };
+    match node.targets.take(&view, &to_place, now).0 {
         Pick::Take(target) => Some(target),
         Pick::NoneAvailable | Pick::Unknown => None,
     }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -13,14 +13,16 @@
 use crate::core::TimeMs;
 use crate::core::View;
 use crate::node::Node;
+use crate::placement::ServicePlacement;
 use crate::retry::RetryBudget;
 use crate::routing::DomainReachability;
 use crate::routing::Pick;
 use crate::routing::PickContext;
 use crate::routing::PickerConf;
+use crate::routing::PlacementReason;
 use crate::routing::TargetPressure;
 use crate::routing::TargetStats;
-use crate::routing::pick;
+use crate::routing::place;
 use crate::routing::smoothed;
 use crate::wire::AnswerHeader;
 use crate::wire::LoadReport;
@@ -69,34 +71,32 @@
         }
     }
 
-    /// Selects a target that was not tried and counts the call as in flight there.
+    /// Selects a target that was not tried and counts the call as in flight there. Also returns why
+    /// the call goes to the target's failure domain.
     pub(crate) fn take(
         &self,
         view: &View,
-        service: &str,
-        own_domain: &str,
-        tried: &[Name],
-        is_large: bool,
+        call: &CallToPlace<'_>,
         now: TimeMs,
-    ) -> Pick {
+    ) -> (Pick, Option<PlacementReason>) {
         let mut tracked = self.lock();
         tracked.evict_gone(view);
-        let mut avoided = tracked.reach.avoided(now);
-        avoided.extend_from_slice(&view.cut_off_domains);
+        let avoided = tracked.avoided_domains(view, now);
         let choice = PickContext {
-            targets: view.targets(service),
+            targets: view.targets(call.service),
             stats: &tracked.stats,
-            own_domain,
+            own_domain: call.own_domain,
             cut_off_domains: &avoided,
-            tried,
-            is_large,
+            tried: call.tried,
+            is_large: call.is_large,
+            placement: call.placement,
         };
-        let picked = pick(&choice, &self.conf, now, |n| fastrand::usize(..n));
+        let (picked, reason) = place(&choice, &self.conf, now, |n| fastrand::usize(..n));
         if let Pick::Take(target) = &picked {
             tracked.stats_of(&target.node, now).in_flight += 1;
-            tracked.record_sent(target, own_domain, now);
+            tracked.record_sent(target, call.own_domain, now);
         }
-        picked
+        (picked, reason)
     }
 
     /// Waits until the failure domain becomes unreachable.
@@ -116,37 +116,44 @@
     }
 
     /// Records the pressure that one target of a service reported, and returns the pressure on the
-    /// service, from all targets that reported recently; see [`TargetPressure::of_service`]. If the
-    /// target `is_limited` by a rate, the largest target that has not reported counts as having
-    /// room.
+    /// service. This is the mean over all targets that reported recently; see
+    /// [`TargetPressure::of_service`]. If the target `is_limited` by a rate, the largest target that
+    /// has not reported counts as having room. While the service's split sends calls away, it is the
+    /// mean over the reachable domains; see [`TargetPressure::of_domains`].
     pub(crate) fn record_pressure(
         &self,
         view: &View,
-        service: &str,
-        node: &Name,
-        reported_pressure: TargetPressure,
-        is_limited: bool,
+        report: &ReportedPressure<'_>,
         now: TimeMs,
     ) -> u32 {
         let mut tracked = self.lock();
         tracked
-            .stats_of(node, now)
-            .record_pressure(reported_pressure, now);
+            .stats_of(report.node, now)
+            .record_pressure(report.pressure, now);
         let pressure_of = |target: &Arc<Target>| {
             let stats = tracked.stats.get(&target.node)?;
             stats.pressure(now)
         };
-        let targets = view.targets(service);
-        let pressures = targets.iter().filter_map(pressure_of);
-        if !is_limited {
-            return TargetPressure::of_service(pressures).unwrap_or(reported_pressure.permille);
+        let targets = view.targets(report.service);
+        if let Some(placement) = report.placement {
+            let unreachable = tracked.avoided_domains(view, now);
+            if !placement.split.without(&unreachable).keeps_all() {
+                let own_domain = report.own_domain;
+                let own = targets
+                    .iter()
+                    .filter(|target| &*target.domain == own_domain);
+                let own_permille = mean_pressure(own, pressure_of, report.is_limited);
+                let mean = TargetPressure::of_domains(
+                    own_domain,
+                    own_permille,
+                    &placement.loads,
+                    &unreachable,
+                );
+                return mean.unwrap_or(report.pressure.permille);
+            }
         }
-        let unreported = targets
-            .iter()
-            .filter(|target| target.state.accepts_calls() && pressure_of(target).is_none());
-        let largest = unreported.map(|target| target.slots).max();
-        let with_room = largest.map(TargetPressure::assumed_idle);
-        TargetPressure::of_service(pressures.chain(with_room)).unwrap_or(reported_pressure.permille)
+        mean_pressure(targets.iter(), pressure_of, report.is_limited)
+            .unwrap_or(report.pressure.permille)
     }
 
     /// The usual latency of a target's answers, or 0 while unknown.
@@ -217,7 +224,31 @@
     }
 }
 
+/// The mean pressure on targets, weighted by slots; `None` if none has reported recently.
+fn mean_pressure<'a>(
+    targets: impl Iterator<Item = &'a Arc<Target>> + Clone,
+    pressure_of: impl Fn(&Arc<Target>) -> Option<TargetPressure>,
+    is_limited: bool,
+) -> Option<u32> {
+    let pressures = targets.clone().filter_map(&pressure_of);
+    if !is_limited {
+        return TargetPressure::of_service(pressures);
+    }
+    let unreported =
+        targets.filter(|target| target.state.accepts_calls() && pressure_of(target).is_none());
+    let largest = unreported.map(|target| target.slots).max();
+    let with_room = largest.map(TargetPressure::assumed_idle);
+    TargetPressure::of_service(pressures.chain(with_room))
+}
+
 impl TrackedTargets {
+    /// The domains to which no calls are sent now.
+    fn avoided_domains(&self, view: &View, now: TimeMs) -> Vec<Name> {
+        let mut avoided = self.reach.avoided(now);
+        avoided.extend_from_slice(&view.cut_off_domains);
+        avoided
+    }
+
     fn stats_of(&mut self, node: &Name, now: TimeMs) -> &mut TargetStats {
         self.stats
             .entry(node.clone())
@@ -265,6 +296,30 @@
     }
 }
 
+/// A call for which a target is selected.
+pub(crate) struct CallToPlace<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) own_domain: &'a str,
+    /// Nodes already tried by the call.
+    pub(crate) tried: &'a [Name],
+    /// The call has a large body.
+    pub(crate) is_large: bool,
+    /// The service's current placement across failure domains, if any.
+    pub(crate) placement: Option<&'a ServicePlacement>,
+}
+
+/// The pressure that a target reported of its service.
+pub(crate) struct ReportedPressure<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) own_domain: &'a str,
+    pub(crate) node: &'a Name,
+    pub(crate) pressure: TargetPressure,
+    /// The target is limited by a rate.
+    pub(crate) is_limited: bool,
+    /// The service's current placement across failure domains, if any.
+    pub(crate) placement: Option<&'a ServicePlacement>,
+}
+
 /// What one attempt revealed about its target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AttemptOutcome {
--- a/src/placement/domain_split.rs
+++ b/src/placement/domain_split.rs
@@ -1,11 +1,13 @@
 //! Which share of a failure domain's calls to a service stays, and where the rest goes.
 
+use std::fmt;
+
 use crate::core::Name;
 use crate::placement::DomainLoad;
 use crate::placement::PlacementConf;
 
 /// The shares of a split sum to this.
-const WHOLE_PERMILLE: u16 = 1_000;
+pub const WHOLE_PERMILLE: u16 = 1_000;
 /// A domain keeps this many times the mean load before calls leave it. Figures of even domains
 /// differ by a few percent, and calls that leave because of that gain nothing.
 const KEEP_FACTOR: f64 = 1.05;
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Whether no call leaves the domain.
+    pub fn keeps_all(&self) -> bool {
+        self.kept_permille >= WHOLE_PERMILLE
+    }
+
     /// The split without the `unreachable` domains. Their shares are spread over the other domains
     /// and the own one in proportion. If nothing remains, all calls are kept.
     pub fn without(&self, unreachable: &[Name]) -> Self {
@@ -57,6 +64,22 @@
         Self::from_apportioned(apportion(WHOLE_PERMILLE, weights))
     }
 
+    /// The largest change of the kept share or of the share of a domain, in thousandths.
+    pub fn change_permille(&self, other: &Self) -> u16 {
+        let domains = self.shares.iter().chain(&other.shares);
+        let changes = domains.map(|share| {
+            let domain = &share.domain;
+            self.permille_to(domain).abs_diff(other.permille_to(domain))
+        });
+        let kept = self.kept_permille.abs_diff(other.kept_permille);
+        changes.chain([kept]).max().unwrap_or(0)
+    }
+
+    fn permille_to(&self, domain: &Name) -> u16 {
+        let share = self.shares.iter().find(|share| share.domain == *domain);
+        share.map_or(0, |share| share.permille)
+    }
+
     fn from_apportioned(parts: Vec<(Option<&Name>, u16)>) -> Self {
         let shares: Vec<DomainShare> = parts
             .into_iter()
@@ -74,6 +97,17 @@
     }
 }
 
+impl fmt::Display for DomainSplit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "kept_permille={} shares=", self.kept_permille)?;
+        for (index, share) in self.shares.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{}:{}", share.domain, share.permille)?;
+        }
+        Ok(())
+    }
+}
+
 /// One domain's figures after the check of their range.
 struct Domain<'a> {
     name: &'a Name,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,11 +5,14 @@
 mod domain_split;
 mod placement_conf;
 mod placement_table;
+mod split_log;
 
 pub use domain_load::DomainLoad;
 pub use domain_split::DomainShare;
 pub use domain_split::DomainSplit;
+pub use domain_split::WHOLE_PERMILLE;
 pub use domain_split::split;
 pub use placement_conf::PlacementConf;
 pub use placement_table::PlacementTable;
 pub use placement_table::ServicePlacement;
+pub use split_log::SplitLog;
--- a/src/placement/placement_table.rs
+++ b/src/placement/placement_table.rs
@@ -29,6 +29,12 @@
     used_at: TimeMs,
 }
 
+impl Entry {
+    fn is_current(&self, now: TimeMs) -> bool {
+        now.since(self.placement.received_at) <= MAX_AGE_MS
+    }
+}
+
 /// The latest placement of each service that this node's entry calls.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementTable {
@@ -52,8 +58,19 @@
     pub fn current(&mut self, now: TimeMs, service: &str) -> Option<Arc<ServicePlacement>> {
         let entry = self.services.get_mut(service)?;
         entry.used_at = now;
-        let is_current = now.since(entry.placement.received_at) <= MAX_AGE_MS;
-        is_current.then(|| entry.placement.clone())
+        entry.is_current(now).then(|| entry.placement.clone())
+    }
+
+    /// All placements that are not too old to be used. This does not count as a use.
+    pub fn all_current(
+        &self,
+        now: TimeMs,
+    ) -> impl Iterator<Item = (Name, Arc<ServicePlacement>)> + '_ {
+        let current = self
+            .services
+            .iter()
+            .filter(move |(_, entry)| entry.is_current(now));
+        current.map(|(service, entry)| (service.clone(), entry.placement.clone()))
     }
 
     fn evict_least_recently_used(&mut self) {
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -6,6 +6,10 @@
 use crate::core::Name;
 use crate::core::Target;
 use crate::core::TimeMs;
+use crate::placement::DomainSplit;
+use crate::placement::ServicePlacement;
+use crate::placement::WHOLE_PERMILLE;
+use crate::routing::PlacementReason;
 use crate::routing::TargetStats;
 
 /// A target with this failure rate or more is avoided if others fail less, in thousandths. Some
@@ -85,6 +89,20 @@
     pub tried: &'a [Name],
     /// The call has a large body.
     pub is_large: bool,
+    /// The service's current placement across failure domains, if any.
+    pub placement: Option<&'a ServicePlacement>,
+}
+
+impl PickContext<'_> {
+    /// The service's split without the unreachable domains; `None` if all calls stay.
+    fn sending_split(&self) -> Option<DomainSplit> {
+        let split = &self.placement?.split;
+        if split.keeps_all() {
+            return None;
+        }
+        let reachable = split.without(self.cut_off_domains);
+        (!reachable.keeps_all()).then_some(reachable)
+    }
 }
 
 /// Chooses a target. `random` supplies the draws, so that tests can fix them.
@@ -92,22 +110,91 @@
     context: &PickContext<'_>,
     conf: &PickerConf,
     now: TimeMs,
-    mut random: impl FnMut(usize) -> usize,
+    random: impl FnMut(usize) -> usize,
 ) -> Pick {
+    place(context, conf, now, random).0
+}
+
+/// Chooses a target like [`pick`], and states why it is in its failure domain.
+pub fn place(
+    context: &PickContext<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    mut random: impl FnMut(usize) -> usize,
+) -> (Pick, Option<PlacementReason>) {
     if context.targets.is_empty() {
-        return Pick::Unknown;
+        return (Pick::Unknown, None);
     }
     let available = available_targets(context, conf, now);
-    let Some(usual) = best_target(&available, context, conf, now, &mut random) else {
-        return Pick::NoneAvailable;
-    };
     let healthy = healthy_targets(&available, context, now);
+    if let Some(target) = balanced_target(&healthy, context, conf, now, &mut random) {
+        return (Pick::Take(target), Some(PlacementReason::Balanced));
+    }
+    let Some(target) = usual_target(&available, &healthy, context, conf, now, &mut random) else {
+        return (Pick::NoneAvailable, None);
+    };
+    let is_local = |target: &Arc<Target>| &*target.domain == context.own_domain;
+    let reason = if is_local(&target) {
+        PlacementReason::Kept
+    } else if healthy.iter().any(is_local) {
+        PlacementReason::Waited
+    } else {
+        PlacementReason::NoLocalTarget
+    };
+    (Pick::Take(target), Some(reason))
+}
+
+/// The target of a first attempt that the service's split sends to another domain. `None` if the
+/// call stays, if it is not a first attempt, or if the drawn domain has no healthy target.
+///
+/// Guards against calls that queue or are refused in a domain whose targets are full, while targets
+/// in other domains have room.
+fn balanced_target(
+    healthy: &[Arc<Target>],
+    context: &PickContext<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    mut random: &mut impl FnMut(usize) -> usize,
+) -> Option<Arc<Target>> {
+    if !context.tried.is_empty() {
+        return None;
+    }
+    let split = context.sending_split()?;
+    let domain = drawn_domain(&split, random)?;
+    let in_domain = healthy.iter().filter(|target| target.domain == domain);
+    let in_domain: Vec<_> = in_domain.cloned().collect();
+    best_of_sample(&in_domain, context, conf, now, &mut random).map(|(target, _)| target)
+}
+
+/// Draws a domain by the split; `None` if the call stays.
+fn drawn_domain(split: &DomainSplit, random: &mut impl FnMut(usize) -> usize) -> Option<Name> {
+    let mut left = random(usize::from(WHOLE_PERMILLE));
+    for share in &split.shares {
+        let permille = usize::from(share.permille);
+        if left < permille {
+            return Some(share.domain.clone());
+        }
+        left -= permille;
+    }
+    None
+}
+
+/// The target of a call as it is placed without a split.
+fn usual_target(
+    available: &[Arc<Target>],
+    healthy: &[Arc<Target>],
+    context: &PickContext<'_>,
+    conf: &PickerConf,
+    now: TimeMs,
+    random: &mut impl FnMut(usize) -> usize,
+) -> Option<Arc<Target>> {
+    let usual = best_target(available, context, conf, now, random)?;
     if healthy.len() == available.len() || healthy.contains(&usual) || random(PROBE_PART) == 0 {
-        return Pick::Take(usual);
+        return Some(usual);
     }
-    match best_target(&healthy, context, conf, now, &mut random) {
-        Some(other) if has_room(&other, context, now) => Pick::Take(other),
-        _ => Pick::Take(usual),
+    match best_target(healthy, context, conf, now, random) {
+        Some(other) if has_room(&other, context, now) => Some(other),
+        _ => Some(usual),
     }
 }
 
--- a/src/routing/target_pressure.rs
+++ b/src/routing/target_pressure.rs
@@ -1,5 +1,8 @@
 //! The pressure on a service, computed from reports of its targets.
 
+use crate::core::Name;
+use crate::placement::DomainLoad;
+
 /// The pressure on a target, in thousandths, and the number of calls it can run at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetPressure {
@@ -27,4 +30,29 @@
         });
         u64::checked_div(sum, slots).map(|mean| mean as u32)
     }
+
+    /// The pressure on a service whose calls are split over failure domains, in thousandths: the
+    /// mean over the reachable domains, weighted by slots. `own_permille` is the pressure that the
+    /// own domain's targets reported here, if any did recently. `None` if no domain has a target.
+    ///
+    /// Guards against root requests that are refused because one domain's targets are full, while
+    /// other domains take its calls.
+    pub fn of_domains(
+        own_domain: &str,
+        own_permille: Option<u32>,
+        loads: &[DomainLoad],
+        unreachable: &[Name],
+    ) -> Option<u32> {
+        let reachable = loads.iter().filter(|load| {
+            let is_own = &*load.domain == own_domain;
+            load.slots > 0 && (is_own || !unreachable.contains(&load.domain))
+        });
+        Self::of_service(reachable.map(|load| {
+            let reported = own_permille.filter(|_| &*load.domain == own_domain);
+            Self {
+                permille: reported.unwrap_or(load.pressure_permille),
+                slots: load.slots,
+            }
+        }))
+    }
 }
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -118,6 +118,10 @@
     let failing = traffic.failing_permille(traffic.clock.now());
     traffic.metrics.failing_permille.set(i64::from(failing));
     traffic.metrics.set_overloaded(&traffic.roots.overloaded());
+    let placements = traffic.placements.all_current(traffic.clock.now());
+    let loads = placements.iter();
+    let loads = loads.map(|(service, placement)| (&**service, &*placement.loads));
+    traffic.metrics.placement.set_loads(loads);
     let queued = traffic.gate.queued_by_class();
     traffic.metrics.set_guard_queue(&queued);
     let version = traffic.desired.version();
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -14,6 +14,8 @@
 use crate::core::RetryReason;
 use crate::core::RouteOrigin;
 use crate::core::Target;
+use crate::node::targets::CallToPlace;
+use crate::node::targets::ReportedPressure;
 use crate::retry::AttemptFailure;
 use crate::retry::RetryContext;
 use crate::retry::retry_reason;
@@ -131,13 +133,22 @@
     let now = traffic.clock.now();
     let domain = &traffic.settings.domain;
     let is_large = call.message.body.len() >= LARGE_BODY_BYTES;
-    match traffic
-        .targets
-        .take(&view, &call.service, domain, tried, is_large, now)
-    {
-        Pick::Take(target) => Some(target),
-        Pick::NoneAvailable | Pick::Unknown => None,
+    let placement = traffic.placements.current(now, &call.service);
+    let to_place = CallToPlace {
+        service: &call.service,
+        own_domain: domain,
+        tried,
+        is_large,
+        placement: placement.as_deref(),
+    };
+    let (picked, reason) = traffic.targets.take(&view, &to_place, now);
+    let Pick::Take(target) = picked else {
+        return None;
+    };
+    if let Some(reason) = reason.filter(|_| tried.is_empty()) {
+        traffic.metrics.placement.count_call(&target.domain, reason);
     }
+    Some(target)
 }
 
 async fn attempt(
@@ -194,7 +205,8 @@
 }
 
 /// The pressure to record for an answer. What a target reports of its own service is combined with
-/// the reports of the service's other targets. The pressure of a downstream service is used
+/// the reports of the service's other targets, and with the loads of other domains while calls are
+/// sent there. The pressure of a downstream service is used
 /// unchanged.
 fn service_pressure(
     traffic: &Traffic,
@@ -214,14 +226,16 @@
             .advertisement
             .as_ref()
             .and_then(|advertisement| advertisement.rate_milli);
-        pressure.permille = traffic.targets.record_pressure(
-            &view,
-            &call.service,
-            &target.node,
-            reported,
-            rate.is_some(),
-            now,
-        );
+        let placement = traffic.placements.current(now, &call.service);
+        let report = ReportedPressure {
+            service: &call.service,
+            own_domain: &traffic.settings.domain,
+            node: &target.node,
+            pressure: reported,
+            is_limited: rate.is_some(),
+            placement: placement.as_deref(),
+        };
+        pressure.permille = traffic.targets.record_pressure(&view, &report, now);
     }
     Some(pressure)
 }
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -38,6 +38,7 @@
 use crate::traffic::TrafficSettings;
 use crate::traffic::allowances::Allowances;
 use crate::traffic::keyed_routes::KeyedRoutes;
+use crate::traffic::placements::Placements;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::retry_budgets::RetryBudgets;
 use crate::traffic::root_admission::RootAdmission;
@@ -130,6 +131,7 @@
     pub desired: Arc<DesiredInForce>,
     pub gate: Arc<Gate>,
     pub targets: Targets,
+    pub placements: Placements,
     pub budgets: RetryBudgets,
     pub roots: RootAdmission,
     pub origins: Arc<RouteOrigins>,
@@ -185,6 +187,7 @@
             backend: pool(BACKEND_CONNECT_MS, BACKEND_IDLE_MS),
             gate: Gate::new(clock, shared.metrics.clone(), true, admission_conf()),
             targets: Targets::with_conf(picker_conf()),
+            placements: Placements::default(),
             budgets: RetryBudgets::new(settings.live.retry_bound),
             roots: RootAdmission::default(),
             origins: shared.origins,
--- a/tests/docs_operations.rs
+++ b/tests/docs_operations.rs
@@ -8,6 +8,7 @@
 use sassafrasgap::core::Name;
 use sassafrasgap::core::RefusalReason;
 use sassafrasgap::core::RetryReason;
+use sassafrasgap::routing::PlacementReason;
 
 fn root() -> &'static Path {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -54,7 +55,9 @@
 fn every_reason_has_a_row() {
     let refusals = RefusalReason::ALL.iter().map(|reason| reason.as_str());
     let retries = RetryReason::ALL.iter().map(|reason| reason.as_str());
-    assert_listed(refusals.chain(retries).map(ToOwned::to_owned));
+    let placements = PlacementReason::ALL.iter().map(|reason| reason.as_str());
+    let reasons = refusals.chain(retries).chain(placements);
+    assert_listed(reasons.map(ToOwned::to_owned));
 }
 
 #[test]
--- a/tests/fake_targets/mod.rs
+++ b/tests/fake_targets/mod.rs
@@ -24,6 +24,7 @@
         cut_off_domains: &[],
         tried: &[],
         is_large: false,
+        placement: None,
     }
 }
 
--- a/tests/routing_pressure.rs
+++ b/tests/routing_pressure.rs
@@ -1,6 +1,8 @@
 //! The pressure on a service whose targets differ.
 
 use rstest::rstest;
+use sassafrasgap::core::Name;
+use sassafrasgap::placement::DomainLoad;
 use sassafrasgap::routing::TargetPressure;
 
 /// Guards against root requests that are refused on behalf of a service of which a few targets
@@ -17,3 +19,44 @@
     let targets = reports.map(|&(permille, slots)| TargetPressure { permille, slots });
     assert_eq!(TargetPressure::of_service(targets), expected);
 }
+
+fn load(domain: &str, pressure_permille: u32, slots: u32) -> DomainLoad {
+    DomainLoad {
+        domain: Name::from(domain),
+        demand_per_s: 100.0,
+        capacity_per_s: 100.0,
+        slots,
+        pressure_permille,
+    }
+}
+
+/// Guards against root requests that are refused because the only target of the own domain is full,
+/// while the other domains have room and the split sends calls there.
+#[rstest]
+#[case::own_reports_replace_the_own_load(Some(1_040), &[], Some(560))]
+#[case::without_own_reports_the_load_counts(None, &[], Some(500))]
+#[case::an_unreachable_domain_is_left_out(Some(1_040), &["b"], Some(720))]
+#[case::only_the_own_domain_is_reachable(Some(1_040), &["b", "c"], Some(1_040))]
+#[case::the_own_domain_is_always_reachable(Some(1_040), &["a"], Some(560))]
+fn a_domain_counts_by_its_slots(
+    #[case] own_permille: Option<u32>,
+    #[case] unreachable: &[&str],
+    #[case] expected: Option<u32>,
+) {
+    let loads = [load("a", 800, 100), load("b", 400, 200), load("c", 400, 100)];
+    let unreachable: Vec<Name> = unreachable.iter().map(|name| Name::from(*name)).collect();
+    let pressure = TargetPressure::of_domains("a", own_permille, &loads, &unreachable);
+    assert_eq!(pressure, expected);
+}
+
+/// Guards against a domain without a target that lowers the mean, although no call can go there.
+#[rstest]
+fn a_domain_without_a_target_does_not_count() {
+    let loads = [load("a", 0, 0), load("b", 900, 100)];
+    let pressure = TargetPressure::of_domains("a", None, &loads, &[]);
+    assert_eq!(pressure, Some(900));
+    assert_eq!(
+        TargetPressure::of_domains("a", None, &loads[..1], &[]),
+        None
+    );
+}
