--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -135,24 +135,17 @@
             stats.pressure(now)
         };
         let targets = view.targets(report.service);
-        if let Some(placement) = report.placement {
+        let over_domains = report.placement.and_then(|placement| {
             let unreachable = tracked.avoided_domains(view, now);
-            if !placement.split.without(&unreachable).keeps_all() {
-                let own_domain = report.own_domain;
-                let own = targets
-                    .iter()
-                    .filter(|target| &*target.domain == own_domain);
-                let own_permille = mean_pressure(own, pressure_of, report.is_limited);
-                let mean = TargetPressure::of_domains(
-                    own_domain,
-                    own_permille,
-                    &placement.loads,
-                    &unreachable,
-                );
-                return mean.unwrap_or(report.pressure.permille);
-            }
-        }
-        mean_pressure(targets.iter(), pressure_of, report.is_limited)
+            let own_domain = report.own_domain;
+            let own = targets
+                .iter()
+                .filter(|target| &*target.domain == own_domain);
+            let own_permille = mean_pressure(own, pressure_of, report.is_limited);
+            TargetPressure::of_domains(own_domain, own_permille, placement, &unreachable)
+        });
+        over_domains
+            .or_else(|| mean_pressure(targets.iter(), pressure_of, report.is_limited))
             .unwrap_or(report.pressure.permille)
     }
 
--- a/src/placement/domain_split.rs
+++ b/src/placement/domain_split.rs
@@ -217,10 +217,7 @@
 
 /// Divides `total` in proportion to the weights, by largest remainder. Equal remainders are served
 /// in the given order. Without any weight nothing is assigned.
-fn apportion<'a>(
-    total: u16,
-    weights: Vec<(Option<&'a Name>, f64)>,
-) -> Vec<(Option<&'a Name>, u16)> {
+fn apportion(total: u16, weights: Vec<(Option<&Name>, f64)>) -> Vec<(Option<&Name>, u16)> {
     let sum: f64 = weights.iter().map(|(_, weight)| weight).sum();
     if sum <= 0.0 {
         return Vec::new();
--- a/src/placement/placement_table.rs
+++ b/src/placement/placement_table.rs
@@ -23,6 +23,17 @@
     pub loads: Vec<DomainLoad>,
 }
 
+impl ServicePlacement {
+    /// The split without the `unreachable` domains; `None` if then no call leaves the own domain.
+    pub fn sending_split(&self, unreachable: &[Name]) -> Option<DomainSplit> {
+        if self.split.keeps_all() {
+            return None;
+        }
+        let reachable = self.split.without(unreachable);
+        (!reachable.keeps_all()).then_some(reachable)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     placement: Arc<ServicePlacement>,
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -93,18 +93,6 @@
     pub placement: Option<&'a ServicePlacement>,
 }
 
-impl PickContext<'_> {
-    /// The service's split without the unreachable domains; `None` if all calls stay.
-    fn sending_split(&self) -> Option<DomainSplit> {
-        let split = &self.placement?.split;
-        if split.keeps_all() {
-            return None;
-        }
-        let reachable = split.without(self.cut_off_domains);
-        (!reachable.keeps_all()).then_some(reachable)
-    }
-}
-
 /// Chooses a target. `random` supplies the draws, so that tests can fix them.
 pub fn pick(
     context: &PickContext<'_>,
@@ -159,7 +147,7 @@
     if !context.tried.is_empty() {
         return None;
     }
-    let split = context.sending_split()?;
+    let split = context.placement?.sending_split(context.cut_off_domains)?;
     let domain = drawn_domain(&split, random)?;
     let in_domain = healthy.iter().filter(|target| target.domain == domain);
     let in_domain: Vec<_> = in_domain.cloned().collect();
--- a/src/routing/target_pressure.rs
+++ b/src/routing/target_pressure.rs
@@ -1,7 +1,7 @@
 //! The pressure on a service, computed from reports of its targets.
 
 use crate::core::Name;
-use crate::placement::DomainLoad;
+use crate::placement::ServicePlacement;
 
 /// The pressure on a target, in thousandths, and the number of calls it can run at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,17 +33,19 @@
 
     /// The pressure on a service whose calls are split over failure domains, in thousandths: the
     /// mean over the reachable domains, weighted by slots. `own_permille` is the pressure that the
-    /// own domain's targets reported here, if any did recently. `None` if no domain has a target.
+    /// own domain's targets reported here, if any did recently. `None` if no call leaves the own
+    /// domain or no domain has a target.
     ///
     /// Guards against root requests that are refused because one domain's targets are full, while
     /// other domains take its calls.
     pub fn of_domains(
         own_domain: &str,
         own_permille: Option<u32>,
-        loads: &[DomainLoad],
+        placement: &ServicePlacement,
         unreachable: &[Name],
     ) -> Option<u32> {
-        let reachable = loads.iter().filter(|load| {
+        placement.sending_split(unreachable)?;
+        let reachable = placement.loads.iter().filter(|load| {
             let is_own = &*load.domain == own_domain;
             load.slots > 0 && (is_own || !unreachable.contains(&load.domain))
         });
