Picker: a split sends no call to an ejected target

While more targets are ejected than may be, ejection is ignored. The split then sent calls of a domain with working targets to ejected targets of other domains.

--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -133,7 +133,9 @@
 }
 
 /// The target of a first attempt that the service's split sends to another domain. `None` if the
-/// call stays, if it is not a first attempt, or if the drawn domain has no healthy target.
+/// call stays, if it is not a first attempt, or if the drawn domain has no healthy target. Ejected
+/// targets take no calls of other domains, also while ejection is ignored because of their number:
+/// the own domain's targets may be the ones that work.
 ///
 /// Guards against calls that queue or are refused in a domain whose targets are full, while targets
 /// in other domains have room.
@@ -149,18 +151,23 @@
     }
     let split = context.placement?.sending_split(context.cut_off_domains)?;
     let domain = drawn_domain(&split, random)?;
-    let in_domain = healthy.iter().filter(|target| target.domain == domain);
+    let in_domain = healthy
+        .iter()
+        .filter(|target| target.domain == *domain && !is_ejected(target, context, now));
     let in_domain: Vec<_> = in_domain.cloned().collect();
     best_of_sample(&in_domain, context, conf, now, &mut random).map(|(target, _)| target)
 }
 
 /// Draws a domain by the split; `None` if the call stays.
-fn drawn_domain(split: &DomainSplit, random: &mut impl FnMut(usize) -> usize) -> Option<Name> {
+fn drawn_domain<'a>(
+    split: &'a DomainSplit,
+    random: &mut impl FnMut(usize) -> usize,
+) -> Option<&'a Name> {
     let mut left = random(usize::from(WHOLE_PERMILLE));
     for share in &split.shares {
         let permille = usize::from(share.permille);
         if left < permille {
-            return Some(share.domain.clone());
+            return Some(&share.domain);
         }
         left -= permille;
     }
@@ -300,23 +307,24 @@
         .filter(|target| !context.cut_off_domains.contains(&target.domain))
         .cloned()
         .collect();
-    let is_ejected = |target: &Arc<Target>| {
-        let stats = context.stats.get(&target.node);
-        stats.is_some_and(|stats| stats.is_ejected(now))
-    };
     let ejected = candidates
         .iter()
-        .filter(|target| is_ejected(target))
+        .filter(|target| is_ejected(target, context, now))
         .count();
     if ejected * 100 > candidates.len() * conf.eject_percent {
         return candidates;
     }
     candidates
         .into_iter()
-        .filter(|target| !is_ejected(target))
+        .filter(|target| !is_ejected(target, context, now))
         .collect()
 }
 
+fn is_ejected(target: &Target, context: &PickContext<'_>, now: TimeMs) -> bool {
+    let stats = context.stats.get(&target.node);
+    stats.is_some_and(|stats| stats.is_ejected(now))
+}
+
 fn best_of_sample(
     targets: &[Arc<Target>],
     context: &PickContext<'_>,
--- a/tests/routing_placement.rs
+++ b/tests/routing_placement.rs
@@ -228,6 +228,33 @@
     );
 }
 
+/// The targets of the other domains are ejected, and they are so many that ejection is ignored.
+/// Guards against a split that sends calls to them although the own domain's targets work.
+#[test]
+fn an_ejected_target_gets_no_calls_of_other_domains() {
+    let targets = targets();
+    let mut stats = FastMap::default();
+    for target in targets.iter().filter(|target| &*target.domain != "a") {
+        let mut known = TargetStats::new(TimeMs(0));
+        known.record_failure(NOW);
+        while !known.is_ejected(NOW) {
+            known.record_failure(NOW);
+        }
+        stats.insert(target.node.clone(), known);
+    }
+    let placement = placement(&[("b", 500), ("c", 300)]);
+    let context = PickContext {
+        placement: Some(&placement),
+        ..pick_context(&targets, &stats)
+    };
+    let placed = placed(&context);
+    assert_eq!(
+        share(&placed, "a", PlacementReason::Kept),
+        1_000,
+        "{placed:?}"
+    );
+}
+
 /// Guards against reasons that mislead the operator: a domain without a target is told apart from
 /// one whose targets make calls wait.
 #[test]
