--- a/src/routing/target_pressure.rs
+++ b/src/routing/target_pressure.rs
@@ -22,13 +22,13 @@
     ///
     /// A call may go to any target, so this is the mean over the targets, weighted by slots.
     /// Unweighted, a target that takes a few requests per second would make its whole service look
-    /// full.
+    /// full. The sums are of 128 bits, as reports of other nodes can hold any numbers.
     pub fn of_service(targets: impl Iterator<Item = Self>) -> Option<u32> {
         let (sum, slots) = targets.fold((0, 0), |(sum, slots), each| {
-            let part = u64::from(each.slots.max(1));
-            (sum + u64::from(each.permille) * part, slots + part)
+            let part = u128::from(each.slots.max(1));
+            (sum + u128::from(each.permille) * part, slots + part)
         });
-        u64::checked_div(sum, slots).map(|mean| mean as u32)
+        u128::checked_div(sum, slots).map(|mean| mean as u32)
     }
 
     /// The pressure on a service whose calls are split over failure domains, in thousandths: the
--- a/tests/routing_pressure.rs
+++ b/tests/routing_pressure.rs
@@ -92,3 +92,14 @@
     assert_eq!(of(&loads), Some(900));
     assert_eq!(of(&loads[..1]), None);
 }
+
+/// Guards against sums that overflow when nodes report nonsense.
+#[rstest]
+fn the_largest_reports_do_not_overflow() {
+    let largest = TargetPressure {
+        permille: u32::MAX,
+        slots: u32::MAX,
+    };
+    let mean = TargetPressure::of_service([largest; 3].into_iter());
+    assert_eq!(mean, Some(u32::MAX));
+}
