Placement: no allocation and fewer locks per call, log line outside of the lock

A first attempt no longer copies the split, and further attempts don't look it up. The label of a domain is found under a shared lock. The pressure over domains is computed only while calls leave. Entries no longer wait for the log while a split is replaced.

--- a/src/metrics/placement_metrics.rs
+++ b/src/metrics/placement_metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the placement of calls across failure domains.
 
-use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::RwLock;
 
 use prometheus::IntCounterVec;
 use prometheus::IntGaugeVec;
@@ -23,7 +23,7 @@
     calls: IntCounterVec,
     loads: IntGaugeVec,
     /// The domains with a label of their own.
-    domains: Mutex<FastSet<Name>>,
+    domains: RwLock<FastSet<Name>>,
 }
 
 impl PlacementMetrics {
@@ -53,7 +53,7 @@
         Self {
             calls,
             loads,
-            domains: Mutex::default(),
+            domains: RwLock::default(),
         }
     }
 
@@ -86,7 +86,12 @@
     }
 
     fn label<'a>(&self, domain: &'a Name) -> &'a str {
-        let mut domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
+        let domains = self.domains.read().unwrap_or_else(PoisonError::into_inner);
+        if domains.contains(domain) {
+            return domain;
+        }
+        drop(domains);
+        let mut domains = self.domains.write().unwrap_or_else(PoisonError::into_inner);
         if domains.contains(domain) {
             return domain;
         }
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -135,7 +135,10 @@
             stats.pressure(now)
         };
         let targets = view.targets(report.service);
-        let over_domains = report.placement.and_then(|placement| {
+        let sending = report
+            .placement
+            .filter(|placement| !placement.split.keeps_all());
+        let over_domains = sending.and_then(|placement| {
             let unreachable = tracked.avoided_domains(view, now);
             let own_domain = report.own_domain;
             let own = targets
--- a/src/placement/domain_split.rs
+++ b/src/placement/domain_split.rs
@@ -1,5 +1,6 @@
 //! Which share of a failure domain's calls to a service stays, and where the rest goes.
 
+use std::borrow::Cow;
 use std::fmt;
 
 use crate::core::Name;
@@ -49,20 +50,18 @@
 
     /// The split without the `unreachable` domains. Their shares are spread over the other domains
     /// and the own one in proportion. If nothing remains, all calls are kept.
-    pub fn without(&self, unreachable: &[Name]) -> Self {
-        let (left_out, rest): (Vec<_>, Vec<_>) = self
-            .shares
-            .iter()
-            .partition(|share| unreachable.contains(&share.domain));
-        if left_out.is_empty() {
-            return self.clone();
+    ///
+    /// This runs for each first attempt, and allocates only while a receiving domain is unreachable.
+    pub fn without(&self, unreachable: &[Name]) -> Cow<'_, Self> {
+        let is_reachable = |share: &&DomainShare| !unreachable.contains(&share.domain);
+        if self.shares.iter().all(|share| is_reachable(&share)) {
+            return Cow::Borrowed(self);
         }
-        let rest = rest
-            .into_iter()
-            .map(|share| (Some(&share.domain), f64::from(share.permille)));
+        let rest = self.shares.iter().filter(is_reachable);
+        let rest = rest.map(|share| (Some(&share.domain), f64::from(share.permille)));
         let kept = (None, f64::from(self.kept_permille));
         let weights = rest.chain([kept]).collect();
-        Self::from_apportioned(apportion(WHOLE_PERMILLE, weights))
+        Cow::Owned(Self::from_apportioned(apportion(WHOLE_PERMILLE, weights)))
     }
 
     /// The largest change of the kept share or of the share of a domain, in thousandths.
--- a/src/placement/placement_table.rs
+++ b/src/placement/placement_table.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of the placement of each service.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use crate::core::FastMap;
@@ -25,7 +26,7 @@
 
 impl ServicePlacement {
     /// The split without the `unreachable` domains; `None` if then no call leaves the own domain.
-    pub fn sending_split(&self, unreachable: &[Name]) -> Option<DomainSplit> {
+    pub fn sending_split(&self, unreachable: &[Name]) -> Option<Cow<'_, DomainSplit>> {
         if self.split.keeps_all() {
             return None;
         }
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -133,7 +133,10 @@
     let now = traffic.clock.now();
     let domain = &traffic.settings.domain;
     let is_large = call.message.body.len() >= LARGE_BODY_BYTES;
-    let placement = traffic.placements.current(now, &call.service);
+    // Only first attempts follow the split; further ones need no access to the shared table.
+    let is_first = tried.is_empty();
+    let placement = is_first.then(|| traffic.placements.current(now, &call.service));
+    let placement = placement.flatten();
     let to_place = CallToPlace {
         service: &call.service,
         own_domain: domain,
@@ -145,7 +148,7 @@
     let Pick::Take(target) = picked else {
         return None;
     };
-    if let Some(reason) = reason.filter(|_| tried.is_empty()) {
+    if let Some(reason) = reason.filter(|_| is_first) {
         traffic.metrics.placement.count_call(&target.domain, reason);
     }
     Some(target)
@@ -206,8 +209,7 @@
 
 /// The pressure to record for an answer. What a target reports of its own service is combined with
 /// the reports of the service's other targets, and with the loads of other domains while calls are
-/// sent there. The pressure of a downstream service is used
-/// unchanged.
+/// sent there. The pressure of a downstream service is used unchanged.
 fn service_pressure(
     traffic: &Traffic,
     call: &Call,
--- a/src/traffic/placements.rs
+++ b/src/traffic/placements.rs
@@ -8,6 +8,7 @@
 
 use crate::core::Name;
 use crate::core::TimeMs;
+use crate::placement::DomainSplit;
 use crate::placement::PlacementTable;
 use crate::placement::ServicePlacement;
 use crate::placement::SplitLog;
@@ -27,14 +28,24 @@
 impl Placements {
     /// Replaces the placement of a service, and logs a large change of its split.
     pub fn set(&self, now: TimeMs, service: &Name, placement: ServicePlacement) {
-        let mut state = self.lock();
-        if state.log.is_due(now, service, &placement.split) {
-            log::info!(
-                "entry: split changed, service={service} {}",
-                placement.split
-            );
+        // The line is written after the lock is released: entries wait for it on each call.
+        if let Some(split) = self.replace(now, service, placement) {
+            log::info!("entry: split changed, service={service} {split}");
         }
+    }
+
+    /// Replaces the placement of a service, and returns the new split if it is to be logged.
+    fn replace(
+        &self,
+        now: TimeMs,
+        service: &Name,
+        placement: ServicePlacement,
+    ) -> Option<DomainSplit> {
+        let mut state = self.lock();
+        let is_due = state.log.is_due(now, service, &placement.split);
+        let logged = is_due.then(|| placement.split.clone());
         state.table.set(now, service, placement);
+        logged
     }
 
     /// The placement of a service; see [`PlacementTable::current`].
--- a/tests/placement_split.rs
+++ b/tests/placement_split.rs
@@ -140,7 +140,7 @@
         &loads(&[(50.0, 0.0), (0.0, 100.0)]),
         PlacementConf::default(),
     );
-    assert_eq!(split.without(&[domain_name(1)]), DomainSplit::all_kept());
+    assert_eq!(*split.without(&[domain_name(1)]), DomainSplit::all_kept());
 }
 
 fn figure() -> impl Strategy<Value = f32> {
