Pressure of a service: mean over domains while any domain is above stay

The condition was that the split sends calls away. It left the own pressure in force in domains that receive calls, and in domains between stay and the keep factor. It is now ServicePlacement::presses_as_a_whole; the domains above stay are computed once per placement.

--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -118,8 +118,9 @@
     /// Records the pressure that one target of a service reported, and returns the pressure on the
     /// service. This is the mean over all targets that reported recently; see
     /// [`TargetPressure::of_service`]. If the target `is_limited` by a rate, the largest target that
-    /// has not reported counts as having room. While the service's split sends calls away, it is the
-    /// mean over the reachable domains; see [`TargetPressure::of_domains`].
+    /// has not reported counts as having room. While the service's split sends calls away or a
+    /// domain's demand is above `stay`, it is the mean over the reachable domains; see
+    /// [`TargetPressure::of_domains`].
     pub(crate) fn record_pressure(
         &self,
         view: &View,
@@ -135,10 +136,10 @@
             stats.pressure(now)
         };
         let targets = view.targets(report.service);
-        let sending = report
+        let uneven = report
             .placement
-            .filter(|placement| !placement.split.keeps_all());
-        let over_domains = sending.and_then(|placement| {
+            .filter(|placement| !placement.is_within_stay());
+        let over_domains = uneven.and_then(|placement| {
             let unreachable = tracked.avoided_domains(view, now);
             let own_domain = report.own_domain;
             let own = targets
--- a/src/placement/domain_split.rs
+++ b/src/placement/domain_split.rs
@@ -179,6 +179,15 @@
     DomainSplit::from_apportioned(apportion(sent.min(WHOLE_PERMILLE), rooms))
 }
 
+/// The domains whose demand is above `stay` of their capacity; those without a target if there is any
+/// demand.
+pub(super) fn domains_above_stay(loads: &[DomainLoad], conf: PlacementConf) -> Vec<Name> {
+    let stay = f64::from(conf.stay_permille) / f64::from(WHOLE_PERMILLE);
+    let domains = checked(loads).into_iter();
+    let above = domains.filter(|domain| domain.excess(stay) > 0.0);
+    above.map(|domain| domain.name.clone()).collect()
+}
+
 /// The figures by domain, ordered by name so that the result does not depend on the order of the
 /// input. Figures of a domain that is listed more than once are added.
 fn checked(loads: &[DomainLoad]) -> Vec<Domain<'_>> {
--- a/src/placement/placement_table.rs
+++ b/src/placement/placement_table.rs
@@ -8,6 +8,8 @@
 use crate::core::TimeMs;
 use crate::placement::DomainLoad;
 use crate::placement::DomainSplit;
+use crate::placement::PlacementConf;
+use crate::placement::domain_split::domains_above_stay;
 
 /// A placement older than this is not used, in milliseconds: its coordinator is gone or
 /// unreachable, and has missed two reports.
@@ -22,9 +24,41 @@
     pub split: DomainSplit,
     /// Of all domains, the own one included.
     pub loads: Vec<DomainLoad>,
+    /// Computed once, because the pressure of the service depends on it with each response.
+    above_stay: Vec<Name>,
 }
 
 impl ServicePlacement {
+    pub fn new(
+        received_at: TimeMs,
+        split: DomainSplit,
+        loads: Vec<DomainLoad>,
+        conf: PlacementConf,
+    ) -> Self {
+        let above_stay = domains_above_stay(&loads, conf);
+        Self {
+            received_at,
+            split,
+            loads,
+            above_stay,
+        }
+    }
+
+    /// Whether no call leaves the own domain and no domain's demand is above `stay` of its capacity,
+    /// also among the domains that are unreachable.
+    pub fn is_within_stay(&self) -> bool {
+        self.split.keeps_all() && self.above_stay.is_empty()
+    }
+
+    /// Whether the pressure of the service is that of all reachable domains: the split sends calls
+    /// away, or the demand of a reachable domain is above `stay` of its capacity. The own domain is
+    /// always reachable.
+    pub fn presses_as_a_whole(&self, own_domain: &str, unreachable: &[Name]) -> bool {
+        let mut above = self.above_stay.iter();
+        above.any(|domain| **domain == *own_domain || !unreachable.contains(domain))
+            || self.sending_split(unreachable).is_some()
+    }
+
     /// The split without the `unreachable` domains; `None` if then no call leaves the own domain.
     pub fn sending_split(&self, unreachable: &[Name]) -> Option<Cow<'_, DomainSplit>> {
         if self.split.keeps_all() {
--- a/src/routing/target_pressure.rs
+++ b/src/routing/target_pressure.rs
@@ -31,20 +31,23 @@
         u128::checked_div(sum, slots).map(|mean| mean as u32)
     }
 
-    /// The pressure on a service whose calls are split over failure domains, in thousandths: the
-    /// mean over the reachable domains, weighted by slots. `own_permille` is the pressure that the
-    /// own domain's targets reported here, if any did recently. `None` if no call leaves the own
-    /// domain or no domain has a target.
+    /// The pressure on a service with a current placement, in thousandths: the mean over the
+    /// reachable domains, weighted by slots. `own_permille` is the pressure that the own domain's
+    /// targets reported here, if any did recently. `None` if no domain has a target, or if no call
+    /// leaves the own domain and no reachable domain is above `stay`; see
+    /// [`ServicePlacement::presses_as_a_whole`].
     ///
-    /// Guards against root requests that are refused because one domain's targets are full, while
-    /// other domains take its calls.
+    /// Guards against root requests that are refused because one domain's targets are full, by calls
+    /// of its own or of other domains, while other domains have room.
     pub fn of_domains(
         own_domain: &str,
         own_permille: Option<u32>,
         placement: &ServicePlacement,
         unreachable: &[Name],
     ) -> Option<u32> {
-        placement.sending_split(unreachable)?;
+        if !placement.presses_as_a_whole(own_domain, unreachable) {
+            return None;
+        }
         let reachable = placement.loads.iter().filter(|load| {
             let is_own = &*load.domain == own_domain;
             load.slots > 0 && (is_own || !unreachable.contains(&load.domain))
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -209,7 +209,7 @@
 
 /// The pressure to record for an answer. What a target reports of its own service is combined with
 /// the reports of the service's other targets, and with the loads of other domains while calls are
-/// sent there. The pressure of a downstream service is used unchanged.
+/// sent away or a domain's demand is above `stay`. The pressure of a downstream service is used unchanged.
 fn service_pressure(
     traffic: &Traffic,
     call: &Call,
