--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -16,6 +16,7 @@
 use crate::admission::drain_rate::DrainRate;
 use crate::admission::latency_limit::LatencyLimit;
 use crate::admission::level_control::LevelControl;
+use crate::admission::mean_run_time::MeanRunTime;
 use crate::admission::service_time::ServiceTime;
 use crate::core::FastMap;
 use crate::core::Priority;
@@ -66,6 +67,7 @@
     arrival_ratio: ArrivalRatio,
     /// Smoothed run time over all classes, in microseconds.
     run_us: u64,
+    mean_run_time: MeanRunTime,
     level: LevelControl,
     /// The request rate that the backend server advertises, if it advertises one.
     rate: Option<TokenBucket>,
@@ -88,6 +90,7 @@
             drain_rate: DrainRate::default(),
             arrival_ratio: ArrivalRatio::default(),
             run_us: 0,
+            mean_run_time: MeanRunTime::default(),
             level: LevelControl::new(&conf),
             rate: None,
             rate_limited: 0,
@@ -144,6 +147,7 @@
             self.latency_limit
                 .record_end(now, completion.service_us, cap);
             self.run_us = (self.run_us * (RUN_WEIGHT - 1) + completion.service_us) / RUN_WEIGHT;
+            self.mean_run_time.record(now, completion.service_us);
             self.service_time
                 .record(priority.class(), completion.service_us, now);
         }
@@ -285,6 +289,26 @@
         limit.min(by_rate.ceil() as u32).max(1)
     }
 
+    /// The number of calls that the backend server itself can run at once: its announced slots as
+    /// limited by the operator, or the advertised rate multiplied by the run time if that is less.
+    /// Limits that respond to load are left out, because they say nothing of its capacity.
+    pub fn capacity_limit(&self) -> u32 {
+        let cap = self.limit.cap();
+        match (&self.rate, self.mean_run_us()) {
+            (Some(rate), Some(run_us)) => {
+                let by_rate = rate.per_s() * run_us as f64 / 1_000_000.0;
+                cap.min(by_rate.ceil() as u32).max(1)
+            }
+            _ => cap,
+        }
+    }
+
+    /// The mean run time of a call over about the last second in which calls ended, in
+    /// microseconds; `None` before the first one.
+    pub fn mean_run_us(&self) -> Option<u64> {
+        self.mean_run_time.mean_us()
+    }
+
     fn has_room(&self) -> bool {
         self.has_slot() && self.rate.is_none_or(|rate| rate.has_token())
     }
--- a/src/admission/concurrency_limit.rs
+++ b/src/admission/concurrency_limit.rs
@@ -144,6 +144,11 @@
         self.limit
     }
 
+    /// The announced slots, as far as the operator allows them.
+    pub fn cap(&self) -> u32 {
+        self.cap
+    }
+
     /// Caps the limit by the announced slots. Does not raise a limit that has been learnt from
     /// completed calls: that takes calls that were answered in time.
     pub fn set_cap(&mut self, cap: u32) {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod latency_limit;
 mod level_control;
 mod levels;
+mod mean_run_time;
 mod offered_call;
 mod origins_by_domain;
 mod pressure;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -10,6 +10,7 @@
 use crate::core::Target;
 use crate::core::TargetState;
 use crate::membership::ExchangeRequest;
+use crate::placement::LoadMessage;
 
 /// One command. Commands are handled in the order of arrival.
 #[derive(Debug)]
@@ -41,6 +42,11 @@
         to: Name,
         message: AllowanceMessage,
     },
+    /// Sends a message about the load of a service to a member.
+    SendLoads {
+        to: Name,
+        message: LoadMessage,
+    },
     AddSeeds(Vec<SocketAddr>),
     /// A peer requests this node's member records in all buckets whose digests differ from those
     /// in the request.
--- a/src/control/control_handle.rs
+++ b/src/control/control_handle.rs
@@ -18,6 +18,7 @@
 use crate::core::RouteOrigin;
 use crate::core::TargetState;
 use crate::core::View;
+use crate::placement::LoadMessage;
 
 /// A handle to the running control thread, shared between threads by `Arc`. Dropping it stops the
 /// thread.
@@ -86,6 +87,11 @@
         self.command(Command::SendAllowances { to, message });
     }
 
+    /// Sends a message about the load of a service to a member. A lost message is not sent again.
+    pub fn send_loads(&self, to: Name, message: LoadMessage) {
+        self.command(Command::SendLoads { to, message });
+    }
+
     /// Adds control addresses to contact, for example from the platform's table.
     pub fn add_seeds(&self, seeds: Vec<SocketAddr>) {
         self.command(Command::AddSeeds(seeds));
--- a/src/control/control_handlers.rs
+++ b/src/control/control_handlers.rs
@@ -16,6 +16,7 @@
 use crate::core::AttemptId;
 use crate::core::Name;
 use crate::core::RouteOrigin;
+use crate::placement::LoadMessage;
 
 /// A slot map of a peer that is newer than the one held here.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +33,9 @@
 /// Handles the message of a member about accounts' allowances.
 pub type AllowancesHandler = Arc<dyn Fn(&Name, AllowanceMessage) + Send + Sync>;
 
+/// Handles the message of a member about the load of services.
+pub type LoadsHandler = Arc<dyn Fn(&Name, LoadMessage) + Send + Sync>;
+
 /// One closure for each kind of call or message. They run on the control thread and must not block;
 /// longer work is spawned on [`super::ControlHandle::runtime`].
 ///
@@ -66,6 +70,8 @@
     pub route_use: RouteUseHandler,
     /// A member sends a message about accounts' allowances.
     pub allowances: AllowancesHandler,
+    /// A member sends a message about the load of services in failure domains.
+    pub loads: LoadsHandler,
     /// The digests of the slot map versions here and at this peer have differed for several
     /// seconds: compare all versions.
     pub compare_slot_maps: Arc<dyn Fn(SocketAddr) + Send + Sync>,
@@ -86,6 +92,7 @@
             newer_slot_map: Arc::new(|_| {}),
             route_use: Arc::new(|_, _| {}),
             allowances: Arc::new(|_, _| {}),
+            loads: Arc::new(|_, _| {}),
             compare_slot_maps: Arc::new(|_| {}),
         }
     }
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -150,6 +150,10 @@
                 let actions = self.membership.send_allowances(&to, message, now);
                 self.perform(actions);
             }
+            Command::SendLoads { to, message } => {
+                let actions = self.membership.send_loads(&to, message, now);
+                self.perform(actions);
+            }
             Command::AddSeeds(seeds) => self.join(&seeds),
             Command::Exchange { request, reply } => {
                 let from = request.own.control_address;
@@ -203,6 +207,7 @@
                     version,
                 }),
                 Action::Allowances { from, message } => (self.handlers.allowances)(&from, message),
+                Action::Loads { from, message } => (self.handlers.loads)(&from, message),
                 Action::RouteUse { route, by } => (self.handlers.route_use)(&route, by),
                 Action::CompareSlotMaps { with } => (self.handlers.compare_slot_maps)(with),
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
 pub use control_handle::ControlHandle;
 pub use control_handlers::AllowancesHandler;
 pub use control_handlers::ControlHandlers;
+pub use control_handlers::LoadsHandler;
 pub use control_handlers::NewerSlotMap;
 pub use control_metrics::ControlMetrics;
 pub use control_metrics::Direction;
--- a/src/membership/action.rs
+++ b/src/membership/action.rs
@@ -6,6 +6,7 @@
 use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::RouteOrigin;
+use crate::placement::LoadMessage;
 
 /// One effect. The caller carries out effects in the order in which they are returned.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,6 +39,8 @@
         from: Name,
         message: AllowanceMessage,
     },
+    /// A member sent a message about the load of services in failure domains.
+    Loads { from: Name, message: LoadMessage },
     /// Compare the versions of all slot maps with this node, because the digests have differed for
     /// several seconds.
     CompareSlotMaps { with: SocketAddr },
--- a/src/membership/datagram.rs
+++ b/src/membership/datagram.rs
@@ -9,6 +9,7 @@
 use crate::core::Name;
 use crate::core::RouteOrigin;
 use crate::core::Target;
+use crate::placement::LoadMessage;
 
 /// One gossip datagram: a header, a body, and piggybacked updates.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -78,6 +79,9 @@
     Entries { bucket: u16, reply: bool },
     /// A report, a reply or a message between coordinators about the allowances of client accounts.
     Allowances(AllowanceMessage),
+    /// A report, a reply or a message between coordinators about the load of services in failure
+    /// domains.
+    Loads(LoadMessage),
 }
 
 /// A digest that is encoded with a fixed width.
@@ -98,6 +102,7 @@
             Self::Buckets { .. } => "buckets",
             Self::Entries { .. } => "entries",
             Self::Allowances(_) => "allowances",
+            Self::Loads(_) => "loads",
         }
     }
 }
--- a/src/membership/dissemination.rs
+++ b/src/membership/dissemination.rs
@@ -14,6 +14,7 @@
 use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::TimeMs;
+use crate::placement::LoadMessage;
 
 /// Each update is sent this many times the number of decimal digits of the member count. That
 /// reaches all but a few in ten thousand members, and comparisons of member tables reach those.
@@ -146,20 +147,29 @@
         self.send_with_updates(to, body, Vec::new(), now, actions);
     }
 
-    /// Sends a message about accounts' allowances to a member. Nothing is sent to an unknown
-    /// member.
+    /// Sends a message about accounts' allowances to a member.
     pub fn send_allowances(
         &mut self,
         to: &Name,
         message: AllowanceMessage,
         now: TimeMs,
     ) -> Vec<Action> {
+        self.send_to_member(to, Body::Allowances(message), now)
+    }
+
+    /// Sends a message about the load of a service to a member.
+    pub fn send_loads(&mut self, to: &Name, message: LoadMessage, now: TimeMs) -> Vec<Action> {
+        self.send_to_member(to, Body::Loads(message), now)
+    }
+
+    /// Sends a message to a member. Nothing is sent to an unknown member.
+    fn send_to_member(&mut self, to: &Name, body: Body, now: TimeMs) -> Vec<Action> {
         let mut actions = Vec::new();
         let Some(member) = self.table.get(to) else {
             return actions;
         };
         let receiver = self.receiver(to, member.record.control_address);
-        self.send_to(receiver, Body::Allowances(message), now, &mut actions);
+        self.send_to(receiver, body, now, &mut actions);
         actions
     }
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -42,6 +42,7 @@
 pub use datagram::FixedDigest;
 pub use datagram::Header;
 pub use datagram::Update;
+pub use digest::domain_hash;
 pub use exchange::ExchangeRequest;
 pub use member::Liveness;
 pub use member::Member;
--- a/src/membership/receive.rs
+++ b/src/membership/receive.rs
@@ -291,6 +291,10 @@
                 from: header.from.clone(),
                 message,
             }),
+            Body::Loads(message) => actions.push(Action::Loads {
+                from: header.from.clone(),
+                message,
+            }),
             Body::WhoAreYou => {
                 let own = Update::Own(self.own.clone());
                 self.send_updates(from, vec![own], now, actions);
--- a/src/node/gate.rs
+++ b/src/node/gate.rs
@@ -22,6 +22,7 @@
 use crate::node::invariants::Invariant;
 use crate::node::invariants::check;
 use crate::node::permit::Permit;
+use crate::placement::TargetFigures;
 use crate::wire::LoadReport;
 
 /// The result of admission for a waiting call.
@@ -185,6 +186,19 @@
         }
     }
 
+    /// The backend server's figures for the exchange of loads.
+    pub(crate) fn target_figures(&self) -> TargetFigures {
+        let state = self.lock();
+        let admission = &state.admission;
+        let run_us = admission.mean_run_us();
+        TargetFigures {
+            limit: admission.capacity_limit(),
+            // A run time of 0 would mean that none is known.
+            run_us: run_us.map_or(0, |run_us| u32::try_from(run_us).unwrap_or(u32::MAX).max(1)),
+            pressure_permille: admission.pressure_permille(),
+        }
+    }
+
     /// The number of waiting calls by class.
     pub(crate) fn queued_by_class(&self) -> BTreeMap<u8, i64> {
         let mut queued = BTreeMap::new();
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -81,8 +81,7 @@
     ) -> Pick {
         let mut tracked = self.lock();
         tracked.evict_gone(view);
-        let mut avoided = tracked.reach.avoided(now);
-        avoided.extend_from_slice(&view.cut_off_domains);
+        let avoided = tracked.avoided_domains(view, now);
         let choice = PickContext {
             targets: view.targets(service),
             stats: &tracked.stats,
@@ -99,6 +98,11 @@
         picked
     }
 
+    /// The failure domains to which no calls are sent now.
+    pub(crate) fn avoided_domains(&self, view: &View, now: TimeMs) -> Vec<Name> {
+        self.lock().avoided_domains(view, now)
+    }
+
     /// Waits until the failure domain becomes unreachable.
     pub(crate) async fn wait_until_unreachable(&self, domain: &Name) {
         let mut unreachable_changes = self.unreachable_changes.subscribe();
@@ -218,6 +222,12 @@
 }
 
 impl TrackedTargets {
+    fn avoided_domains(&self, view: &View, now: TimeMs) -> Vec<Name> {
+        let mut avoided = self.reach.avoided(now);
+        avoided.extend_from_slice(&view.cut_off_domains);
+        avoided
+    }
+
     fn stats_of(&mut self, node: &Name, now: TimeMs) -> &mut TargetStats {
         self.stats
             .entry(node.clone())
--- a/src/placement/domain_split.rs
+++ b/src/placement/domain_split.rs
@@ -1,6 +1,8 @@
 //! Which share of a failure domain's calls to a service stays, and where the rest goes.
 
 use crate::core::Name;
+use crate::placement::DomainLoad;
+use crate::placement::PlacementConf;
 
 /// The share of a domain's calls that goes to another domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,3 +28,9 @@
         }
     }
 }
+
+/// Computes the split of the own domain's calls from the loads of all reachable domains.
+pub fn split(own_domain: &str, loads: &[DomainLoad], conf: PlacementConf) -> DomainSplit {
+    let _ = (own_domain, loads, conf);
+    DomainSplit::all_kept()
+}
--- /dev/null
+++ b/src/placement/reporter.rs
@@ -0,0 +1,158 @@
+//! What a node reports to the load coordinators of its failure domain.
+
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::TimeMs;
+use crate::placement::LoadFigures;
+use crate::placement::ServiceReport;
+use crate::placement::TargetFigures;
+use crate::placement::report_timer::ReportTimer;
+use crate::placement::smoothed_value::SmoothedValue;
+
+/// The most services that a node reports on. Beyond it the least recently called one is evicted.
+const MAX_SERVICES: usize = 256;
+/// A service that the entry has not called for this time is no longer reported, in milliseconds.
+/// Its smoothed demand is 0 by then.
+const IDLE_MS: u64 = 10_000;
+
+/// First attempts of a node's entry, by service, since they were last taken.
+#[derive(Clone, Debug, Default)]
+pub struct FirstAttempts {
+    counts: FastMap<Name, u32>,
+}
+
+impl FirstAttempts {
+    /// Counts a first attempt. A service beyond the bound is not counted until the next take.
+    pub fn record(&mut self, service: &Name) {
+        if let Some(count) = self.counts.get_mut(service) {
+            *count = count.saturating_add(1);
+        } else if self.counts.len() < MAX_SERVICES {
+            self.counts.insert(service.clone(), 1);
+        }
+    }
+
+    /// Returns the counts and starts again from 0.
+    pub fn take(&mut self) -> FastMap<Name, u32> {
+        std::mem::take(&mut self.counts)
+    }
+}
+
+/// The backend server beside a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalTarget {
+    pub service: Name,
+    pub figures: TargetFigures,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    demand_per_s: SmoothedValue,
+    pressure_permille: SmoothedValue,
+    /// When the entry last called the service.
+    called_at: Option<TimeMs>,
+    /// When the entry last called the service or the backend server last ran it.
+    used_at: TimeMs,
+    timer: ReportTimer,
+}
+
+impl Reported {
+    fn new(now: TimeMs) -> Self {
+        Self {
+            demand_per_s: SmoothedValue::new(now, 0.0),
+            pressure_permille: SmoothedValue::new(now, 0.0),
+            called_at: None,
+            used_at: now,
+            timer: ReportTimer::default(),
+        }
+    }
+
+    fn is_called(&self, now: TimeMs) -> bool {
+        self.called_at
+            .is_some_and(|called_at| now.since(called_at) < IDLE_MS)
+    }
+}
+
+/// The services that a node's entry calls or that its backend server runs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reporter {
+    services: FastMap<Name, Reported>,
+    target: Option<LocalTarget>,
+}
+
+impl Reporter {
+    /// Updates the figures. To be called every 100 ms or so.
+    pub fn update(
+        &mut self,
+        now: TimeMs,
+        attempts: &FastMap<Name, u32>,
+        target: Option<LocalTarget>,
+    ) {
+        let own = target.as_ref().map(|target| &target.service);
+        for service in attempts.keys().chain(own) {
+            self.ensure(now, service);
+        }
+        for (service, reported) in &mut self.services {
+            let count = attempts.get(service).copied().unwrap_or(0);
+            reported.demand_per_s.record_events(now, count);
+            if count > 0 {
+                reported.called_at = Some(now);
+                reported.used_at = now;
+            }
+        }
+        if let Some(target) = &target
+            && let Some(reported) = self.services.get_mut(&target.service)
+        {
+            let sample = target.figures.pressure_permille as f32;
+            reported.pressure_permille.record(now, sample);
+            reported.used_at = now;
+        }
+        self.services
+            .retain(|_, reported| now.since(reported.used_at) < IDLE_MS);
+        self.target = target;
+    }
+
+    /// The reports that are due, among those of the services for which `is_exchanged` holds.
+    pub fn due(&mut self, now: TimeMs, is_exchanged: impl Fn(&str) -> bool) -> Vec<ServiceReport> {
+        let mut due = Vec::new();
+        for (service, reported) in &mut self.services {
+            if !is_exchanged(service) {
+                continue;
+            }
+            let target = self.target.as_ref().filter(|own| own.service == *service);
+            let target = target.map(|own| TargetFigures {
+                pressure_permille: reported.pressure_permille.get().round() as u32,
+                ..own.figures
+            });
+            let figures = LoadFigures {
+                demand_tenths: LoadFigures::tenths(reported.demand_per_s.get()),
+                capacity_tenths: target.map_or(0, |target| target.capacity_tenths()),
+                slots: target.map_or(0, |target| target.limit),
+                pressure_permille: target.map_or(0, |target| target.pressure_permille),
+            };
+            if !reported.timer.is_due(now, &figures) {
+                continue;
+            }
+            reported.timer.record_sent(now, figures);
+            due.push(ServiceReport {
+                service: service.clone(),
+                demand_tenths: figures.demand_tenths,
+                wants_reply: reported.is_called(now),
+                target,
+            });
+        }
+        due
+    }
+
+    fn ensure(&mut self, now: TimeMs, service: &Name) {
+        if self.services.contains_key(service) {
+            return;
+        }
+        if self.services.len() >= MAX_SERVICES {
+            let oldest = self.services.iter().min_by_key(|(_, each)| each.used_at);
+            if let Some(service) = oldest.map(|(service, _)| service.clone()) {
+                self.services.remove(&service);
+            }
+        }
+        self.services.insert(service.clone(), Reported::new(now));
+    }
+}
--- /dev/null
+++ b/src/placement/service_coordinator.rs
@@ -0,0 +1,269 @@
+//! The load of one service, as known to the coordinator of a failure domain.
+
+use std::sync::Arc;
+
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::TimeMs;
+use crate::core::View;
+use crate::placement::DomainLoad;
+use crate::placement::DomainSplit;
+use crate::placement::LoadFigures;
+use crate::placement::ServiceReport;
+use crate::placement::TargetFigures;
+use crate::placement::report_timer::MIN_GAP_MS;
+use crate::placement::report_timer::ReportTimer;
+use crate::placement::report_timer::has_rate_changed;
+use crate::placement::split;
+use crate::placement::surroundings::Surroundings;
+
+/// Figures older than this are not used, in milliseconds: their sender is gone or cut off, and two
+/// or more messages of it are missing.
+const MAX_AGE_MS: u64 = 4_000;
+/// The most nodes whose reports are kept. Reports of further ones are dropped.
+const MAX_REPORTERS: usize = 1_024;
+/// The most other failure domains whose loads are kept. Those of further ones are dropped.
+const MAX_DOMAINS: usize = 64;
+/// The run time of a target while that of no target of its service is known, in microseconds.
+const UNKNOWN_RUN_US: f32 = 100_000.0;
+/// The run times that are believed, in microseconds. They bound the capacity that a target with a
+/// wrong figure can claim.
+const MIN_RUN_US: u32 = 100;
+const MAX_RUN_US: u32 = 60_000_000;
+/// The highest pressure that is believed, in thousandths.
+const MAX_PRESSURE_PERMILLE: u32 = 4_000;
+/// For this time a picture of the loads is used again, in milliseconds.
+const PICTURE_MS: u64 = 100;
+/// A change of a domain's load by one part in this since a node's last reply is sent to the node at
+/// once. Smaller ones wait for its next report.
+const RESENT_PART: f32 = 4.0;
+
+#[derive(Clone, Debug)]
+struct Held<T> {
+    at: TimeMs,
+    figures: T,
+}
+
+impl<T> Held<T> {
+    fn is_recent(&self, now: TimeMs) -> bool {
+        now.since(self.at) <= MAX_AGE_MS
+    }
+}
+
+/// The loads of a service by failure domain, and the split of the own domain's calls that follows
+/// from them.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct LoadPicture {
+    pub at: TimeMs,
+    /// The own domain comes first.
+    pub loads: Vec<(Name, LoadFigures)>,
+    pub split: DomainSplit,
+}
+
+impl LoadPicture {
+    pub fn domain_loads(&self) -> Vec<DomainLoad> {
+        let loads = self.loads.iter();
+        loads
+            .map(|(domain, load)| domain_load(domain, *load))
+            .collect()
+    }
+
+    /// Whether the loads of another picture differ so much that the split may be quite different.
+    fn differs_from(&self, other: &Self) -> bool {
+        self.loads.len() != other.loads.len()
+            || self.loads.iter().zip(&other.loads).any(
+                |((domain, load), (other_domain, other_load))| {
+                    domain != other_domain || has_rate_changed(other_load, load, RESENT_PART)
+                },
+            )
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Reporter {
+    report: ServiceReport,
+    /// The picture in the last reply to the node, and when it was sent.
+    told: Option<(TimeMs, Arc<LoadPicture>)>,
+}
+
+/// The reports of the own failure domain's nodes and the loads of the other domains.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceCoordinator {
+    reports: FastMap<Name, Held<Reporter>>,
+    domains: FastMap<Name, Held<LoadFigures>>,
+    picture: Option<Arc<LoadPicture>>,
+    /// When the own domain's load was last sent to other domains.
+    pub sent: ReportTimer,
+}
+
+impl ServiceCoordinator {
+    pub fn apply_report(&mut self, now: TimeMs, from: &Name, report: ServiceReport) {
+        if self.reports.len() >= MAX_REPORTERS && !self.reports.contains_key(from) {
+            return;
+        }
+        let told = self.reports.get(from).map(|held| held.figures.told.clone());
+        let figures = Reporter {
+            report,
+            told: told.flatten(),
+        };
+        self.reports.insert(from.clone(), Held { at: now, figures });
+    }
+
+    pub fn apply_domain(&mut self, now: TimeMs, domain: &Name, figures: LoadFigures) {
+        if self.domains.len() < MAX_DOMAINS || self.domains.contains_key(domain) {
+            self.domains
+                .insert(domain.clone(), Held { at: now, figures });
+        }
+    }
+
+    /// Drops what is too old. Returns whether anything is left.
+    pub fn expire(&mut self, now: TimeMs) -> bool {
+        self.reports.retain(|_, held| held.is_recent(now));
+        self.domains.retain(|_, held| held.is_recent(now));
+        !self.reports.is_empty() || !self.domains.is_empty()
+    }
+
+    /// Whether any node of the own domain reports.
+    pub fn has_reports(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
+    /// When the last report or load arrived.
+    pub fn last_used(&self) -> TimeMs {
+        let reports = self.reports.values().map(|held| held.at);
+        let domains = self.domains.values().map(|held| held.at);
+        reports.chain(domains).max().unwrap_or_default()
+    }
+
+    /// Whether a recent load of the domain is known.
+    pub fn hears(&self, now: TimeMs, domain: &str) -> bool {
+        let held = self.domains.get(domain);
+        held.is_some_and(|held| held.is_recent(now))
+    }
+
+    /// The loads of all reachable domains of which something recent is known, and the split.
+    ///
+    /// It is computed again only after [`PICTURE_MS`], because a busy coordinator replies to many
+    /// reports in that time.
+    pub fn picture(
+        &mut self,
+        now: TimeMs,
+        service: &str,
+        surroundings: &Surroundings,
+    ) -> Arc<LoadPicture> {
+        let last = self.picture.as_ref();
+        if let Some(last) = last.filter(|last| now.since(last.at) < PICTURE_MS) {
+            return last.clone();
+        }
+        let own_domain = surroundings.domain;
+        let others = self.domains.iter().filter(|(domain, held)| {
+            let is_reachable = !surroundings.unreachable.contains(domain);
+            is_reachable && held.is_recent(now) && *domain != own_domain
+        });
+        let mut loads: Vec<(Name, LoadFigures)> = others
+            .map(|(domain, held)| (domain.clone(), held.figures))
+            .collect();
+        loads.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        let own = self.own_load(now, surroundings.view, service);
+        loads.insert(0, (own_domain.clone(), own));
+        let mut picture = LoadPicture {
+            at: now,
+            loads,
+            split: DomainSplit::all_kept(),
+        };
+        picture.split = split(own_domain, &picture.domain_loads(), surroundings.conf);
+        let picture = Arc::new(picture);
+        self.picture = Some(picture.clone());
+        picture
+    }
+
+    /// The nodes whose last reply is so far from the picture that they should not wait until their
+    /// next report.
+    pub fn nodes_to_update(&self, now: TimeMs, picture: &LoadPicture) -> Vec<Name> {
+        let outdated = self.reports.iter().filter(|(_, held)| {
+            let told = held.figures.told.as_ref();
+            held.figures.report.wants_reply
+                && told.is_some_and(|(at, told)| {
+                    now.since(*at) >= MIN_GAP_MS && picture.differs_from(told)
+                })
+        });
+        outdated.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Records a reply to a node.
+    pub fn record_reply(&mut self, now: TimeMs, node: &Name, picture: &Arc<LoadPicture>) {
+        if let Some(held) = self.reports.get_mut(node) {
+            held.figures.told = Some((now, picture.clone()));
+        }
+    }
+
+    /// The load in the own failure domain.
+    ///
+    /// A target counts only while the view has it as a target of the service that accepts work, and
+    /// for at most its announced slots.
+    fn own_load(&self, now: TimeMs, view: &View, service: &str) -> LoadFigures {
+        let recent = self.reports.iter().filter(|(_, held)| held.is_recent(now));
+        let mut demand_per_s = 0.0;
+        let mut targets: Vec<TargetFigures> = Vec::new();
+        for (node, held) in recent {
+            let report = &held.figures.report;
+            demand_per_s += LoadFigures::per_s(report.demand_tenths);
+            let announced = view.nodes.get(node);
+            let announced = announced
+                .filter(|target| &*target.service == service && target.state.accepts_calls());
+            if let (Some(figures), Some(announced)) = (report.target, announced) {
+                targets.push(believed(figures, announced.slots));
+            }
+        }
+        sum(demand_per_s, &targets)
+    }
+}
+
+fn believed(figures: TargetFigures, slots: u32) -> TargetFigures {
+    TargetFigures {
+        limit: figures.limit.min(slots),
+        run_us: match figures.run_us {
+            0 => 0,
+            run_us => run_us.clamp(MIN_RUN_US, MAX_RUN_US),
+        },
+        pressure_permille: figures.pressure_permille.min(MAX_PRESSURE_PERMILLE),
+    }
+}
+
+fn sum(demand_per_s: f32, targets: &[TargetFigures]) -> LoadFigures {
+    let known = targets.iter().filter(|target| target.run_us > 0);
+    let known_us: f32 = known.clone().map(|target| target.run_us as f32).sum();
+    let mean_us = match known.count() {
+        0 => UNKNOWN_RUN_US,
+        count => known_us / count as f32,
+    };
+    let mut load = LoadFigures {
+        demand_tenths: LoadFigures::tenths(demand_per_s),
+        ..LoadFigures::default()
+    };
+    let mut capacity_per_s = 0.0;
+    let mut weighted_pressure = 0;
+    for target in targets {
+        let run_us = match target.run_us {
+            0 => mean_us,
+            run_us => run_us as f32,
+        };
+        capacity_per_s += target.limit as f32 * 1e6 / run_us;
+        weighted_pressure += u64::from(target.pressure_permille) * u64::from(target.limit);
+        load.slots = load.slots.saturating_add(target.limit);
+    }
+    load.capacity_tenths = LoadFigures::tenths(capacity_per_s);
+    let mean_pressure = weighted_pressure.checked_div(u64::from(load.slots));
+    load.pressure_permille = mean_pressure.unwrap_or(0) as u32;
+    load
+}
+
+pub(super) fn domain_load(domain: &Name, load: LoadFigures) -> DomainLoad {
+    DomainLoad {
+        domain: domain.clone(),
+        demand_per_s: LoadFigures::per_s(load.demand_tenths),
+        capacity_per_s: LoadFigures::per_s(load.capacity_tenths),
+        slots: load.slots,
+        pressure_permille: load.pressure_permille.min(MAX_PRESSURE_PERMILLE),
+    }
+}
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -110,6 +110,7 @@
     traffic
         .budgets
         .record_first_attempt(now, &view, &call.service, repeated);
+    traffic.placements.record_first_attempt(&call.service);
 }
 
 /// Waits until a target of the call's service is known.
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -41,6 +41,8 @@
 use crate::traffic::listeners::serve_admins;
 use crate::traffic::listeners::serve_callers;
 use crate::traffic::listeners::serve_peers;
+use crate::traffic::load_task::loads_handler;
+use crate::traffic::load_task::run_loads;
 use crate::traffic::maintenance::log_admission;
 use crate::traffic::maintenance::poll_gate;
 use crate::traffic::poison_watch::PoisonWatch;
@@ -58,6 +60,8 @@
 /// Queue length for allowance messages of other nodes; more are dropped, since counts are sent
 /// again.
 const ALLOWANCE_QUEUE_LENGTH: usize = 1_024;
+/// Queue length for load messages of other nodes; more are dropped, since rates are sent again.
+const LOAD_QUEUE_LENGTH: usize = 1_024;
 /// Queue length for route origins to announce; more are dropped, since other nodes detect them as
 /// well.
 const ROUTE_QUEUE_LENGTH: usize = 256;
@@ -109,9 +113,11 @@
             inputs.clock.now(),
         ));
         let (allowance_sender, allowance_messages) = channel(ALLOWANCE_QUEUE_LENGTH);
+        let (load_sender, load_messages) = channel(LOAD_QUEUE_LENGTH);
         let eras = EraWatch::new();
         let handlers = ControlHandlers {
             allowances: allowance_handler(allowance_sender),
+            loads: loads_handler(load_sender),
             store_era: era_handler(&eras),
             ..handlers(&settings, &desired, &poison, &origins, version_sender)
         };
@@ -162,6 +168,7 @@
             control.clone(),
             allowance_messages,
         ));
+        runtime.spawn(run_loads(traffic.clone(), control.clone(), load_messages));
         runtime.spawn(forward_reports(crashes, traffic.clone(), control.clone()));
         let roster = Roster {
             store,
--- a/src/traffic/reload.rs
+++ b/src/traffic/reload.rs
@@ -57,6 +57,7 @@
         keys_hold_ms,
         stop_within_ms,
         held_body_bytes,
+        domain_stay_permille,
     )
 }
 
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::accounts::AllowanceBound;
 use crate::core::Name;
+use crate::placement::PlacementConf;
 use crate::retry::RetryBound;
 use crate::store::StoreRates;
 use crate::traffic::HeaderNames;
@@ -26,6 +27,17 @@
     pub stop_within_ms: u64,
     /// The maximum total of body bytes held in memory.
     pub held_body_bytes: usize,
+    /// Up to this load, in thousandths of its capacity, a failure domain keeps all its calls.
+    pub domain_stay_permille: u32,
+}
+
+impl LiveSettings {
+    /// The configuration of placement across failure domains.
+    pub(super) fn placement_conf(&self) -> PlacementConf {
+        PlacementConf {
+            stay_permille: self.domain_stay_permille,
+        }
+    }
 }
 
 /// The validated settings of a node. Its identity and addresses do not change while it runs.
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -38,6 +38,7 @@
 use crate::traffic::TrafficSettings;
 use crate::traffic::allowances::Allowances;
 use crate::traffic::keyed_routes::KeyedRoutes;
+use crate::traffic::placements::Placements;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::retry_budgets::RetryBudgets;
 use crate::traffic::root_admission::RootAdmission;
@@ -135,6 +136,8 @@
     pub origins: Arc<RouteOrigins>,
     pub keyed_routes: KeyedRoutes,
     pub allowances: Arc<Allowances>,
+    /// How calls are spread over failure domains.
+    pub placements: Placements,
     /// How old the information received by gossip is.
     pub freshness: Arc<Freshness>,
     pub running: Arc<RunningRoutes>,
@@ -190,6 +193,11 @@
             origins: shared.origins,
             keyed_routes: KeyedRoutes::default(),
             allowances: shared.allowances,
+            placements: Placements::new(
+                settings.node.clone(),
+                settings.domain.clone(),
+                settings.live.placement_conf(),
+            ),
             freshness: shared.freshness,
             running: Arc::default(),
             poison: shared.poison,
@@ -225,6 +233,7 @@
             self.budgets.set_bound(live.retry_bound);
         }
         self.allowances.set_bound(live.allowance_bound);
+        self.placements.set_conf(live.placement_conf());
         self.local().set_heartbeat_ms(live.heartbeat_ms);
         self.live.store(Arc::new(live));
     }
--- a/tests/membership_net/mod.rs
+++ b/tests/membership_net/mod.rs
@@ -361,7 +361,9 @@
                 }
                 Action::RouteUse { route, by } => self.nodes[index].route_uses.push((route, by)),
                 Action::StoreEra { era } => self.nodes[index].store_eras.push(era),
-                Action::Allowances { .. } | Action::CompareSlotMaps { .. } => {}
+                Action::Allowances { .. }
+                | Action::Loads { .. }
+                | Action::CompareSlotMaps { .. } => {}
             }
         }
     }
