--- a/src/membership/dissemination.rs
+++ b/src/membership/dissemination.rs
@@ -147,32 +147,44 @@
         self.send_with_updates(to, body, Vec::new(), now, actions);
     }
 
-    /// Sends a message about accounts' allowances to a member.
+    /// Sends a message about accounts' allowances to a member. Nothing is sent to an unknown
+    /// member.
     pub fn send_allowances(
         &mut self,
         to: &Name,
         message: AllowanceMessage,
         now: TimeMs,
     ) -> Vec<Action> {
-        self.send_to_member(to, Body::Allowances(message), now)
-    }
-
-    /// Sends a message about the load of a service to a member.
-    pub fn send_loads(&mut self, to: &Name, message: LoadMessage, now: TimeMs) -> Vec<Action> {
-        self.send_to_member(to, Body::Loads(message), now)
-    }
-
-    /// Sends a message to a member. Nothing is sent to an unknown member.
-    fn send_to_member(&mut self, to: &Name, body: Body, now: TimeMs) -> Vec<Action> {
         let mut actions = Vec::new();
         let Some(member) = self.table.get(to) else {
             return actions;
         };
         let receiver = self.receiver(to, member.record.control_address);
-        self.send_to(receiver, body, now, &mut actions);
+        self.send_to(receiver, Body::Allowances(message), now, &mut actions);
         actions
     }
 
+    /// Sends a message about the load of a service to a member. Nothing is sent to an unknown
+    /// member.
+    ///
+    /// The datagram carries no updates and no ages of other domains' answers. A node sends several
+    /// such messages a second to the same few coordinators. Each update is sent a limited number of
+    /// times, and these would use up most of them.
+    pub fn send_loads(&mut self, to: &Name, message: LoadMessage, now: TimeMs) -> Vec<Action> {
+        let member = self.table.get(to);
+        let address = member.map(|member| member.record.control_address);
+        let header = self.header(false, now);
+        let send = address.map(|to| Action::Send {
+            to,
+            datagram: Datagram {
+                header,
+                body: Body::Loads(message),
+                updates: Vec::new(),
+            },
+        });
+        send.into_iter().collect()
+    }
+
     /// Sends these updates, without any queued ones.
     pub(super) fn send_updates(
         &mut self,
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -9,7 +9,6 @@
 use crate::placement::CoordinatorChoice;
 use crate::placement::DomainFigures;
 use crate::placement::DomainSplit;
-use crate::placement::LoadFigures;
 use crate::placement::LoadMessage;
 use crate::placement::PeerLoadMessage;
 use crate::placement::ServiceLoad;
@@ -36,16 +35,21 @@
         now: TimeMs,
         from: &Name,
         report: ServiceReport,
+        choice: &CoordinatorChoice,
         surroundings: &Surroundings,
     ) -> Option<ServiceReply> {
         let service = report.service.clone();
-        let wants_reply = report.wants_reply;
+        let calls_service = report.calls_service;
         let state = self.state_of(&service);
         state.apply_report(now, from, report);
-        if !wants_reply {
+        if !calls_service {
             return None;
         }
         let picture = state.picture(now, &service, surroundings);
+        let targets = reachable_targets(&service, choice, surroundings);
+        if !state.should_reply(from, &picture, &targets, surroundings.conf) {
+            return None;
+        }
         state.record_reply(now, from, &picture);
         Some(reply(&service, &picture))
     }
@@ -53,7 +57,7 @@
     /// Applies the load of another failure domain.
     pub fn apply_domain(&mut self, now: TimeMs, domain: &Name, load: ServiceLoad) {
         self.state_of(&load.service)
-            .apply_domain(now, domain, load.load);
+            .apply_domain(now, domain, &load);
     }
 
     /// Drops what is too old, and returns the messages that are due: loads for the coordinators of
@@ -71,18 +75,32 @@
                 continue;
             }
             let picture = state.picture(now, service, surroundings);
+            let targets = reachable_targets(service, choice, surroundings);
             for node in state.nodes_to_update(now, &picture) {
+                if !state.should_reply(&node, &picture, &targets, surroundings.conf) {
+                    continue;
+                }
                 state.record_reply(now, &node, &picture);
                 outgoing.push((node, LoadMessage::Reply(reply(service, &picture))));
             }
             let Some((_, own)) = picture.loads.first() else {
                 continue;
             };
-            if state.sent.is_due(now, own) {
-                state.sent.record_sent(now, *own);
-                let receivers = receivers(now, service, state, choice, surroundings);
-                send_load(service, *own, &receivers, &mut outgoing);
+            let wants_loads = state.needs_loads(&picture, surroundings.conf);
+            if !(wants_loads || state.is_wanted()) || !state.sent.is_due(now, own) {
+                continue;
             }
+            state.sent.record_sent(now, *own);
+            let load = ServiceLoad {
+                service: service.clone(),
+                load: *own,
+                wants_loads,
+            };
+            let receivers = receivers(&load, state, choice, surroundings);
+            let messages = receivers
+                .into_iter()
+                .map(|receiver| (receiver, LoadMessage::Domain(load.clone())));
+            outgoing.extend(messages);
         }
         outgoing
     }
@@ -101,47 +119,39 @@
     }
 }
 
-/// The coordinators of the other failure domains that need the own domain's load.
+/// The coordinators of the other failure domains that need the own domain's load: all, if the own
+/// domain needs theirs, and otherwise those that have asked for it.
 ///
-/// A domain needs it if it has a target of the service, or if its entries call the service, which
-/// its own messages show. Domains without a target would not learn of each other in this way, so a
-/// domain without a target sends its load to all.
+/// Domains without a target are asked as well, because their demand takes room at the targets of
+/// others. Loads of services that no domain needs are not sent, since bytes between domains are
+/// expensive and most services are far from full.
 fn receivers(
-    now: TimeMs,
-    service: &Name,
+    load: &ServiceLoad,
     state: &ServiceCoordinator,
     choice: &mut CoordinatorChoice,
     surroundings: &Surroundings,
 ) -> Vec<Name> {
-    let is_for_all = !choice.has_target(service, surroundings.domain);
-    let needs_load = |domain: &Name| {
-        is_for_all || choice.has_target(service, domain) || state.hears(now, domain)
-    };
     let others = choice.domains().filter(|domain| {
         *domain != surroundings.domain
             && !surroundings.unreachable.contains(domain)
-            && needs_load(domain)
+            && (load.wants_loads || state.is_wanted_by(domain))
     });
     let others: Vec<Name> = others.cloned().collect();
     let coordinators = others.iter();
     coordinators
-        .filter_map(|domain| choice.coordinator(service, domain))
+        .filter_map(|domain| choice.coordinator(&load.service, domain))
         .collect()
 }
 
-fn send_load(
-    service: &Name,
-    load: LoadFigures,
-    receivers: &[Name],
-    outgoing: &mut Vec<PeerLoadMessage>,
-) {
-    for receiver in receivers {
-        let message = LoadMessage::Domain(ServiceLoad {
-            service: service.clone(),
-            load,
-        });
-        outgoing.push((receiver.clone(), message));
-    }
+/// The reachable failure domains with a target of the service.
+fn reachable_targets(
+    service: &str,
+    choice: &CoordinatorChoice,
+    surroundings: &Surroundings,
+) -> Vec<Name> {
+    let domains = choice.target_domains(service);
+    let reachable = domains.filter(|domain| !surroundings.unreachable.contains(domain));
+    reachable.cloned().collect()
 }
 
 fn reply(service: &Name, picture: &Arc<LoadPicture>) -> ServiceReply {
--- a/src/placement/coordinator_choice.rs
+++ b/src/placement/coordinator_choice.rs
@@ -61,10 +61,9 @@
         domains.is_some_and(|domains| domains.len() > 1)
     }
 
-    /// Whether a failure domain has an accepting target of the service.
-    pub fn has_target(&self, service: &str, domain: &str) -> bool {
-        let domains = self.target_domains.get(service);
-        domains.is_some_and(|domains| domains.contains(domain))
+    /// The failure domains with an accepting target of the service.
+    pub fn target_domains(&self, service: &str) -> impl Iterator<Item = &Name> {
+        self.target_domains.get(service).into_iter().flatten()
     }
 
     /// The failure domains with a node that accepts work.
--- a/src/placement/load_exchange.rs
+++ b/src/placement/load_exchange.rs
@@ -98,9 +98,9 @@
             }
             let own = self.node.clone();
             let surroundings = surroundings(&self.domain, self.conf, fleet);
-            let reply = self
-                .coordinator
-                .apply_report(now, &own, report, &surroundings);
+            let reply =
+                self.coordinator
+                    .apply_report(now, &own, report, &self.choice, &surroundings);
             step.placements
                 .extend(reply.and_then(|reply| self.placement(now, &reply)));
         }
@@ -135,9 +135,9 @@
         match message {
             LoadMessage::Report(report) if is_near => {
                 let surroundings = surroundings(&self.domain, self.conf, fleet);
-                let reply = self
-                    .coordinator
-                    .apply_report(now, from, report, &surroundings);
+                let reply =
+                    self.coordinator
+                        .apply_report(now, from, report, &self.choice, &surroundings);
                 let reply = reply.map(|reply| (from.clone(), LoadMessage::Reply(reply)));
                 step.messages.extend(reply);
             }
@@ -154,7 +154,8 @@
 
     /// The placement in a reply. Domains that this node does not know are left out, and their
     /// shares stay.
-    fn placement(&self, now: TimeMs, reply: &ServiceReply) -> Option<(Name, ServicePlacement)> {
+    fn placement(&mut self, now: TimeMs, reply: &ServiceReply) -> Option<(Name, ServicePlacement)> {
+        self.reporter.record_reply(now, &reply.service);
         let mut kept_permille = WHOLE_PERMILLE;
         let mut shares = Vec::new();
         let mut loads: Vec<DomainLoad> = Vec::new();
--- a/src/placement/load_message.rs
+++ b/src/placement/load_message.rs
@@ -40,7 +40,9 @@
     pub service: Name,
     /// First attempts that the node's entry offers, in tenths per second.
     pub demand_tenths: u32,
-    /// Whether the node's entry calls the service and so needs a reply.
+    /// Whether the node's entry calls the service, so that it is told of changes.
+    pub calls_service: bool,
+    /// Whether the last reply that the node received is not recent.
     pub wants_reply: bool,
     /// Present if the backend server beside the node runs the service.
     pub target: Option<TargetFigures>,
@@ -76,6 +78,8 @@
 pub struct ServiceLoad {
     pub service: Name,
     pub load: LoadFigures,
+    /// Whether the sender's domain may soon send calls away, so that it needs the loads of others.
+    pub wants_loads: bool,
 }
 
 /// One failure domain in a [`ServiceReply`].
--- a/src/placement/report_timer.rs
+++ b/src/placement/report_timer.rs
@@ -15,12 +15,14 @@
 /// A rate of events that is measured over about 1 s varies by chance with a standard deviation of
 /// about its square root. Changes of fewer standard deviations than this are not reported early,
 /// because at low rates nearly each of them is chance.
-const NOISE_DEVIATIONS: f32 = 2.0;
+const REPORTED_DEVIATIONS: f32 = 2.0;
 
 /// The last report of one sender about one service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ReportTimer {
     last: Option<(TimeMs, LoadFigures)>,
+    /// The last report was sent before its period ended, because of a change.
+    follows_change: bool,
 }
 
 impl ReportTimer {
@@ -30,29 +32,64 @@
             return true;
         };
         let elapsed_ms = now.since(*sent_at);
-        elapsed_ms >= PERIOD_MS || elapsed_ms >= MIN_GAP_MS && has_changed(sent, figures)
+        elapsed_ms >= PERIOD_MS
+            || elapsed_ms >= MIN_GAP_MS && has_changed(sent, figures, self.deviations())
+    }
+
+    /// A change takes a second to show in smoothed figures, so its first report has only part of it.
+    /// The report after it does not wait for as much again.
+    fn deviations(&self) -> f32 {
+        if self.follows_change {
+            0.0
+        } else {
+            REPORTED_DEVIATIONS
+        }
+    }
+
+    /// Whether a report may be sent for another reason than its figures.
+    pub fn may_send(&self, now: TimeMs) -> bool {
+        self.last
+            .is_none_or(|(sent_at, _)| now.since(sent_at) >= MIN_GAP_MS)
     }
 
     pub fn record_sent(&mut self, now: TimeMs, figures: LoadFigures) {
+        self.follows_change = self
+            .last
+            .is_some_and(|(_, sent)| has_changed(&sent, &figures, REPORTED_DEVIATIONS));
         self.last = Some((now, figures));
     }
 }
 
-fn has_changed(before: &LoadFigures, after: &LoadFigures) -> bool {
-    has_rate_changed(before, after, CHANGED_PART)
+fn has_changed(before: &LoadFigures, after: &LoadFigures, deviations: f32) -> bool {
+    let by = RateChange {
+        part: CHANGED_PART,
+        deviations,
+    };
+    by.is_exceeded(before, after)
         || before.pressure_permille.abs_diff(after.pressure_permille) >= CHANGED_PRESSURE_PERMILLE
 }
 
-/// Whether the demand or the capacity has changed by one part in `part`, and by more than chance.
-pub(super) fn has_rate_changed(before: &LoadFigures, after: &LoadFigures, part: f32) -> bool {
-    has_changed_by(before.demand_tenths, after.demand_tenths, part)
-        || has_changed_by(before.capacity_tenths, after.capacity_tenths, part)
+/// How much a rate has to change.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RateChange {
+    /// By one part in this.
+    pub part: f32,
+    /// By this many standard deviations of its chance variation.
+    pub deviations: f32,
 }
 
-fn has_changed_by(before_tenths: u32, after_tenths: u32, part: f32) -> bool {
-    let before = LoadFigures::per_s(before_tenths);
-    let after = LoadFigures::per_s(after_tenths);
-    let noise = NOISE_DEVIATIONS * before.max(after).sqrt();
-    let threshold = (before / part).max(noise);
-    before != after && (after - before).abs() >= threshold
+impl RateChange {
+    /// Whether the demand or the capacity has changed by at least this much.
+    pub fn is_exceeded(self, before: &LoadFigures, after: &LoadFigures) -> bool {
+        self.is_exceeded_by(before.demand_tenths, after.demand_tenths)
+            || self.is_exceeded_by(before.capacity_tenths, after.capacity_tenths)
+    }
+
+    fn is_exceeded_by(self, before_tenths: u32, after_tenths: u32) -> bool {
+        let before = LoadFigures::per_s(before_tenths);
+        let after = LoadFigures::per_s(after_tenths);
+        let noise = self.deviations * before.max(after).sqrt();
+        let threshold = (before / self.part).max(noise);
+        before != after && (after - before).abs() >= threshold
+    }
 }
--- a/src/placement/reporter.rs
+++ b/src/placement/reporter.rs
@@ -14,6 +14,16 @@
 /// A service that the entry has not called for this time is no longer reported, in milliseconds.
 /// Its smoothed demand is 0 by then.
 const IDLE_MS: u64 = 10_000;
+/// A node that received a reply within this time does not ask for another one, in milliseconds.
+/// Otherwise replies would follow each change of its own demand. It counts received replies, so the
+/// next report replaces a lost one.
+const REPLY_RECENT_MS: u64 = 1_000;
+/// A reply this old is overdue, in milliseconds: a report or its reply was lost. Reports are then
+/// repeated before their period ends, because two lost in a row would outlast the placement.
+const REPLY_OVERDUE_MS: u64 = 1_800;
+/// A node that has received no reply for this time no longer repeats reports, in milliseconds: its
+/// coordinator is gone, or has nothing to tell.
+const REPLY_GIVEN_UP_MS: u64 = 4_000;
 
 /// First attempts of a node's entry, by service, since they were last taken.
 #[derive(Clone, Debug, Default)]
@@ -52,6 +62,7 @@
     called_at: Option<TimeMs>,
     /// When the entry last called the service or the backend server last ran it.
     used_at: TimeMs,
+    replied_at: Option<TimeMs>,
     timer: ReportTimer,
 }
 
@@ -62,6 +73,7 @@
             pressure_permille: SmoothedValue::new(now, 0.0),
             called_at: None,
             used_at: now,
+            replied_at: None,
             timer: ReportTimer::default(),
         }
     }
@@ -70,6 +82,16 @@
         self.called_at
             .is_some_and(|called_at| now.since(called_at) < IDLE_MS)
     }
+
+    fn has_recent_reply(&self, now: TimeMs) -> bool {
+        self.replied_at
+            .is_some_and(|replied_at| now.since(replied_at) < REPLY_RECENT_MS)
+    }
+
+    fn is_reply_overdue(&self, now: TimeMs) -> bool {
+        let age_ms = self.replied_at.map(|replied_at| now.since(replied_at));
+        age_ms.is_some_and(|age_ms| (REPLY_OVERDUE_MS..REPLY_GIVEN_UP_MS).contains(&age_ms))
+    }
 }
 
 /// The services that a node's entry calls or that its backend server runs.
@@ -129,20 +151,29 @@
                 slots: target.map_or(0, |target| target.limit),
                 pressure_permille: target.map_or(0, |target| target.pressure_permille),
             };
-            if !reported.timer.is_due(now, &figures) {
+            let repeats = reported.is_reply_overdue(now) && reported.timer.may_send(now);
+            if !repeats && !reported.timer.is_due(now, &figures) {
                 continue;
             }
             reported.timer.record_sent(now, figures);
             due.push(ServiceReport {
                 service: service.clone(),
                 demand_tenths: figures.demand_tenths,
-                wants_reply: reported.is_called(now),
+                calls_service: reported.is_called(now),
+                wants_reply: reported.is_called(now) && !reported.has_recent_reply(now),
                 target,
             });
         }
         due
     }
 
+    /// Records a reply of a coordinator.
+    pub fn record_reply(&mut self, now: TimeMs, service: &str) {
+        if let Some(reported) = self.services.get_mut(service) {
+            reported.replied_at = Some(now);
+        }
+    }
+
     fn ensure(&mut self, now: TimeMs, service: &Name) {
         if self.services.contains_key(service) {
             return;
--- a/src/placement/service_coordinator.rs
+++ b/src/placement/service_coordinator.rs
@@ -9,11 +9,12 @@
 use crate::placement::DomainLoad;
 use crate::placement::DomainSplit;
 use crate::placement::LoadFigures;
+use crate::placement::PlacementConf;
+use crate::placement::ServiceLoad;
 use crate::placement::ServiceReport;
 use crate::placement::TargetFigures;
-use crate::placement::report_timer::MIN_GAP_MS;
+use crate::placement::report_timer::RateChange;
 use crate::placement::report_timer::ReportTimer;
-use crate::placement::report_timer::has_rate_changed;
 use crate::placement::split;
 use crate::placement::surroundings::Surroundings;
 
@@ -34,9 +35,19 @@
 const MAX_PRESSURE_PERMILLE: u32 = 4_000;
 /// For this time a picture of the loads is used again, in milliseconds.
 const PICTURE_MS: u64 = 100;
-/// A change of a domain's load by one part in this since a node's last reply is sent to the node at
-/// once. Smaller ones wait for its next report.
-const RESENT_PART: f32 = 4.0;
+/// A change of a domain's load by this much since a node's last reply is sent to the node without
+/// waiting for its next report. It is more than what domains report to each other, because a reply
+/// has the loads of all domains and one of them nearly always changes a little.
+const RESENT_CHANGE: RateChange = RateChange {
+    part: 5.0,
+    deviations: 2.5,
+};
+/// The least time between two replies to a node that are sent without a report, in milliseconds.
+const RESENT_GAP_MS: u64 = 300;
+/// A failure domain needs the loads of others from this percentage of the demand or the pressure on
+/// at which its calls would begin to leave. The loads are then known before they are used, unless
+/// demand rises by a third within the time of one exchange.
+const NEEDS_LOADS_PERCENT: f32 = 75.0;
 
 #[derive(Clone, Debug)]
 struct Held<T> {
@@ -68,12 +79,25 @@
             .collect()
     }
 
+    /// Whether the own domain's targets may soon be full, or are. The pressure shows what other
+    /// domains send here.
+    fn is_filling(&self, conf: PlacementConf) -> bool {
+        let Some((_, own)) = self.loads.first() else {
+            return false;
+        };
+        let from_permille = conf.stay_permille as f32 * NEEDS_LOADS_PERCENT / 100.0;
+        let capacity = own.capacity_tenths as f32 * from_permille / 1_000.0;
+        own.slots > 0
+            && (own.demand_tenths as f32 >= capacity
+                || own.pressure_permille as f32 >= from_permille)
+    }
+
     /// Whether the loads of another picture differ so much that the split may be quite different.
     fn differs_from(&self, other: &Self) -> bool {
         self.loads.len() != other.loads.len()
             || self.loads.iter().zip(&other.loads).any(
                 |((domain, load), (other_domain, other_load))| {
-                    domain != other_domain || has_rate_changed(other_load, load, RESENT_PART)
+                    domain != other_domain || RESENT_CHANGE.is_exceeded(other_load, load)
                 },
             )
     }
@@ -91,6 +115,8 @@
 pub(super) struct ServiceCoordinator {
     reports: FastMap<Name, Held<Reporter>>,
     domains: FastMap<Name, Held<LoadFigures>>,
+    /// When each other domain last asked for the own domain's load.
+    wanted: FastMap<Name, TimeMs>,
     picture: Option<Arc<LoadPicture>>,
     /// When the own domain's load was last sent to other domains.
     pub sent: ReportTimer,
@@ -109,10 +135,16 @@
         self.reports.insert(from.clone(), Held { at: now, figures });
     }
 
-    pub fn apply_domain(&mut self, now: TimeMs, domain: &Name, figures: LoadFigures) {
-        if self.domains.len() < MAX_DOMAINS || self.domains.contains_key(domain) {
-            self.domains
-                .insert(domain.clone(), Held { at: now, figures });
+    pub fn apply_domain(&mut self, now: TimeMs, domain: &Name, load: &ServiceLoad) {
+        if self.domains.len() >= MAX_DOMAINS && !self.domains.contains_key(domain) {
+            return;
+        }
+        let figures = load.load;
+        self.domains
+            .insert(domain.clone(), Held { at: now, figures });
+        if load.wants_loads && self.wanted.insert(domain.clone(), now).is_none() {
+            // The domain has no load of this one yet.
+            self.sent = ReportTimer::default();
         }
     }
 
@@ -120,6 +152,7 @@
     pub fn expire(&mut self, now: TimeMs) -> bool {
         self.reports.retain(|_, held| held.is_recent(now));
         self.domains.retain(|_, held| held.is_recent(now));
+        self.wanted.retain(|_, at| now.since(*at) <= MAX_AGE_MS);
         !self.reports.is_empty() || !self.domains.is_empty()
     }
 
@@ -135,10 +168,58 @@
         reports.chain(domains).max().unwrap_or_default()
     }
 
-    /// Whether a recent load of the domain is known.
-    pub fn hears(&self, now: TimeMs, domain: &str) -> bool {
-        let held = self.domains.get(domain);
-        held.is_some_and(|held| held.is_recent(now))
+    /// Whether the domain has recently asked for the own domain's load.
+    pub fn is_wanted_by(&self, domain: &str) -> bool {
+        self.wanted.contains_key(domain)
+    }
+
+    /// Whether any domain has recently asked for the own domain's load.
+    pub fn is_wanted(&self) -> bool {
+        !self.wanted.is_empty()
+    }
+
+    /// Whether the own domain needs the loads of the others.
+    ///
+    /// A domain whose targets are far from full keeps its calls whatever the others' loads are. A
+    /// domain without a target needs the loads while a domain with targets does: before that all
+    /// targets have room, wherever its calls go. Domains without a target do not count here, since
+    /// two of them would keep each other asking.
+    pub fn needs_loads(&self, picture: &LoadPicture, conf: PlacementConf) -> bool {
+        let has_no_target = picture.loads.first().is_some_and(|(_, own)| own.slots == 0);
+        let is_asked = self.wanted.keys().any(|domain| {
+            let held = self.domains.get(domain);
+            held.is_some_and(|held| held.figures.slots > 0)
+        });
+        picture.is_filling(conf) || has_no_target && is_asked
+    }
+
+    /// Whether the node gets a reply to its report. Without one its entry places calls as without
+    /// a split.
+    ///
+    /// None is needed while the domain needs no loads and none are known. A domain without a target
+    /// must know the loads of all `domains_with_target`, or it would send all its calls to the few
+    /// that it knows.
+    pub fn should_reply(
+        &self,
+        node: &str,
+        picture: &LoadPicture,
+        domains_with_target: &[Name],
+        conf: PlacementConf,
+    ) -> bool {
+        let is_known = |domain: &Name| picture.loads.iter().any(|(known, _)| known == domain);
+        let has_no_target = picture.loads.first().is_some_and(|(_, own)| own.slots == 0);
+        if has_no_target && !domains_with_target.iter().all(is_known) {
+            return false;
+        }
+        if picture.loads.len() == 1 && !self.needs_loads(picture, conf) {
+            return false;
+        }
+        let Some(held) = self.reports.get(node) else {
+            return false;
+        };
+        let told = held.figures.told.as_ref();
+        let is_outdated = told.is_none_or(|(_, told)| picture.differs_from(told));
+        held.figures.report.wants_reply || held.figures.report.calls_service && is_outdated
     }
 
     /// The loads of all reachable domains of which something recent is known, and the split.
@@ -182,9 +263,9 @@
     pub fn nodes_to_update(&self, now: TimeMs, picture: &LoadPicture) -> Vec<Name> {
         let outdated = self.reports.iter().filter(|(_, held)| {
             let told = held.figures.told.as_ref();
-            held.figures.report.wants_reply
-                && told.is_some_and(|(at, told)| {
-                    now.since(*at) >= MIN_GAP_MS && picture.differs_from(told)
+            held.figures.report.calls_service
+                && told.is_none_or(|(at, told)| {
+                    now.since(*at) >= RESENT_GAP_MS && picture.differs_from(told)
                 })
         });
         outdated.map(|(node, _)| node.clone()).collect()
--- a/src/placement/smoothed_value.rs
+++ b/src/placement/smoothed_value.rs
@@ -3,10 +3,11 @@
 use crate::core::TimeMs;
 
 /// The time constant, in milliseconds. Calls arrive and end by chance, and a figure of one tick
-/// shows that chance more than the load.
-const TIME_CONSTANT_MS: f32 = 1_000.0;
+/// shows that chance more than the load. This one removes as much of it as a mean over 1 s, with
+/// the same delay of half a second.
+const TIME_CONSTANT_MS: f32 = 500.0;
 
-/// A figure that follows its samples with a delay of about 1 s.
+/// A figure smoothed over about 1 s.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SmoothedValue {
     value: f32,
