--- a/src/placement/coordinator_choice.rs
+++ b/src/placement/coordinator_choice.rs
@@ -100,7 +100,7 @@
 ///
 /// The hash is mixed once more, because in FNV-1a the last bytes hardly change the high bits. Nodes
 /// whose names differ in the last digits would otherwise have similar weights for all services.
-fn weight(service: &str, node: &str) -> u64 {
+pub(super) fn weight(service: &str, node: &str) -> u64 {
     let separator = std::iter::once(0);
     let hash = stable_hash(service.bytes().chain(separator).chain(node.bytes()));
     let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
--- a/src/placement/load_exchange.rs
+++ b/src/placement/load_exchange.rs
@@ -65,11 +65,11 @@
     /// Starts without any knowledge.
     pub fn new(node: Name, domain: Name, conf: PlacementConf) -> Self {
         Self {
+            reporter: Reporter::new(node.clone()),
             node,
             domain,
             conf,
             choice: CoordinatorChoice::default(),
-            reporter: Reporter::default(),
             coordinator: Coordinator::default(),
         }
     }
--- a/src/placement/report_timer.rs
+++ b/src/placement/report_timer.rs
@@ -5,7 +5,7 @@
 
 /// A report is due this long after the last one even without a change, in milliseconds. It replaces
 /// a lost one, and two of them may be lost before the receiver stops using the figures.
-const PERIOD_MS: u64 = 1_500;
+pub(super) const PERIOD_MS: u64 = 1_500;
 /// The least time between two reports, in milliseconds.
 pub(super) const MIN_GAP_MS: u64 = 500;
 /// A change of a rate by one part in this is reported before the period ends.
@@ -23,9 +23,21 @@
     last: Option<(TimeMs, LoadFigures)>,
     /// The last report was sent before its period ended, because of a change.
     follows_change: bool,
+    /// How much earlier the second report is sent, in milliseconds.
+    stagger_ms: u64,
 }
 
 impl ReportTimer {
+    /// A timer whose second report is sent earlier by this time, of at most a period. Otherwise
+    /// nodes that start together would report together ever after, and a coordinator would learn of
+    /// a change from none of them or from all.
+    pub fn staggered(stagger_ms: u64) -> Self {
+        Self {
+            stagger_ms,
+            ..Self::default()
+        }
+    }
+
     /// Whether a report of these figures is due.
     pub fn is_due(&self, now: TimeMs, figures: &LoadFigures) -> bool {
         let Some((sent_at, sent)) = &self.last else {
@@ -56,7 +68,8 @@
         self.follows_change = self
             .last
             .is_some_and(|(_, sent)| has_changed(&sent, &figures, REPORTED_DEVIATIONS));
-        self.last = Some((now, figures));
+        let stagger_ms = std::mem::take(&mut self.stagger_ms);
+        self.last = Some((now - stagger_ms, figures));
     }
 }
 
--- a/src/placement/reporter.rs
+++ b/src/placement/reporter.rs
@@ -6,6 +6,8 @@
 use crate::placement::LoadFigures;
 use crate::placement::ServiceReport;
 use crate::placement::TargetFigures;
+use crate::placement::coordinator_choice::weight;
+use crate::placement::report_timer::PERIOD_MS;
 use crate::placement::report_timer::ReportTimer;
 use crate::placement::smoothed_value::SmoothedValue;
 
@@ -67,14 +69,14 @@
 }
 
 impl Reported {
-    fn new(now: TimeMs) -> Self {
+    fn new(now: TimeMs, stagger_ms: u64) -> Self {
         Self {
             demand_per_s: SmoothedValue::new(now, 0.0),
             pressure_permille: SmoothedValue::new(now, 0.0),
             called_at: None,
             used_at: now,
             replied_at: None,
-            timer: ReportTimer::default(),
+            timer: ReportTimer::staggered(stagger_ms),
         }
     }
 
@@ -95,13 +97,22 @@
 }
 
 /// The services that a node's entry calls or that its backend server runs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Reporter {
+    node: Name,
     services: FastMap<Name, Reported>,
     target: Option<LocalTarget>,
 }
 
 impl Reporter {
+    pub fn new(node: Name) -> Self {
+        Self {
+            node,
+            services: FastMap::default(),
+            target: None,
+        }
+    }
+
     /// Updates the figures. To be called every 100 ms or so.
     pub fn update(
         &mut self,
@@ -184,6 +195,8 @@
                 self.services.remove(&service);
             }
         }
-        self.services.insert(service.clone(), Reported::new(now));
+        let stagger_ms = weight(service, &self.node) % PERIOD_MS;
+        let reported = Reported::new(now, stagger_ms);
+        self.services.insert(service.clone(), reported);
     }
 }
