--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -14,9 +14,9 @@
 use crate::placement::ServiceLoad;
 use crate::placement::ServiceReply;
 use crate::placement::ServiceReport;
-use crate::placement::service_coordinator::LoadPicture;
+use crate::placement::coordinator_context::CoordinatorContext;
+use crate::placement::service_coordinator::LoadSnapshot;
 use crate::placement::service_coordinator::ServiceCoordinator;
-use crate::placement::surroundings::Surroundings;
 
 /// The most services that a node coordinates. Beyond it the one that was heard of longest ago is
 /// evicted. In a failure domain with a single node all services fall to that node.
@@ -36,7 +36,7 @@
         from: &Name,
         report: ServiceReport,
         choice: &CoordinatorChoice,
-        surroundings: &Surroundings,
+        context: &CoordinatorContext,
     ) -> Option<ServiceReply> {
         let service = report.service.clone();
         let calls_service = report.calls_service;
@@ -45,13 +45,13 @@
         if !calls_service {
             return None;
         }
-        let picture = state.picture(now, &service, surroundings);
-        let targets = reachable_targets(&service, choice, surroundings);
-        if !state.should_reply(from, &picture, &targets, surroundings.conf) {
+        let snapshot = state.snapshot(now, &service, context);
+        let targets = reachable_targets(&service, choice, context);
+        if !state.should_reply(from, &snapshot, &targets, context.conf) {
             return None;
         }
-        state.record_reply(now, from, &picture);
-        Some(reply(&service, &picture))
+        state.record_reply(now, from, &snapshot);
+        Some(reply(&service, &snapshot))
     }
 
     /// Applies the load of another failure domain.
@@ -66,7 +66,7 @@
         &mut self,
         now: TimeMs,
         choice: &mut CoordinatorChoice,
-        surroundings: &Surroundings,
+        context: &CoordinatorContext,
     ) -> Vec<PeerLoadMessage> {
         self.services.retain(|_, state| state.expire(now));
         let mut outgoing = Vec::new();
@@ -74,19 +74,19 @@
             if !state.has_reports() || !choice.is_exchanged(service) {
                 continue;
             }
-            let picture = state.picture(now, service, surroundings);
-            let targets = reachable_targets(service, choice, surroundings);
-            for node in state.nodes_to_update(now, &picture) {
-                if !state.should_reply(&node, &picture, &targets, surroundings.conf) {
+            let snapshot = state.snapshot(now, service, context);
+            let targets = reachable_targets(service, choice, context);
+            for node in state.nodes_to_update(now, &snapshot) {
+                if !state.should_reply(&node, &snapshot, &targets, context.conf) {
                     continue;
                 }
-                state.record_reply(now, &node, &picture);
-                outgoing.push((node, LoadMessage::Reply(reply(service, &picture))));
+                state.record_reply(now, &node, &snapshot);
+                outgoing.push((node, LoadMessage::Reply(reply(service, &snapshot))));
             }
-            let Some((_, own)) = picture.loads.first() else {
+            let Some((_, own)) = snapshot.loads.first() else {
                 continue;
             };
-            let wants_loads = state.needs_loads(&picture, surroundings.conf);
+            let wants_loads = state.needs_loads(&snapshot, context.conf);
             if !(wants_loads || state.is_wanted()) || !state.sent.is_due(now, own) {
                 continue;
             }
@@ -96,7 +96,7 @@
                 load: *own,
                 wants_loads,
             };
-            let receivers = receivers(&load, state, choice, surroundings);
+            let receivers = receivers(&load, state, choice, context);
             let messages = receivers
                 .into_iter()
                 .map(|receiver| (receiver, LoadMessage::Domain(load.clone())));
@@ -129,11 +129,11 @@
     load: &ServiceLoad,
     state: &ServiceCoordinator,
     choice: &mut CoordinatorChoice,
-    surroundings: &Surroundings,
+    context: &CoordinatorContext,
 ) -> Vec<Name> {
     let others = choice.domains().filter(|domain| {
-        *domain != surroundings.domain
-            && !surroundings.unreachable.contains(domain)
+        *domain != context.domain
+            && !context.unreachable.contains(domain)
             && (load.wants_loads || state.is_wanted_by(domain))
     });
     let others: Vec<Name> = others.cloned().collect();
@@ -147,21 +147,21 @@
 fn reachable_targets(
     service: &str,
     choice: &CoordinatorChoice,
-    surroundings: &Surroundings,
+    context: &CoordinatorContext,
 ) -> Vec<Name> {
     let domains = choice.target_domains(service);
-    let reachable = domains.filter(|domain| !surroundings.unreachable.contains(domain));
+    let reachable = domains.filter(|domain| !context.unreachable.contains(domain));
     reachable.cloned().collect()
 }
 
-fn reply(service: &Name, picture: &Arc<LoadPicture>) -> ServiceReply {
-    let domains = picture.loads.iter().enumerate();
+fn reply(service: &Name, snapshot: &Arc<LoadSnapshot>) -> ServiceReply {
+    let domains = snapshot.loads.iter().enumerate();
     let domains = domains.map(|(at, (domain, load))| DomainFigures {
         domain_hash: domain_hash(domain),
         load: *load,
         share_permille: match at {
-            0 => picture.split.kept_permille,
-            _ => share_of(&picture.split, domain),
+            0 => snapshot.split.kept_permille,
+            _ => share_of(&snapshot.split, domain),
         },
     });
     ServiceReply {
--- a/src/placement/surroundings.rs
+++ b/src/placement/coordinator_context.rs
@@ -6,7 +6,7 @@
 
 /// The own failure domain, the view, the domains that cannot be reached, and the configuration.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Surroundings<'a> {
+pub(super) struct CoordinatorContext<'a> {
     pub domain: &'a Name,
     pub view: &'a View,
     pub unreachable: &'a [Name],
--- a/src/placement/load_exchange.rs
+++ b/src/placement/load_exchange.rs
@@ -15,9 +15,9 @@
 use crate::placement::ServicePlacement;
 use crate::placement::ServiceReply;
 use crate::placement::coordinator::Coordinator;
+use crate::placement::coordinator_context::CoordinatorContext;
 use crate::placement::reporter::Reporter;
 use crate::placement::service_coordinator::domain_load;
-use crate::placement::surroundings::Surroundings;
 
 /// The sum of a split's shares.
 const WHOLE_PERMILLE: u16 = 1_000;
@@ -97,15 +97,15 @@
                 continue;
             }
             let own = self.node.clone();
-            let surroundings = surroundings(&self.domain, self.conf, fleet);
-            let reply =
-                self.coordinator
-                    .apply_report(now, &own, report, &self.choice, &surroundings);
+            let context = context(&self.domain, self.conf, fleet);
+            let reply = self
+                .coordinator
+                .apply_report(now, &own, report, &self.choice, &context);
             step.placements
                 .extend(reply.and_then(|reply| self.placement(now, &reply)));
         }
-        let surroundings = surroundings(&self.domain, self.conf, fleet);
-        let outgoing = self.coordinator.tick(now, &mut self.choice, &surroundings);
+        let context = context(&self.domain, self.conf, fleet);
+        let outgoing = self.coordinator.tick(now, &mut self.choice, &context);
         for (to, message) in outgoing {
             match message {
                 LoadMessage::Reply(reply) if to == self.node => {
@@ -134,10 +134,10 @@
         let is_near = sender.domain == self.domain;
         match message {
             LoadMessage::Report(report) if is_near => {
-                let surroundings = surroundings(&self.domain, self.conf, fleet);
+                let context = context(&self.domain, self.conf, fleet);
                 let reply =
                     self.coordinator
-                        .apply_report(now, from, report, &self.choice, &surroundings);
+                        .apply_report(now, from, report, &self.choice, &context);
                 let reply = reply.map(|reply| (from.clone(), LoadMessage::Reply(reply)));
                 step.messages.extend(reply);
             }
@@ -186,12 +186,12 @@
     }
 }
 
-fn surroundings<'a>(
+fn context<'a>(
     domain: &'a Name,
     conf: PlacementConf,
     fleet: KnownFleet<'a>,
-) -> Surroundings<'a> {
-    Surroundings {
+) -> CoordinatorContext<'a> {
+    CoordinatorContext {
         domain,
         view: fleet.view,
         unreachable: fleet.unreachable,
--- a/src/placement/load_message.rs
+++ b/src/placement/load_message.rs
@@ -40,7 +40,7 @@
     pub service: Name,
     /// First attempts that the node's entry offers, in tenths per second.
     pub demand_tenths: u32,
-    /// Whether the node's entry calls the service, so that it is told of changes.
+    /// Whether the node's entry calls the service, so that it is informed of changes.
     pub calls_service: bool,
     /// Whether the last reply that the node received is not recent.
     pub wants_reply: bool,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,6 +6,7 @@
 
 mod coordinator;
 mod coordinator_choice;
+mod coordinator_context;
 mod domain_load;
 mod domain_split;
 mod load_exchange;
@@ -16,7 +17,6 @@
 mod reporter;
 mod service_coordinator;
 mod smoothed_value;
-mod surroundings;
 
 pub use coordinator_choice::CoordinatorChoice;
 pub use domain_load::DomainLoad;
--- a/src/placement/reporter.rs
+++ b/src/placement/reporter.rs
@@ -24,7 +24,7 @@
 /// repeated before their period ends, because two lost in a row would outlast the placement.
 const REPLY_OVERDUE_MS: u64 = 1_800;
 /// A node that has received no reply for this time no longer repeats reports, in milliseconds: its
-/// coordinator is gone, or has nothing to tell.
+/// coordinator is gone, or has nothing to send.
 const REPLY_GIVEN_UP_MS: u64 = 4_000;
 
 /// First attempts of a node's entry, by service, since they were last taken.
--- a/src/placement/service_coordinator.rs
+++ b/src/placement/service_coordinator.rs
@@ -13,10 +13,10 @@
 use crate::placement::ServiceLoad;
 use crate::placement::ServiceReport;
 use crate::placement::TargetFigures;
+use crate::placement::coordinator_context::CoordinatorContext;
 use crate::placement::report_timer::RateChange;
 use crate::placement::report_timer::ReportTimer;
 use crate::placement::split;
-use crate::placement::surroundings::Surroundings;
 
 /// Figures older than this are not used, in milliseconds: their sender is gone or cut off, and two
 /// or more messages of it are missing.
@@ -33,8 +33,8 @@
 const MAX_RUN_US: u32 = 60_000_000;
 /// The highest pressure that is believed, in thousandths.
 const MAX_PRESSURE_PERMILLE: u32 = 4_000;
-/// For this time a picture of the loads is used again, in milliseconds.
-const PICTURE_MS: u64 = 100;
+/// For this time a snapshot of the loads is used again, in milliseconds.
+const SNAPSHOT_MS: u64 = 100;
 /// A change of a domain's load by this much since a node's last reply is sent to the node without
 /// waiting for its next report. It is more than what domains report to each other, because a reply
 /// has the loads of all domains and one of them nearly always changes a little.
@@ -64,14 +64,14 @@
 /// The loads of a service by failure domain, and the split of the own domain's calls that follows
 /// from them.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct LoadPicture {
+pub(super) struct LoadSnapshot {
     pub at: TimeMs,
     /// The own domain comes first.
     pub loads: Vec<(Name, LoadFigures)>,
     pub split: DomainSplit,
 }
 
-impl LoadPicture {
+impl LoadSnapshot {
     pub fn domain_loads(&self) -> Vec<DomainLoad> {
         let loads = self.loads.iter();
         loads
@@ -81,7 +81,7 @@
 
     /// Whether the own domain's targets may soon be full, or are. The pressure shows what other
     /// domains send here.
-    fn is_filling(&self, conf: PlacementConf) -> bool {
+    fn is_nearly_full(&self, conf: PlacementConf) -> bool {
         let Some((_, own)) = self.loads.first() else {
             return false;
         };
@@ -92,7 +92,7 @@
                 || own.pressure_permille as f32 >= from_permille)
     }
 
-    /// Whether the loads of another picture differ so much that the split may be quite different.
+    /// Whether the loads of another snapshot differ so much that the split may be quite different.
     fn differs_from(&self, other: &Self) -> bool {
         self.loads.len() != other.loads.len()
             || self.loads.iter().zip(&other.loads).any(
@@ -106,8 +106,8 @@
 #[derive(Clone, Debug)]
 struct Reporter {
     report: ServiceReport,
-    /// The picture in the last reply to the node, and when it was sent.
-    told: Option<(TimeMs, Arc<LoadPicture>)>,
+    /// When the last reply to the node was sent, and the snapshot in it.
+    last_reply: Option<(TimeMs, Arc<LoadSnapshot>)>,
 }
 
 /// The reports of the own failure domain's nodes and the loads of the other domains.
@@ -117,7 +117,7 @@
     domains: FastMap<Name, Held<LoadFigures>>,
     /// When each other domain last asked for the own domain's load.
     wanted: FastMap<Name, TimeMs>,
-    picture: Option<Arc<LoadPicture>>,
+    snapshot: Option<Arc<LoadSnapshot>>,
     /// When the own domain's load was last sent to other domains.
     pub sent: ReportTimer,
 }
@@ -127,10 +127,13 @@
         if self.reports.len() >= MAX_REPORTERS && !self.reports.contains_key(from) {
             return;
         }
-        let told = self.reports.get(from).map(|held| held.figures.told.clone());
+        let last_reply = self
+            .reports
+            .get(from)
+            .map(|held| held.figures.last_reply.clone());
         let figures = Reporter {
             report,
-            told: told.flatten(),
+            last_reply: last_reply.flatten(),
         };
         self.reports.insert(from.clone(), Held { at: now, figures });
     }
@@ -184,13 +187,16 @@
     /// domain without a target needs the loads while a domain with targets does: before that all
     /// targets have room, wherever its calls go. Domains without a target do not count here, since
     /// two of them would keep each other asking.
-    pub fn needs_loads(&self, picture: &LoadPicture, conf: PlacementConf) -> bool {
-        let has_no_target = picture.loads.first().is_some_and(|(_, own)| own.slots == 0);
+    pub fn needs_loads(&self, snapshot: &LoadSnapshot, conf: PlacementConf) -> bool {
+        let has_no_target = snapshot
+            .loads
+            .first()
+            .is_some_and(|(_, own)| own.slots == 0);
         let is_asked = self.wanted.keys().any(|domain| {
             let held = self.domains.get(domain);
             held.is_some_and(|held| held.figures.slots > 0)
         });
-        picture.is_filling(conf) || has_no_target && is_asked
+        snapshot.is_nearly_full(conf) || has_no_target && is_asked
     }
 
     /// Whether the node gets a reply to its report. Without one its entry places calls as without
@@ -202,79 +208,83 @@
     pub fn should_reply(
         &self,
         node: &str,
-        picture: &LoadPicture,
+        snapshot: &LoadSnapshot,
         domains_with_target: &[Name],
         conf: PlacementConf,
     ) -> bool {
-        let is_known = |domain: &Name| picture.loads.iter().any(|(known, _)| known == domain);
-        let has_no_target = picture.loads.first().is_some_and(|(_, own)| own.slots == 0);
+        let is_known = |domain: &Name| snapshot.loads.iter().any(|(known, _)| known == domain);
+        let has_no_target = snapshot
+            .loads
+            .first()
+            .is_some_and(|(_, own)| own.slots == 0);
         if has_no_target && !domains_with_target.iter().all(is_known) {
             return false;
         }
-        if picture.loads.len() == 1 && !self.needs_loads(picture, conf) {
+        if snapshot.loads.len() == 1 && !self.needs_loads(snapshot, conf) {
             return false;
         }
         let Some(held) = self.reports.get(node) else {
             return false;
         };
-        let told = held.figures.told.as_ref();
-        let is_outdated = told.is_none_or(|(_, told)| picture.differs_from(told));
+        let last_reply = held.figures.last_reply.as_ref();
+        let is_outdated =
+            last_reply.is_none_or(|(_, last_reply)| snapshot.differs_from(last_reply));
         held.figures.report.wants_reply || held.figures.report.calls_service && is_outdated
     }
 
     /// The loads of all reachable domains of which something recent is known, and the split.
     ///
-    /// It is computed again only after [`PICTURE_MS`], because a busy coordinator replies to many
+    /// It is computed again only after [`SNAPSHOT_MS`], because a busy coordinator replies to many
     /// reports in that time.
-    pub fn picture(
+    pub fn snapshot(
         &mut self,
         now: TimeMs,
         service: &str,
-        surroundings: &Surroundings,
-    ) -> Arc<LoadPicture> {
-        let last = self.picture.as_ref();
-        if let Some(last) = last.filter(|last| now.since(last.at) < PICTURE_MS) {
+        context: &CoordinatorContext,
+    ) -> Arc<LoadSnapshot> {
+        let last = self.snapshot.as_ref();
+        if let Some(last) = last.filter(|last| now.since(last.at) < SNAPSHOT_MS) {
             return last.clone();
         }
-        let own_domain = surroundings.domain;
+        let own_domain = context.domain;
         let others = self.domains.iter().filter(|(domain, held)| {
-            let is_reachable = !surroundings.unreachable.contains(domain);
+            let is_reachable = !context.unreachable.contains(domain);
             is_reachable && held.is_recent(now) && *domain != own_domain
         });
         let mut loads: Vec<(Name, LoadFigures)> = others
             .map(|(domain, held)| (domain.clone(), held.figures))
             .collect();
         loads.sort_unstable_by(|a, b| a.0.cmp(&b.0));
-        let own = self.own_load(now, surroundings.view, service);
+        let own = self.own_load(now, context.view, service);
         loads.insert(0, (own_domain.clone(), own));
-        let mut picture = LoadPicture {
+        let mut snapshot = LoadSnapshot {
             at: now,
             loads,
             split: DomainSplit::all_kept(),
         };
-        picture.split = split(own_domain, &picture.domain_loads(), surroundings.conf);
-        let picture = Arc::new(picture);
-        self.picture = Some(picture.clone());
-        picture
+        snapshot.split = split(own_domain, &snapshot.domain_loads(), context.conf);
+        let snapshot = Arc::new(snapshot);
+        self.snapshot = Some(snapshot.clone());
+        snapshot
     }
 
-    /// The nodes whose last reply is so far from the picture that they should not wait until their
+    /// The nodes whose last reply is so far from the snapshot that they should not wait until their
     /// next report.
-    pub fn nodes_to_update(&self, now: TimeMs, picture: &LoadPicture) -> Vec<Name> {
+    pub fn nodes_to_update(&self, now: TimeMs, snapshot: &LoadSnapshot) -> Vec<Name> {
         let outdated = self.reports.iter().filter(|(_, held)| {
-            let told = held.figures.told.as_ref();
+            let last_reply = held.figures.last_reply.as_ref();
             held.figures.report.calls_service
-                && told.is_none_or(|(at, told)| {
-                    now.since(*at) >= RESENT_GAP_MS && picture.differs_from(told)
+                && last_reply.is_none_or(|(at, last_reply)| {
+                    now.since(*at) >= RESENT_GAP_MS && snapshot.differs_from(last_reply)
                 })
         });
         outdated.map(|(node, _)| node.clone()).collect()
     }
 
     /// Records a reply to a node.
-    pub fn record_reply(&mut self, now: TimeMs, node: &Name, picture: &Arc<LoadPicture>) {
+    pub fn record_reply(&mut self, now: TimeMs, node: &Name, snapshot: &Arc<LoadSnapshot>) {
         if let Some(held) = self.reports.get_mut(node) {
-            held.figures.told = Some((now, picture.clone()));
+            held.figures.last_reply = Some((now, snapshot.clone()));
         }
     }
 
@@ -293,14 +303,14 @@
             let announced = announced
                 .filter(|target| &*target.service == service && target.state.accepts_calls());
             if let (Some(figures), Some(announced)) = (report.target, announced) {
-                targets.push(believed(figures, announced.slots));
+                targets.push(bounded(figures, announced.slots));
             }
         }
         sum(demand_per_s, &targets)
     }
 }
 
-fn believed(figures: TargetFigures, slots: u32) -> TargetFigures {
+fn bounded(figures: TargetFigures, slots: u32) -> TargetFigures {
     TargetFigures {
         limit: figures.limit.min(slots),
         run_us: match figures.run_us {
