--- a/src/membership/dissemination.rs
+++ b/src/membership/dissemination.rs
@@ -14,6 +14,7 @@
 use crate::accounts::AllowanceMessage;
 use crate::core::Name;
 use crate::core::TimeMs;
+use crate::placement::LoadMessage;
 
 /// Each update is sent this many times the number of decimal digits of the member count. That
 /// reaches all but a few in ten thousand members, and comparisons of member tables reach those.
@@ -163,6 +164,27 @@
         actions
     }
 
+    /// Sends a message about the load of a service to a member. Nothing is sent to an unknown
+    /// member.
+    ///
+    /// The datagram carries no updates and no ages of other domains' answers. A node sends several
+    /// such messages a second to the same few coordinators. Each update is sent a limited number of
+    /// times, and these would use up most of them.
+    pub fn send_loads(&mut self, to: &Name, message: LoadMessage, now: TimeMs) -> Vec<Action> {
+        let member = self.table.get(to);
+        let address = member.map(|member| member.record.control_address);
+        let header = self.header(false, now);
+        let send = address.map(|to| Action::Send {
+            to,
+            datagram: Datagram {
+                header,
+                body: Body::Loads(message),
+                updates: Vec::new(),
+            },
+        });
+        send.into_iter().collect()
+    }
+
     /// Sends these updates, without any queued ones.
     pub(super) fn send_updates(
         &mut self,
--- a/src/node/targets.rs
+++ b/src/node/targets.rs
@@ -99,6 +99,11 @@
         (picked, reason)
     }
 
+    /// The failure domains to which no calls are sent now.
+    pub(crate) fn avoided_domains(&self, view: &View, now: TimeMs) -> Vec<Name> {
+        self.lock().avoided_domains(view, now)
+    }
+
     /// Waits until the failure domain becomes unreachable.
     pub(crate) async fn wait_until_unreachable(&self, domain: &Name) {
         let mut unreachable_changes = self.unreachable_changes.subscribe();
@@ -239,7 +244,6 @@
 }
 
 impl TrackedTargets {
-    /// The domains to which no calls are sent now.
     fn avoided_domains(&self, view: &View, now: TimeMs) -> Vec<Name> {
         let mut avoided = self.reach.avoided(now);
         avoided.extend_from_slice(&view.cut_off_domains);
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -131,12 +131,13 @@
     pub desired: Arc<DesiredInForce>,
     pub gate: Arc<Gate>,
     pub targets: Targets,
-    pub placements: Placements,
     pub budgets: RetryBudgets,
     pub roots: RootAdmission,
     pub origins: Arc<RouteOrigins>,
     pub keyed_routes: KeyedRoutes,
     pub allowances: Arc<Allowances>,
+    /// How calls are spread over failure domains.
+    pub placements: Placements,
     /// How old the information received by gossip is.
     pub freshness: Arc<Freshness>,
     pub running: Arc<RunningRoutes>,
@@ -187,12 +188,16 @@
             backend: pool(BACKEND_CONNECT_MS, BACKEND_IDLE_MS),
             gate: Gate::new(clock, shared.metrics.clone(), true, admission_conf()),
             targets: Targets::with_conf(picker_conf()),
-            placements: Placements::default(),
             budgets: RetryBudgets::new(settings.live.retry_bound),
             roots: RootAdmission::default(),
             origins: shared.origins,
             keyed_routes: KeyedRoutes::default(),
             allowances: shared.allowances,
+            placements: Placements::new(
+                settings.node.clone(),
+                settings.domain.clone(),
+                settings.live.placement_conf(),
+            ),
             freshness: shared.freshness,
             running: Arc::default(),
             poison: shared.poison,
@@ -228,6 +233,7 @@
             self.budgets.set_bound(live.retry_bound);
         }
         self.allowances.set_bound(live.allowance_bound);
+        self.placements.set_conf(live.placement_conf());
         self.local().set_heartbeat_ms(live.heartbeat_ms);
         self.live.store(Arc::new(live));
     }
