Allocate the future of a call for the call and not for its connection

hyper reserves the service's future for as long as a connection is open. No connection is opened or closed at another time.

--- a/src/adapters/http_listener.rs
+++ b/src/adapters/http_listener.rs
@@ -134,7 +134,9 @@
     let request_seen = has_request.clone();
     let service = service_fn(move |request| {
         request_seen.store(true, Ordering::Relaxed);
-        let answer = handler(request, from);
+        // A connection reserves the memory of this future also while it is idle. The future of a
+        // call is several kilobytes, so it is allocated for each call instead.
+        let answer = Box::pin(handler(request, from));
         async move { Ok::<_, std::convert::Infallible>(answer.await) }
     });
     let connection = Builder::new()
