Close expired idle connections of the pools without a further request

The pool closed them only when it sent to the same address again, so connections that a surge had opened stayed until the guard's time-out of 30 s. Expired connections are not used again either way, so no more connections are opened.

--- a/src/adapters/connection_pool.rs
+++ b/src/adapters/connection_pool.rs
@@ -114,6 +114,17 @@
         })
     }
 
+    /// Closes the idle connections that are not used again, and forgets addresses that have none
+    /// left. Sending does so only for its own address. The connections to an address that gets no
+    /// more requests would stay open until the server closes them.
+    pub fn close_expired(&self) {
+        let now = self.clock.now();
+        self.lock().retain(|_, connections| {
+            connections.retain(|each| !each.sender.is_closed() && now < each.expires_at);
+            !connections.is_empty()
+        });
+    }
+
     async fn send_head(
         &self,
         address: SocketAddr,
--- a/src/traffic/maintenance.rs
+++ b/src/traffic/maintenance.rs
@@ -13,6 +13,8 @@
 const BOTTLENECK_PERMILLE: u32 = 900;
 /// How often root admission is logged while requests are refused.
 const ADMISSION_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// How often idle connections that are not used again are closed.
+const EXPIRED_CONNECTIONS_INTERVAL: Duration = Duration::from_secs(1);
 
 fn update_downstream_pressure(traffic: &Traffic) {
     let running = traffic.running.all();
@@ -59,3 +61,12 @@
         traffic.gate.poll();
     }
 }
+
+/// Closes the idle connections to other nodes and to the backend server that have expired.
+pub(super) async fn close_expired_connections(traffic: Arc<Traffic>) {
+    loop {
+        tokio::time::sleep(EXPIRED_CONNECTIONS_INTERVAL).await;
+        traffic.peers.close_expired();
+        traffic.backend.close_expired();
+    }
+}
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -41,6 +41,7 @@
 use crate::traffic::listeners::serve_admins;
 use crate::traffic::listeners::serve_callers;
 use crate::traffic::listeners::serve_peers;
+use crate::traffic::maintenance::close_expired_connections;
 use crate::traffic::maintenance::log_admission;
 use crate::traffic::maintenance::poll_gate;
 use crate::traffic::poison_watch::PoisonWatch;
@@ -197,6 +198,7 @@
             tasks.spawn(serve_admins(traffic.clone(), admin.clone(), listener));
         }
         tasks.spawn(poll_gate(traffic.clone()));
+        tasks.spawn(close_expired_connections(traffic.clone()));
         tasks.spawn(log_admission(traffic.clone()));
         tasks.spawn(log_costs(traffic.clone()));
         log::info!(
--- a/tests/adapters_connection_pool.rs
+++ b/tests/adapters_connection_pool.rs
@@ -81,3 +81,48 @@
     send_request(&pool, address).await;
     assert_eq!(connections.load(Ordering::Relaxed), expected);
 }
+
+/// Starts a server that counts its open connections.
+async fn server_with_open_count() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let open = Arc::new(AtomicUsize::new(0));
+    let count = open.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let count = count.clone();
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                serve(stream, "").await;
+                count.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+    (address, open)
+}
+
+/// Failure: connections to addresses that get no more requests stay open, and so does their memory
+/// at both ends, until the server closes them. Those that may still be used are closed.
+#[rstest]
+#[case::expired(300, 0)]
+#[case::in_use(0, 1)]
+#[tokio::test]
+async fn expired_connections_are_closed_without_a_request(
+    #[case] pause_ms: u64,
+    #[case] expected: usize,
+) {
+    let (address, open) = server_with_open_count().await;
+    let conf = PoolConf {
+        connect_timeout_ms: 2_000,
+        idle_ms: 200,
+        silence_ms: 10_000,
+    };
+    let pool = ConnectionPool::new(conf, Clock::new(), BodyBudget::new(1 << 20));
+    send_request(&pool, address).await;
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    assert_eq!(open.load(Ordering::Relaxed), 1);
+    pool.close_expired();
+    // The server sees the end of the connection a little later.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(open.load(Ordering::Relaxed), expected);
+}
