Placement: count other domains in a service's pressure only while there is room in all together

Cause: in a partition the mean over domains hid a sudden loss of capacity, because the other domains' figures are up to 2 s old. Entries admitted requests that were turned away deep in the chain.

--- a/src/placement/placement_table.rs
+++ b/src/placement/placement_table.rs
@@ -50,13 +50,30 @@
         self.split.keeps_all() && self.above_stay.is_empty()
     }
 
-    /// Whether the pressure of the service is that of all reachable domains: the split sends calls
-    /// away, or the demand of a reachable domain is above `stay` of its capacity. The own domain is
-    /// always reachable.
+    /// Whether the pressure of the service is that of all reachable domains: they have room for the
+    /// demand together, but the split sends calls away or the demand of one of them is above `stay`
+    /// of its capacity. The own domain is always reachable.
+    ///
+    /// Without room in all of them the own targets' reports count alone. They are seconds newer than
+    /// the loads of other domains, which hide a sudden loss of capacity for that long: in a partition,
+    /// entries admitted requests that failed deep in the chain.
     pub fn presses_as_a_whole(&self, own_domain: &str, unreachable: &[Name]) -> bool {
         let mut above = self.above_stay.iter();
-        above.any(|domain| **domain == *own_domain || !unreachable.contains(domain))
-            || self.sending_split(unreachable).is_some()
+        let is_uneven = above
+            .any(|domain| **domain == *own_domain || !unreachable.contains(domain))
+            || self.sending_split(unreachable).is_some();
+        is_uneven && self.has_room(own_domain, unreachable)
+    }
+
+    fn has_room(&self, own_domain: &str, unreachable: &[Name]) -> bool {
+        let reachable = self
+            .loads
+            .iter()
+            .filter(|load| *load.domain == *own_domain || !unreachable.contains(&load.domain));
+        let (demand, capacity) = reachable.fold((0.0, 0.0), |(demand, capacity), load| {
+            (demand + load.demand_per_s, capacity + load.capacity_per_s)
+        });
+        demand < capacity
     }
 
     /// The split without the `unreachable` domains; `None` if then no call leaves the own domain.
