Retry budgets: metrics and a log line of what is allowed, spent and denied

The logs could not tell whether a service received too many retries because nodes exceeded their budgets or because budgets were granted twice. Each node now exports allowed, spent and denied retries by service, and logs them once a second while something is spent.

--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -21,6 +21,7 @@
 use crate::metrics::ByReason;
 use crate::metrics::ByRoute;
 use crate::metrics::PlacementMetrics;
+use crate::metrics::RetryMetrics;
 use crate::store::StoreCounters;
 
 /// Upper bounds of the histograms' buckets, in seconds.
@@ -73,6 +74,7 @@
     pub body_bytes: IntGauge,
     pub failing_permille: IntGauge,
     pub placement: PlacementMetrics,
+    pub retry: RetryMetrics,
     pressures: IntGaugeVec,
     admitted: IntGaugeVec,
     account_requests: IntGaugeVec,
@@ -236,6 +238,7 @@
                 "The share of calls that failed at the local backend server lately.",
             ),
             placement: PlacementMetrics::register(&registry),
+            retry: RetryMetrics::register(&registry),
             pressures: gauge_by_service(
                 &registry,
                 "sassafrasgap_pressure_permille",
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -2,12 +2,14 @@
 
 mod allotment;
 mod budget;
+mod budget_use;
 mod decision;
 mod retry_bound;
 mod window_budget;
 
 pub use allotment::Allotment;
 pub use budget::RetryBudget;
+pub use budget_use::BudgetUse;
 pub use decision::AttemptFailure;
 pub use decision::RetryContext;
 pub use decision::retry_reason;
--- a/src/retry/window_budget.rs
+++ b/src/retry/window_budget.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use crate::core::TimeMs;
+use crate::retry::BudgetUse;
 use crate::retry::RetryBound;
 
 /// Number of buckets in which a window is counted.
@@ -43,6 +44,7 @@
     share: RetryBound,
     /// Oldest first; one more than a window has, as a window may begin within the oldest bucket.
     buckets: VecDeque<Bucket>,
+    denied: u64,
 }
 
 impl WindowBudget {
@@ -51,6 +53,7 @@
         Self {
             share,
             buckets: VecDeque::new(),
+            denied: 0,
         }
     }
 
@@ -79,6 +82,7 @@
         if self.spent(now) + 1.0 > allowed
             || spent_recently + 1.0 > (allowed * PACING_SHARE).max(1.0)
         {
+            self.denied += 1;
             return false;
         }
         self.bucket(now).retried += 1.0;
@@ -94,6 +98,15 @@
         self.spent(now) + 1.0 <= self.allowed(now)
     }
 
+    /// How much of the budget is used in the window that ends now.
+    pub fn used(&self, now: TimeMs) -> BudgetUse {
+        BudgetUse {
+            allowed: self.allowed(now),
+            spent: self.spent(now),
+            denied: self.denied,
+        }
+    }
+
     fn spent(&self, now: TimeMs) -> f32 {
         // One more bucket, because the window that ends now begins within the oldest one.
         self.sum(self.bucket_index(now), BUCKETS + 1, |bucket| bucket.retried)
--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -118,6 +118,9 @@
     let failing = traffic.failing_permille(traffic.clock.now());
     traffic.metrics.failing_permille.set(i64::from(failing));
     traffic.metrics.set_overloaded(&traffic.roots.overloaded());
+    let budgets = traffic.budgets.uses(traffic.clock.now());
+    let budgets = budgets.iter().map(|(service, used)| (service, *used));
+    traffic.metrics.retry.set_budgets(budgets);
     let placements = traffic.placements.all_current(traffic.clock.now());
     let loads = placements.iter();
     let loads = loads.map(|(service, placement)| (&**service, &*placement.loads));
--- a/src/traffic/maintenance.rs
+++ b/src/traffic/maintenance.rs
@@ -26,12 +26,13 @@
         .set_downstream_overloaded(highest >= BOTTLENECK_PERMILLE);
 }
 
-/// Logs once a second the overloaded services for which requests are refused, and the queue of the
-/// guard while calls wait.
+/// Logs once a second the overloaded services for which requests are refused, the retry budgets in
+/// use, and the queue of the guard while calls wait.
 pub(super) async fn log_admission(traffic: Arc<Traffic>) {
     loop {
         tokio::time::sleep(ADMISSION_LOG_INTERVAL).await;
         traffic.roots.log_restricted();
+        traffic.budgets.log_used(traffic.clock.now());
         let load = traffic.gate.load();
         if load.queued > 0 {
             log::info!(
--- a/src/traffic/retry_budgets.rs
+++ b/src/traffic/retry_budgets.rs
@@ -8,6 +8,7 @@
 use crate::core::Name;
 use crate::core::TimeMs;
 use crate::core::View;
+use crate::retry::BudgetUse;
 use crate::retry::RetryBound;
 use crate::retry::WindowBudget;
 
@@ -20,6 +21,8 @@
 const USED_SLACK_FRACTION: f32 = 0.5;
 /// Maximum number of budgets; beyond it those of services that are not in the view are dropped.
 const MAX_SERVICES: usize = 1_024;
+/// Budgets of which less than this is spent are not logged.
+const MIN_LOGGED_SPENT: f32 = 1.0;
 
 #[derive(Debug)]
 struct BudgetState {
@@ -78,6 +81,29 @@
         self.lock().budget_of(service).has_remaining(now)
     }
 
+    /// How much of each service's budget is used.
+    pub(super) fn uses(&self, now: TimeMs) -> Vec<(Name, BudgetUse)> {
+        let state = self.lock();
+        let budgets = state.budgets.iter();
+        budgets
+            .map(|(service, budget)| (service.clone(), budget.used(now)))
+            .collect()
+    }
+
+    /// Logs the budgets of which something is spent.
+    pub(super) fn log_used(&self, now: TimeMs) {
+        for (service, used) in self.uses(now) {
+            if used.spent >= MIN_LOGGED_SPENT {
+                log::info!(
+                    "retry: budget in use, service={service} allowed={:.1} spent={:.1} denied={}",
+                    used.allowed,
+                    used.spent,
+                    used.denied
+                );
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BudgetState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
