Retry budgets: a restarted process assumes that its predecessor spent its window

Callers saw nothing, but a refusing service received up to half more retries than the bound allows after its callers' nodes were killed.

Cause: the retry bound holds over a sliding window, and its counts lived in one process only. The predecessor may spend the allowance of a window within a third of it; the successor started with nothing spent and earned a second allowance in the same window. Evidence: the nodes' own budgets, all within their allowance, had charged 715 retries before the kill and 470 after it in one window.

Until a window has passed since its start, a process that is not part of the first start of the whole system now uses only the reserve, the tenth of the ratio that budgets otherwise leave unused. Predecessors use at most nine tenths of the ratio and half of the slack, so both together stay within the bound, also over a series of restarts. No message and no state is needed for it. Two further places forgot counts in the same way: a changed window length, and budgets that are dropped when there are too many services.

--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -5,6 +5,7 @@
 mod budget_use;
 mod decision;
 mod retry_bound;
+mod uncounted;
 mod window_budget;
 
 pub use allotment::Allotment;
@@ -14,4 +15,5 @@
 pub use decision::RetryContext;
 pub use decision::retry_reason;
 pub use retry_bound::RetryBound;
+pub use uncounted::Uncounted;
 pub use window_budget::WindowBudget;
--- a/src/retry/window_budget.rs
+++ b/src/retry/window_budget.rs
@@ -6,6 +6,7 @@
 use crate::core::TimeMs;
 use crate::retry::BudgetUse;
 use crate::retry::RetryBound;
+use crate::retry::Uncounted;
 
 /// Number of buckets in which a window is counted.
 const BUCKETS: u64 = 20;
@@ -38,10 +39,14 @@
 /// This holds only if all use one and the same window. If each node used its own best one of
 /// several windows, their sum would exceed the best window of the whole system whenever load moves
 /// between nodes.
+///
+/// A process counts only its own retries, but a predecessor on the same node may have spent its
+/// whole allowance in the same window. Until a window has passed, only a reserve is allowed.
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     /// This node's part of the system-wide bound.
     share: RetryBound,
+    uncounted: Option<Uncounted>,
     /// Oldest first; one more than a window has, as a window may begin within the oldest bucket.
     buckets: VecDeque<Bucket>,
     denied: u64,
@@ -52,17 +57,23 @@
     pub fn new(share: RetryBound) -> Self {
         Self {
             share,
+            uncounted: None,
             buckets: VecDeque::new(),
             denied: 0,
         }
     }
 
-    /// Replaces the bound. The counts are kept. If the length of the window changes, both first
-    /// attempts and retries are counted from zero again, so that no allowance is granted twice.
-    pub fn set_share(&mut self, share: RetryBound) {
-        if share.window_ms != self.share.window_ms {
-            self.buckets.clear();
+    /// Creates a budget of which an unknown part is spent.
+    pub fn with_uncounted(share: RetryBound, uncounted: Uncounted) -> Self {
+        Self {
+            uncounted: Some(uncounted),
+            ..Self::new(share)
         }
+    }
+
+    /// Replaces the ratio and the slack. The counts are kept, so the window must have the same length.
+    pub fn set_share(&mut self, share: RetryBound) {
+        debug_assert_eq!(share.window_ms, self.share.window_ms);
         self.share = share;
     }
 
@@ -114,7 +125,12 @@
 
     fn allowed(&self, now: TimeMs) -> f32 {
         let first = self.sum(self.bucket_index(now), BUCKETS, |bucket| bucket.first);
-        first * self.share.ratio + self.share.slack
+        match self.uncounted {
+            Some(uncounted) if now < uncounted.before + self.counted_ms() => {
+                first * uncounted.reserve_ratio
+            }
+            _ => first * self.share.ratio + self.share.slack,
+        }
     }
 
     /// The sum over `count` buckets up to and including the bucket `last`.
@@ -123,6 +139,12 @@
         self.buckets.iter().filter(is_within).map(of).sum()
     }
 
+    /// The time over which retries are summed: one more bucket than a window, because the window that
+    /// ends now begins within the oldest one.
+    fn counted_ms(&self) -> u64 {
+        self.share.window_ms * (BUCKETS + 1) / BUCKETS
+    }
+
     fn bucket_index(&self, now: TimeMs) -> u64 {
         now.0 * BUCKETS / self.share.window_ms.max(1)
     }
--- a/src/traffic/retry_budgets.rs
+++ b/src/traffic/retry_budgets.rs
@@ -10,6 +10,7 @@
 use crate::core::View;
 use crate::retry::BudgetUse;
 use crate::retry::RetryBound;
+use crate::retry::Uncounted;
 use crate::retry::WindowBudget;
 
 /// The fraction of the allowed retry ratio that is used. Some is kept in reserve, because the
@@ -30,6 +31,8 @@
     bound: RetryBound,
     /// The number of nodes that share the fixed allowance.
     nodes: usize,
+    /// Retries before this time may be missing in budgets that are created from now on.
+    uncounted_before: Option<TimeMs>,
     budgets: FastMap<Name, WindowBudget>,
 }
 
@@ -40,19 +43,25 @@
 }
 
 impl RetryBudgets {
-    /// Nothing is spent yet.
-    pub(super) fn new(bound: RetryBound) -> Self {
+    /// Creates the budgets of a process that starts now. Unless the whole system starts for the first
+    /// time, the node may have had a predecessor.
+    pub(super) fn new(bound: RetryBound, is_first_start: bool, now: TimeMs) -> Self {
         let state = Mutex::new(BudgetState {
             bound,
             nodes: usize::MAX,
+            uncounted_before: (!is_first_start).then_some(now),
             budgets: FastMap::default(),
         });
         Self { state }
     }
 
-    /// Changes the bound of the whole system; see [`WindowBudget::set_share`].
-    pub(super) fn set_bound(&self, bound: RetryBound) {
+    /// Changes the bound of the whole system. Counts in windows of another length are lost.
+    pub(super) fn set_bound(&self, now: TimeMs, bound: RetryBound) {
         let mut state = self.lock();
+        if bound.window_ms != state.bound.window_ms {
+            state.budgets.clear();
+            state.uncounted_before = Some(now);
+        }
         state.bound = bound;
         state.update_shares();
     }
@@ -66,7 +75,7 @@
         repeated: f32,
     ) {
         let mut state = self.lock();
-        state.update_nodes(view);
+        state.update_nodes(now, view);
         state.budget_of(service).record_first_attempt(now, repeated);
     }
 
@@ -119,15 +128,19 @@
         }
     }
 
-    fn update_nodes(&mut self, view: &View) {
+    fn update_nodes(&mut self, now: TimeMs, view: &View) {
         let nodes = view.nodes.len().max(1);
         if nodes != self.nodes {
             self.nodes = nodes;
             self.update_shares();
         }
-        if self.budgets.len() > MAX_SERVICES {
+        let services = self.budgets.len();
+        if services > MAX_SERVICES {
             self.budgets
                 .retain(|service, _| view.services.contains_key(service));
+            if self.budgets.len() < services {
+                self.uncounted_before = Some(now);
+            }
         }
     }
 
@@ -140,8 +153,15 @@
 
     fn budget_of(&mut self, service: &Name) -> &mut WindowBudget {
         let share = self.share();
+        let uncounted = self.uncounted_before.map(|before| Uncounted {
+            before,
+            reserve_ratio: self.bound.ratio * (1.0 - USED_RATIO_FRACTION),
+        });
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| WindowBudget::new(share))
+            .or_insert_with(|| match uncounted {
+                Some(uncounted) => WindowBudget::with_uncounted(share, uncounted),
+                None => WindowBudget::new(share),
+            })
     }
 }
