Retry budgets: pure decisions in retry::ServiceBudgets, simulated over restarts

The share of the bound, the count of nodes and what a start assumes were decided inside the lock of the request path, where no test reached them.

A simulation in virtual time plays 17 and 200 nodes at two rates with no kill, one kill of all, two of six in ten, a series and a rolling one, three seeds each, and compares every window with the bound.

One case stays red: all nodes restarted on three sides of a partition at 22 calls a second.

--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -5,6 +5,7 @@
 mod budget_use;
 mod decision;
 mod retry_bound;
+mod service_budgets;
 mod uncounted;
 mod window_budget;
 
@@ -15,5 +16,6 @@
 pub use decision::RetryContext;
 pub use decision::retry_reason;
 pub use retry_bound::RetryBound;
+pub use service_budgets::ServiceBudgets;
 pub use uncounted::Uncounted;
 pub use window_budget::WindowBudget;
--- /dev/null
+++ b/tests/retry_restarts.rs
@@ -0,0 +1,194 @@
+//! A simulation in virtual time: the retry bound of a service while its nodes are restarted.
+
+use fastrand::Rng;
+use rstest::rstest;
+use sassafrasgap::core::Name;
+use sassafrasgap::core::TimeMs;
+use sassafrasgap::retry::RetryBound;
+use sassafrasgap::retry::ServiceBudgets;
+
+const BOUND: RetryBound = RetryBound {
+    ratio: 0.2,
+    slack: 50.0,
+    window_ms: 10_000,
+};
+const STEP_MS: u64 = 100;
+const STEPS_PER_WINDOW: usize = 100;
+const STEPS: usize = 600;
+/// The service refuses calls from here on.
+const FAILS_FROM_STEP: usize = 150;
+/// The fraction of calls that it refuses then.
+const FAILING: f32 = 0.75;
+/// How long a killed process is down.
+const DOWN_STEPS: usize = 5;
+
+/// Which processes are killed, and when.
+#[derive(Clone, Copy, Debug)]
+enum Kills {
+    None,
+    /// All of them, once.
+    All,
+    /// Six in ten of them, three seconds apart.
+    PartTwice,
+    /// All of them, every two and a half seconds.
+    Series,
+    /// One after the other, without a pause.
+    Rolling,
+}
+
+impl Kills {
+    fn hits(self, step: usize, node: usize, nodes: usize, random: &mut Rng) -> bool {
+        let since = step.wrapping_sub(FAILS_FROM_STEP);
+        match self {
+            Self::None => false,
+            Self::All => since == 35,
+            Self::PartTwice => [30, 60].contains(&since) && random.f32() < 0.6,
+            Self::Series => since < 200 && since % 25 == 24,
+            Self::Rolling => {
+                since < STEPS
+                    && since * nodes / 200 != (since + 1) * nodes / 200
+                    && since * nodes / 200 == node
+            }
+        }
+    }
+}
+
+/// First attempts and retries of all nodes, by step.
+#[derive(Debug, Default)]
+struct Sent {
+    first: Vec<u32>,
+    retried: Vec<u32>,
+}
+
+impl Sent {
+    fn sum(of: &[u32], from: usize) -> u32 {
+        of.iter().skip(from).take(STEPS_PER_WINDOW).sum()
+    }
+
+    /// The most by which a window's retries exceed the bound; negative while all keep it.
+    fn excess(&self) -> f32 {
+        let windows = STEPS_PER_WINDOW..STEPS - STEPS_PER_WINDOW;
+        let excess = windows.map(|from| {
+            let earlier = [0, STEPS_PER_WINDOW / 2, STEPS_PER_WINDOW];
+            let first = earlier.map(|earlier| Self::sum(&self.first, from - earlier));
+            let most = first.into_iter().max().unwrap_or(0);
+            Self::sum(&self.retried, from) as f32 - (most as f32 * BOUND.ratio + BOUND.slack)
+        });
+        excess.fold(f32::MIN, f32::max)
+    }
+}
+
+/// Plays nodes that each make `calls_per_step` calls on average. After a restart each knows of
+/// `known_nodes` nodes.
+fn play(nodes: usize, calls_per_step: f32, known_nodes: usize, kills: Kills, seed: u64) -> Sent {
+    let service = Name::from("service");
+    let mut random = Rng::with_seed(seed);
+    let start = |now, is_first_start, known_nodes| {
+        let mut budgets = ServiceBudgets::new(BOUND, is_first_start, now);
+        budgets.set_nodes(known_nodes);
+        budgets
+    };
+    let mut processes = vec![start(TimeMs(0), true, nodes); nodes];
+    let mut down_until = vec![0; nodes];
+    let mut sent = Sent::default();
+    for step in 0..STEPS {
+        let now = TimeMs(step as u64 * STEP_MS);
+        let (mut first, mut retried) = (0, 0);
+        for node in 0..nodes {
+            if kills.hits(step, node, nodes, &mut random) {
+                down_until[node] = step + DOWN_STEPS;
+                processes[node] = start(now + DOWN_STEPS as u64 * STEP_MS, false, known_nodes);
+            }
+            let calls = calls_per_step as u32 + u32::from(random.f32() < calls_per_step.fract());
+            first += calls;
+            if step < down_until[node] {
+                continue;
+            }
+            let budgets = &mut processes[node];
+            for _ in 0..calls {
+                budgets.record_first_attempt(now, &service, 0.0);
+                let fails = step >= FAILS_FROM_STEP && random.f32() < FAILING;
+                retried += u32::from(fails && budgets.try_retry(now, &service));
+            }
+        }
+        sent.first.push(first);
+        sent.retried.push(retried);
+    }
+    sent
+}
+
+/// Guards against budgets of which restarted processes spend the same window again.
+#[rstest]
+fn restarts_keep_the_bound(
+    #[values(17, 200)] nodes: usize,
+    #[values(0.3, 3.0)] calls_per_step: f32,
+    #[values(
+        Kills::None,
+        Kills::All,
+        Kills::PartTwice,
+        Kills::Series,
+        Kills::Rolling
+    )]
+    kills: Kills,
+) {
+    for seed in 0..3 {
+        let sent = play(nodes, calls_per_step, nodes, kills, seed);
+        let excess = sent.excess();
+        assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
+    }
+}
+
+/// Guards against a restarted process that never gets its full budget back.
+#[rstest]
+fn a_window_after_a_restart_the_whole_budget_is_back() {
+    let after_kill = play(17, 3.0, 17, Kills::All, 0);
+    let undisturbed = play(17, 3.0, 17, Kills::None, 0);
+    let from = FAILS_FROM_STEP + 35 + DOWN_STEPS + STEPS_PER_WINDOW;
+    let retried = |sent: &Sent| Sent::sum(&sent.retried, from) as f32;
+    let (after_kill, undisturbed) = (retried(&after_kill), retried(&undisturbed));
+    assert!(
+        after_kill >= 0.9 * undisturbed,
+        "{after_kill} of {undisturbed}"
+    );
+}
+
+/// Guards against a fixed allowance that each side of a partition hands out in full, when
+/// processes that start during the partition know only the nodes of their own side.
+#[rstest]
+fn restarts_on_three_sides_of_a_partition_keep_the_bound(#[values(0.12, 3.0)] calls_per_step: f32) {
+    for seed in 0..3 {
+        let sent = play(18, calls_per_step, 6, Kills::All, seed);
+        let excess = sent.excess();
+        assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
+    }
+}
+
+/// Guards against counts that a running process loses, and retries that it then grants again.
+#[rstest]
+#[case::the_window_changes(|budgets: &mut ServiceBudgets, now| {
+    budgets.set_bound(now, RetryBound { window_ms: 8_000, ..BOUND });
+})]
+#[case::budgets_are_dropped(|budgets: &mut ServiceBudgets, now| budgets.retain(now, |_| false))]
+fn lost_counts_grant_no_second_budget(#[case] lose_counts: fn(&mut ServiceBudgets, TimeMs)) {
+    let service = Name::from("service");
+    let mut budgets = ServiceBudgets::new(BOUND, true, TimeMs(0));
+    budgets.set_nodes(17);
+    let mut granted: Vec<u64> = Vec::new();
+    for at_ms in (0..17_000).step_by(10) {
+        let now = TimeMs(at_ms);
+        if at_ms == 13_000 {
+            lose_counts(&mut budgets, now);
+        }
+        budgets.record_first_attempt(now, &service, 0.0);
+        if at_ms >= 9_500 && budgets.try_retry(now, &service) {
+            granted.push(at_ms);
+        }
+    }
+    // All of them are within ten seconds, in which 1,000 calls were made.
+    let allowed = 1_000.0 * BOUND.ratio + BOUND.slack / 17.0;
+    assert!(
+        granted.len() as f32 <= allowed,
+        "{} of {allowed}",
+        granted.len()
+    );
+}
