Retry budgets: a planned stop leaves the retries of its window to the next process

Since a restarted process assumes the worst of its predecessor, failures were hardly retried for a window after planned restarts too.

A process that stops as planned grants no more retries and writes those of its last window into its row of the store. The next process removes them there, and subtracts them from its budget once the store has confirmed the removal; a later kill leaves nothing that could be used again. A handover older than a window is not used: a write may be applied late. Without an answer of the store within 0.3 s the process ends without it.

Two writes to the store for each planned restart.

--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -382,7 +382,12 @@
     counter
 }
 
-fn counter_by(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+pub(super) fn counter_by(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> IntCounterVec {
     let opts = Opts::new(name, help);
     let counter = IntCounterVec::new(opts, labels).expect("the name of a counter is valid");
     registry
--- a/src/metrics/retry_metrics.rs
+++ b/src/metrics/retry_metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::Registry;
 
 use crate::core::Name;
+use crate::metrics::metrics::counter_by;
 use crate::retry::BudgetUse;
 
 /// The retry budget of this node for each service.
@@ -29,15 +30,6 @@
                 .expect("the name of a gauge is free");
             gauge
         };
-        let denied = Opts::new(
-            "sassafrasgap_retries_denied_total",
-            "Retries that this entry did not make because its budget was spent, by service.",
-        );
-        let denied =
-            IntCounterVec::new(denied, &["service"]).expect("the name of a counter is valid");
-        registry
-            .register(Box::new(denied.clone()))
-            .expect("the name of a counter is free");
         Self {
             allowed: gauge(
                 "sassafrasgap_retry_budget_allowed",
@@ -47,7 +39,12 @@
                 "sassafrasgap_retry_budget_spent",
                 "Retries to a service in the last window, including calls made by retries.",
             ),
-            denied,
+            denied: counter_by(
+                registry,
+                "sassafrasgap_retries_denied_total",
+                "Retries that this entry did not make because its budget was spent, by service.",
+                &["service"],
+            ),
         }
     }
 
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -23,8 +23,13 @@
     bound: RetryBound,
     /// The number of nodes that share the fixed allowance.
     nodes: usize,
-    /// Retries before this time may be missing in budgets that are created from now on.
+    started: TimeMs,
+    /// Retries before this time may be missing in the budgets.
     uncounted_before: Option<TimeMs>,
+    /// How many those are by service, if known. Services without any are left out.
+    predecessor_retries: Option<FastMap<Name, u32>>,
+    /// No more retries are granted.
+    is_closed: bool,
     budgets: FastMap<Name, WindowBudget>,
 }
 
@@ -35,7 +40,10 @@
         Self {
             bound,
             nodes: usize::MAX,
+            started: now,
             uncounted_before: (!is_first_start).then_some(now),
+            predecessor_retries: None,
+            is_closed: false,
             budgets: FastMap::default(),
         }
     }
@@ -44,7 +52,7 @@
     pub fn set_bound(&mut self, now: TimeMs, bound: RetryBound) {
         if bound.window_ms != self.bound.window_ms {
             self.budgets.clear();
-            self.uncounted_before = Some(now);
+            self.lose_counts(now);
         }
         self.bound = bound;
         self.update_shares();
@@ -66,13 +74,13 @@
 
     /// Takes a retry from the budget; returns false if the budget is spent.
     pub fn try_retry(&mut self, now: TimeMs, service: &Name) -> bool {
-        self.budget_of(service).try_retry(now)
+        !self.is_closed && self.budget_of(service).try_retry(now)
     }
 
     /// Whether a retried request that makes calls to the service may start; see
     /// [`WindowBudget::has_remaining`].
     pub fn has_remaining(&mut self, now: TimeMs, service: &Name) -> bool {
-        self.budget_of(service).has_remaining(now)
+        !self.is_closed && self.budget_of(service).has_remaining(now)
     }
 
     /// How much of each service's budget is used.
@@ -96,10 +104,60 @@
         let services = self.len();
         self.budgets.retain(|service, _| is_kept(service));
         if self.len() < services {
-            self.uncounted_before = Some(now);
+            self.lose_counts(now);
         }
     }
 
+    /// Grants no more retries, and returns how many are in the window that ends now, by service, for
+    /// the successor of this process. `None` if that is unknown.
+    pub fn close(&mut self, now: TimeMs) -> Option<FastMap<Name, u32>> {
+        self.is_closed = true;
+        let mut retries = match self.uncounted_until().filter(|until| now < *until) {
+            Some(_) => self.predecessor_retries.clone()?,
+            None => FastMap::default(),
+        };
+        for (service, used) in self.uses(now) {
+            let counted = used.spent.ceil() as u32;
+            if counted > 0 {
+                *retries.entry(service.clone()).or_default() += counted;
+            }
+        }
+        Some(retries)
+    }
+
+    /// Applies what the predecessor returned from [`Self::close`].
+    pub fn set_predecessor(&mut self, retries: FastMap<Name, u32>) {
+        if self.uncounted_before != Some(self.started) {
+            return;
+        }
+        self.predecessor_retries = Some(retries);
+        let services: Vec<Name> = self.budgets.keys().cloned().collect();
+        for service in services {
+            let uncounted = self.uncounted_of(&service);
+            self.budget_of(&service).set_uncounted(uncounted);
+        }
+    }
+
+    fn lose_counts(&mut self, now: TimeMs) {
+        self.uncounted_before = Some(now);
+        self.predecessor_retries = None;
+    }
+
+    fn uncounted_until(&self) -> Option<TimeMs> {
+        let counted_ms = WindowBudget::counted_ms(self.bound.window_ms);
+        self.uncounted_before.map(|before| before + counted_ms)
+    }
+
+    fn uncounted_of(&self, service: &Name) -> Option<Uncounted> {
+        let retries = self.predecessor_retries.as_ref();
+        let retries = retries.map(|known| known.get(service).copied().unwrap_or(0) as f32);
+        self.uncounted_until().map(|until| Uncounted {
+            until,
+            retries,
+            reserve_ratio: self.bound.ratio * (1.0 - USED_RATIO_FRACTION),
+        })
+    }
+
     /// This node's share of the bound.
     fn share(&self) -> RetryBound {
         RetryBound {
@@ -118,15 +176,9 @@
 
     fn budget_of(&mut self, service: &Name) -> &mut WindowBudget {
         let share = self.share();
-        let uncounted = self.uncounted_before.map(|before| Uncounted {
-            before,
-            reserve_ratio: self.bound.ratio * (1.0 - USED_RATIO_FRACTION),
-        });
+        let uncounted = self.uncounted_of(service);
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| match uncounted {
-                Some(uncounted) => WindowBudget::with_uncounted(share, uncounted),
-                None => WindowBudget::new(share),
-            })
+            .or_insert_with(|| WindowBudget::new(share, uncounted))
     }
 }
--- a/src/retry/uncounted.rs
+++ b/src/retry/uncounted.rs
@@ -2,12 +2,13 @@
 
 use crate::core::TimeMs;
 
-/// Retries that were made before a budget began to count, for example by a process that was killed.
+/// Retries that were made before a budget began to count, by the predecessor of the process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Uncounted {
-    /// All of them were made before this time.
-    pub before: TimeMs,
-    /// Retries for each first attempt that are allowed in addition, as long as they may be in the
-    /// same window.
+    /// Until then, some of them may be in the window that ends now.
+    pub until: TimeMs,
+    /// How many there are at most; `None` if that is unknown.
+    pub retries: Option<f32>,
+    /// Retries for each first attempt that the bound allows in addition, however many there are.
     pub reserve_ratio: f32,
 }
--- a/src/retry/window_budget.rs
+++ b/src/retry/window_budget.rs
@@ -41,7 +41,8 @@
 /// between nodes.
 ///
 /// A process counts only its own retries, but a predecessor on the same node may have spent its
-/// whole allowance in the same window. Until a window has passed, only a reserve is allowed.
+/// whole allowance in the same window. Until a window has passed, its retries are subtracted. If
+/// their number is unknown, only a reserve is allowed.
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     /// This node's part of the system-wide bound.
@@ -53,22 +54,25 @@
 }
 
 impl WindowBudget {
-    /// Creates a budget of which nothing is spent.
-    pub fn new(share: RetryBound) -> Self {
+    /// Creates a budget of which nothing is spent, except by a predecessor.
+    pub fn new(share: RetryBound, uncounted: Option<Uncounted>) -> Self {
         Self {
             share,
-            uncounted: None,
+            uncounted,
             buckets: VecDeque::new(),
             denied: 0,
         }
     }
 
-    /// Creates a budget of which an unknown part is spent.
-    pub fn with_uncounted(share: RetryBound, uncounted: Uncounted) -> Self {
-        Self {
-            uncounted: Some(uncounted),
-            ..Self::new(share)
-        }
+    /// Replaces what is known of retries by the predecessor.
+    pub fn set_uncounted(&mut self, uncounted: Option<Uncounted>) {
+        self.uncounted = uncounted;
+    }
+
+    /// How long a retry counts in a window of this length, in milliseconds: one bucket longer,
+    /// because the window that ends now begins within the oldest one.
+    pub fn counted_ms(window_ms: u64) -> u64 {
+        window_ms * (BUCKETS + 1) / BUCKETS
     }
 
     /// Replaces the ratio and the slack. The counts are kept, so the window must have the same length.
@@ -125,12 +129,12 @@
 
     fn allowed(&self, now: TimeMs) -> f32 {
         let first = self.sum(self.bucket_index(now), BUCKETS, |bucket| bucket.first);
-        match self.uncounted {
-            Some(uncounted) if now < uncounted.before + self.counted_ms() => {
-                first * uncounted.reserve_ratio
-            }
-            _ => first * self.share.ratio + self.share.slack,
-        }
+        let granted = first * self.share.ratio + self.share.slack;
+        let Some(uncounted) = self.uncounted.filter(|uncounted| now < uncounted.until) else {
+            return granted;
+        };
+        let left = uncounted.retries.map_or(0.0, |retries| granted - retries);
+        left.max(first * uncounted.reserve_ratio)
     }
 
     /// The sum over `count` buckets up to and including the bucket `last`.
@@ -139,12 +143,6 @@
         self.buckets.iter().filter(is_within).map(of).sum()
     }
 
-    /// The time over which retries are summed: one more bucket than a window, because the window that
-    /// ends now begins within the oldest one.
-    fn counted_ms(&self) -> u64 {
-        self.share.window_ms * (BUCKETS + 1) / BUCKETS
-    }
-
     fn bucket_index(&self, now: TimeMs) -> u64 {
         now.0 * BUCKETS / self.share.window_ms.max(1)
     }
--- a/src/traffic/retry_budgets.rs
+++ b/src/traffic/retry_budgets.rs
@@ -4,6 +4,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use crate::core::FastMap;
 use crate::core::Name;
 use crate::core::TimeMs;
 use crate::core::View;
@@ -60,6 +61,16 @@
         self.lock().has_remaining(now, service)
     }
 
+    /// Ends the budgets, and returns what the successor has to know; see [`ServiceBudgets::close`].
+    pub(super) fn close(&self, now: TimeMs) -> Option<FastMap<Name, u32>> {
+        self.lock().close(now)
+    }
+
+    /// Applies what the predecessor has spent; see [`ServiceBudgets::set_predecessor`].
+    pub(super) fn set_predecessor(&self, retries: FastMap<Name, u32>) {
+        self.lock().set_predecessor(retries);
+    }
+
     /// How much of each service's budget is used.
     pub(super) fn uses(&self, now: TimeMs) -> Vec<(Name, BudgetUse)> {
         let budgets = self.lock();
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -146,16 +146,21 @@
     async fn maintain_row(&self, writer: &mut RowWriter, before: Option<RosterRow>) {
         let mut written = before.clone();
         let mut status = self.traffic.local_status.subscribe();
+        let mut handover = self.traffic.retry_handover.subscribe();
         let mut checks = RowChecks::new(&self.eras);
         let mut pause = Backoff::default();
         loop {
             status.mark_unchanged();
+            handover.mark_unchanged();
             let wanted = self.wanted_row(before.as_ref());
             if written.as_ref() == Some(&wanted) {
                 tokio::select! {
                     changed = status.changed() => if changed.is_err() {
                         return;
                     },
+                    changed = handover.changed() => if changed.is_err() {
+                        return;
+                    },
                     () = checks.due() => {
                         writer.forget();
                         written = None;
@@ -166,6 +171,7 @@
             match writer.write(&wanted.encode()).await {
                 WriteOutcome::Written => {
                     pause.reset();
+                    self.retries_are_handed_over(&wanted, before.as_ref());
                     written = Some(wanted);
                 }
                 WriteOutcome::Retry(error) => {
@@ -180,6 +186,23 @@
     fn wanted_row(&self, before: Option<&RosterRow>) -> RosterRow {
         let status = self.traffic.local_status.borrow();
         let domain = &self.traffic.settings.domain;
-        RosterRow::of(self.control.address, domain, &status, before)
+        let handover = self.traffic.retry_handover.borrow().clone();
+        RosterRow::of(self.control.address, domain, &status, before, handover)
+    }
+
+    /// Continues with the predecessor's retries once they are no longer in the row, where the
+    /// successor of a killed process would find them again. Or lets this process end, once its own
+    /// retries are there.
+    fn retries_are_handed_over(&self, written: &RosterRow, before: Option<&RosterRow>) {
+        if written.retry_handover.is_some() {
+            self.traffic.is_handed_over.send_replace(true);
+            return;
+        }
+        let window_ms = self.traffic.live().retry_bound.window_ms;
+        let handover = before.and_then(|before| before.retry_handover.as_ref());
+        if let Some(handover) = handover.filter(|handover| handover.is_recent(window_ms)) {
+            let retries = handover.retries.clone();
+            self.traffic.budgets.set_predecessor(retries);
+        }
     }
 }
--- a/src/traffic/roster_row.rs
+++ b/src/traffic/roster_row.rs
@@ -9,6 +9,7 @@
 use crate::core::stable_hash;
 use crate::store::StoredRow;
 use crate::traffic::KnownServer;
+use crate::traffic::RetryHandover;
 use crate::traffic::traffic::LocalServerStatus;
 
 /// The number of hash bytes before a node's name in its key: enough to spread thousands of nodes
@@ -45,6 +46,9 @@
     /// Its backend server, as last reported.
     #[serde(default)]
     pub known: Option<KnownServer>,
+    /// Set at a planned stop, and removed by the next process before it uses it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_handover: Option<RetryHandover>,
 }
 
 impl RosterRow {
@@ -55,6 +59,7 @@
         domain: &Name,
         status: &LocalServerStatus,
         before: Option<&Self>,
+        retry_handover: Option<RetryHandover>,
     ) -> Self {
         let current = Self {
             control_address: Some(control_address),
@@ -62,11 +67,13 @@
             leaving: status.leaving.clone(),
             leaving_started_unix_ms: status.leaving_started_unix_ms,
             known: status.known.clone(),
+            retry_handover,
         };
         match before {
             Some(before) if current.leaving.is_none() && current.known.is_none() => Self {
                 control_address: current.control_address,
                 domain: current.domain,
+                retry_handover: current.retry_handover,
                 ..before.clone()
             },
             _ => current,
--- a/src/traffic/stop.rs
+++ b/src/traffic/stop.rs
@@ -5,8 +5,10 @@
 
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::core::TargetState;
+use crate::traffic::RetryHandover;
 use crate::traffic::TrafficProcess;
 
 /// How long the node still announces that it accepts calls: its backend server continues to work,
@@ -20,6 +22,9 @@
 /// How long no request must have been in progress before the node exits, so the last answers have
 /// been sent.
 const IDLE_BEFORE_EXIT: Duration = Duration::from_millis(250);
+/// How long the node waits for the store before it exits. Its successor uses less of its retry budget
+/// if the store does not answer.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often requests in progress are counted.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -38,6 +43,7 @@
         sleep(ENTRY_CLOSED_AFTER.saturating_sub(started.elapsed())).await;
         self.traffic.entry_closed.store(true, Ordering::Relaxed);
         self.finish(started, deadline).await;
+        self.hand_over_retries().await;
         log::info!(
             "node: leaves, in_progress={}",
             self.traffic.requests_in_progress()
@@ -51,6 +57,22 @@
         }
     }
 
+    /// Leaves the retries of the last window to the successor, if the store answers in time.
+    async fn hand_over_retries(&self) {
+        let traffic = &self.traffic;
+        let Some(retries) = traffic.budgets.close(traffic.clock.now()) else {
+            return;
+        };
+        let mut is_handed_over = traffic.is_handed_over.subscribe();
+        traffic
+            .retry_handover
+            .send_replace(Some(RetryHandover::now(retries)));
+        let written = is_handed_over.wait_for(|is_handed_over| *is_handed_over);
+        if timeout(HANDOVER_TIMEOUT, written).await.is_err() {
+            log::info!("node: retries not handed over, the store does not answer in time");
+        }
+    }
+
     async fn finish(&self, started: Instant, deadline: Instant) {
         let mut last_busy = started;
         loop {
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -35,6 +35,7 @@
 use crate::traffic::LiveSettings;
 use crate::traffic::LocalChange;
 use crate::traffic::LocalServer;
+use crate::traffic::RetryHandover;
 use crate::traffic::TrafficSettings;
 use crate::traffic::allowances::Allowances;
 use crate::traffic::keyed_routes::KeyedRoutes;
@@ -155,6 +156,10 @@
     /// True once the entry accepts no more requests in a planned stop.
     pub entry_closed: AtomicBool,
     pub local_status: watch::Sender<LocalServerStatus>,
+    /// The retries of this process, once it stops and grants no more.
+    pub retry_handover: watch::Sender<Option<RetryHandover>>,
+    /// True once the node's row has the handover.
+    pub is_handed_over: watch::Sender<bool>,
     live: Published<LiveSettings>,
     local: Mutex<LocalServer>,
     advertisement_cache: Mutex<AdvertisementCache>,
@@ -211,6 +216,8 @@
             is_leaving: AtomicBool::new(false),
             entry_closed: AtomicBool::new(false),
             local_status: watch::Sender::new(unknown),
+            retry_handover: watch::Sender::new(None),
+            is_handed_over: watch::Sender::new(false),
             failing: Mutex::default(),
             local: Mutex::new(LocalServer::new(settings.live.heartbeat_ms)),
             advertisement_cache: Mutex::default(),
--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -22,7 +22,7 @@
 /// How long a killed process is down.
 const DOWN_STEPS: usize = 5;
 
-/// Which processes are killed, and when.
+/// Which processes are killed or stopped, and when.
 #[derive(Clone, Copy, Debug)]
 enum Kills {
     None,
@@ -34,16 +34,24 @@
     Series,
     /// One after the other, without a pause.
     Rolling,
+    /// All of them are stopped as planned, once.
+    AllPlanned,
+    /// All of them are stopped as planned every two and a half seconds.
+    SeriesPlanned,
 }
 
 impl Kills {
+    fn are_planned(self) -> bool {
+        matches!(self, Self::AllPlanned | Self::SeriesPlanned)
+    }
+
     fn hits(self, step: usize, node: usize, nodes: usize, random: &mut Rng) -> bool {
         let since = step.wrapping_sub(FAILS_FROM_STEP);
         match self {
             Self::None => false,
-            Self::All => since == 35,
+            Self::All | Self::AllPlanned => since == 35,
             Self::PartTwice => [30, 60].contains(&since) && random.f32() < 0.6,
-            Self::Series => since < 200 && since % 25 == 24,
+            Self::Series | Self::SeriesPlanned => since < 200 && since % 25 == 24,
             Self::Rolling => {
                 since < STEPS
                     && since * nodes / 200 != (since + 1) * nodes / 200
@@ -97,7 +105,11 @@
         for node in 0..nodes {
             if kills.hits(step, node, nodes, &mut random) {
                 down_until[node] = step + DOWN_STEPS;
+                let handover = processes[node].close(now).filter(|_| kills.are_planned());
                 processes[node] = start(now + DOWN_STEPS as u64 * STEP_MS, false, known_nodes);
+                if let Some(retries) = handover {
+                    processes[node].set_predecessor(retries);
+                }
             }
             let calls = calls_per_step as u32 + u32::from(random.f32() < calls_per_step.fract());
             first += calls;
@@ -127,7 +139,9 @@
         Kills::All,
         Kills::PartTwice,
         Kills::Series,
-        Kills::Rolling
+        Kills::Rolling,
+        Kills::AllPlanned,
+        Kills::SeriesPlanned
     )]
     kills: Kills,
 ) {
@@ -152,6 +166,28 @@
     );
 }
 
+/// Guards against a planned restart after which failures are not retried for a window.
+#[rstest]
+fn a_planned_restart_keeps_the_budget_that_is_not_spent() {
+    let service = Name::from("service");
+    let mut before = ServiceBudgets::new(BOUND, true, TimeMs(0));
+    before.record_first_attempt(TimeMs(9_000), &service, 0.0);
+    let retries = before.close(TimeMs(10_000)).expect("all are known");
+    assert!(!before.try_retry(TimeMs(10_000), &service));
+    let mut after = ServiceBudgets::new(BOUND, false, TimeMs(0));
+    after.set_predecessor(retries);
+    let mut granted = 0;
+    for at_ms in (0..5_000).step_by(10) {
+        after.record_first_attempt(TimeMs(at_ms), &service, 0.0);
+        granted += u32::from(after.try_retry(TimeMs(at_ms), &service));
+    }
+    let allowed = 500.0 * BOUND.ratio;
+    assert!(
+        f64::from(granted) > f64::from(allowed) / 2.0,
+        "{granted} of {allowed}"
+    );
+}
+
 /// Guards against a fixed allowance that each side of a partition hands out in full, when
 /// processes that start during the partition know only the nodes of their own side.
 #[rstest]
