--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -19,12 +19,16 @@
 const FAILS_FROM_STEP: usize = 150;
 /// The fraction of calls that it refuses then.
 const FAILING: f32 = 0.75;
+/// How long the service fails before all processes are restarted at once.
+const ALL_AFTER_STEPS: usize = 35;
+/// The time over which processes are restarted one after the other.
+const ROLLING_STEPS: usize = 200;
 /// How long a killed process is down.
 const DOWN_STEPS: usize = 5;
 
 /// Which processes are killed or stopped, and when.
 #[derive(Clone, Copy, Debug)]
-enum Kills {
+enum Restarts {
     None,
     /// All of them, once.
     All,
@@ -40,22 +44,23 @@
     SeriesPlanned,
 }
 
-impl Kills {
+impl Restarts {
     fn are_planned(self) -> bool {
         matches!(self, Self::AllPlanned | Self::SeriesPlanned)
     }
 
     fn hits(self, step: usize, node: usize, nodes: usize, random: &mut Rng) -> bool {
-        let since = step.wrapping_sub(FAILS_FROM_STEP);
+        let Some(since) = step.checked_sub(FAILS_FROM_STEP) else {
+            return false;
+        };
         match self {
             Self::None => false,
-            Self::All | Self::AllPlanned => since == 35,
+            Self::All | Self::AllPlanned => since == ALL_AFTER_STEPS,
             Self::PartTwice => [30, 60].contains(&since) && random.f32() < 0.6,
             Self::Series | Self::SeriesPlanned => since < 200 && since % 25 == 24,
             Self::Rolling => {
-                since < STEPS
-                    && since * nodes / 200 != (since + 1) * nodes / 200
-                    && since * nodes / 200 == node
+                let turn = |since| since * nodes / ROLLING_STEPS;
+                since < ROLLING_STEPS && turn(since) == node && turn(since + 1) != node
             }
         }
     }
@@ -88,7 +93,13 @@
 
 /// Plays nodes that each make `calls_per_step` calls on average. After a restart each knows of
 /// `known_nodes` nodes.
-fn play(nodes: usize, calls_per_step: f32, known_nodes: usize, kills: Kills, seed: u64) -> Sent {
+fn play(
+    nodes: usize,
+    calls_per_step: f32,
+    known_nodes: usize,
+    restarts: Restarts,
+    seed: u64,
+) -> Sent {
     let service = Name::from("service");
     let mut random = Rng::with_seed(seed);
     let start = |now, is_first_start, known_nodes| {
@@ -103,9 +114,11 @@
         let now = TimeMs(step as u64 * STEP_MS);
         let (mut first, mut retried) = (0, 0);
         for node in 0..nodes {
-            if kills.hits(step, node, nodes, &mut random) {
+            if restarts.hits(step, node, nodes, &mut random) {
                 down_until[node] = step + DOWN_STEPS;
-                let handover = processes[node].close(now).filter(|_| kills.are_planned());
+                let handover = processes[node]
+                    .close(now)
+                    .filter(|_| restarts.are_planned());
                 processes[node] = start(now + DOWN_STEPS as u64 * STEP_MS, false, known_nodes);
                 if let Some(retries) = handover {
                     processes[node].set_predecessor(retries);
@@ -135,18 +148,18 @@
     #[values(17, 200)] nodes: usize,
     #[values(0.3, 3.0)] calls_per_step: f32,
     #[values(
-        Kills::None,
-        Kills::All,
-        Kills::PartTwice,
-        Kills::Series,
-        Kills::Rolling,
-        Kills::AllPlanned,
-        Kills::SeriesPlanned
+        Restarts::None,
+        Restarts::All,
+        Restarts::PartTwice,
+        Restarts::Series,
+        Restarts::Rolling,
+        Restarts::AllPlanned,
+        Restarts::SeriesPlanned
     )]
-    kills: Kills,
+    restarts: Restarts,
 ) {
     for seed in 0..3 {
-        let sent = play(nodes, calls_per_step, nodes, kills, seed);
+        let sent = play(nodes, calls_per_step, nodes, restarts, seed);
         let excess = sent.excess();
         assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
     }
@@ -155,9 +168,9 @@
 /// Guards against a restarted process that never gets its full budget back.
 #[rstest]
 fn a_window_after_a_restart_the_whole_budget_is_back() {
-    let after_kill = play(17, 3.0, 17, Kills::All, 0);
-    let undisturbed = play(17, 3.0, 17, Kills::None, 0);
-    let from = FAILS_FROM_STEP + 35 + DOWN_STEPS + STEPS_PER_WINDOW;
+    let after_kill = play(17, 3.0, 17, Restarts::All, 0);
+    let undisturbed = play(17, 3.0, 17, Restarts::None, 0);
+    let from = FAILS_FROM_STEP + ALL_AFTER_STEPS + DOWN_STEPS + STEPS_PER_WINDOW;
     let retried = |sent: &Sent| Sent::sum(&sent.retried, from) as f32;
     let (after_kill, undisturbed) = (retried(&after_kill), retried(&undisturbed));
     assert!(
@@ -193,7 +206,7 @@
 #[rstest]
 fn restarts_on_three_sides_of_a_partition_keep_the_bound(#[values(0.12, 3.0)] calls_per_step: f32) {
     for seed in 0..3 {
-        let sent = play(18, calls_per_step, 6, Kills::All, seed);
+        let sent = play(18, calls_per_step, 6, Restarts::All, seed);
         let excess = sent.excess();
         assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
     }
