--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -201,8 +201,8 @@
     );
 }
 
-/// Guards against a fixed allowance that each side of a partition hands out in full, when
-/// processes that start during the partition know only the nodes of their own side.
+/// Guards against a fixed allowance that each side of a partition divides among its own nodes only,
+/// because processes that start during the partition know no others.
 #[rstest]
 fn restarts_on_three_sides_of_a_partition_keep_the_bound(#[values(0.12, 3.0)] calls_per_step: f32) {
     for seed in 0..3 {
