Mesh: reserve the addresses of a mesh with a port that no process binds

Cause: a block of addresses was found to be free by binding the platform's own address and closing the listener. Between fork and exec, a process that another test thread starts holds copies of all sockets, so the address could still be in use when the platform bound it; the platform then ended at once.

The reservation is now a listener on a port of its own that lives as long as the mesh, so two meshes cannot find the same block either. A platform that ends while it is waited for is reported with its exit status and its last line.

--- a/src/errors/mesh.rs
+++ b/src/errors/mesh.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 
 use thiserror::Error;
 
@@ -32,6 +33,13 @@
     NotRunning { name: Name },
     #[error("{name} is still running after {wait_ms} ms")]
     StillRuns { name: Name, wait_ms: u64 },
+    #[error("{name} ended ({status}): {output}")]
+    Ended {
+        name: Name,
+        status: ExitStatus,
+        /// The last line that it printed.
+        output: String,
+    },
     #[error("cannot signal {name}: {source}")]
     Signal {
         name: Name,
--- a/src/mesh/address_plan.rs
+++ b/src/mesh/address_plan.rs
@@ -17,6 +17,8 @@
 /// Blocks tried before giving up.
 const BLOCK_TRIES: u32 = 64;
 
+/// No process of a mesh listens on it; see [`AddressPlan::find`].
+const RESERVATION_PORT: u16 = 6999;
 const PLATFORM_PORT: u16 = 7000;
 const CALLER_PORT: u16 = 7001;
 const LOCAL_PORT: u16 = 7002;
@@ -29,10 +31,11 @@
 
 static MESHES_STARTED: AtomicU32 = AtomicU32::new(0);
 
-/// The addresses of one mesh.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The addresses of one mesh. No other mesh gets them as long as it lives.
+#[derive(Debug)]
 pub struct AddressPlan {
     first: u32,
+    _reservation: TcpListener,
 }
 
 /// The addresses of one node and its backend server.
@@ -50,7 +53,11 @@
 }
 
 impl AddressPlan {
-    /// Finds a block that no other mesh uses, by trying the platform's address in it.
+    /// Finds a block that no other mesh uses, and reserves it.
+    ///
+    /// The reservation is a listener on a port of its own. A process that another thread is starting
+    /// holds copies of all sockets of this process for a moment, so an address that was bound here
+    /// to find out whether it is free may not be free yet when the platform binds it.
     ///
     /// # Errors
     /// When no block is free, such as on systems where only 127.0.0.1 is loopback.
@@ -59,11 +66,12 @@
         let start = process::id().wrapping_mul(97).wrapping_add(started);
         for attempt in 0..BLOCK_TRIES {
             let block = start.wrapping_add(attempt * 1_009) % BLOCKS;
-            let plan = Self {
-                first: FIRST_BLOCK + block * BLOCK_ADDRESSES,
-            };
-            if TcpListener::bind(plan.platform()).is_ok() {
-                return Ok(plan);
+            let first = FIRST_BLOCK + block * BLOCK_ADDRESSES;
+            if let Ok(reservation) = TcpListener::bind(socket_address(first, RESERVATION_PORT)) {
+                return Ok(Self {
+                    first,
+                    _reservation: reservation,
+                });
             }
         }
         Err(MeshError::NoAddress)
@@ -93,7 +101,11 @@
     }
 
     fn address(&self, offset: u32, port: u16) -> SocketAddr {
-        // The very first address of a block may end in .0; it is as good as any other on loopback.
-        SocketAddr::from((Ipv4Addr::from(self.first + offset), port))
+        socket_address(self.first + offset, port)
     }
 }
+
+/// The very first address of a block may end in .0; it is as good as any other on loopback.
+fn socket_address(ip: u32, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(ip), port))
+}
--- a/src/mesh/mesh.rs
+++ b/src/mesh/mesh.rs
@@ -44,6 +44,7 @@
     pub targets: Vec<MeshTarget>,
     pub net: Arc<Net>,
     pub web: Web,
+    addresses: AddressPlan,
     relays: Vec<AbortHandle>,
     folder: MeshFolder,
 }
@@ -63,16 +64,23 @@
             targets: Vec::new(),
             net: Arc::new(Net::new()),
             web: Web::new(),
+            addresses,
             relays: Vec::new(),
             folder,
             plan,
         };
-        wait_serves(&mesh.web, "platform", mesh.platform_address, READY_WAIT_MS).await?;
+        wait_serves(
+            &mesh.web,
+            &mut mesh.platform,
+            mesh.platform_address,
+            READY_WAIT_MS,
+        )
+        .await?;
         publish_presets(&mesh.plan, mesh.platform_address).await?;
         if mesh.plan.relayed {
-            mesh.start_relays(&addresses).await?;
+            mesh.start_relays().await?;
         }
-        mesh.start_targets(&addresses)?;
+        mesh.start_targets()?;
         let wait_ms = READY_WAIT_MS + READY_WAIT_PER_TARGET_MS * mesh.targets.len() as u64;
         wait_ready(&mesh, wait_ms).await?;
         Ok(mesh)
@@ -189,27 +197,27 @@
         self.folder.path()
     }
 
-    fn start_targets(&mut self, addresses: &AddressPlan) -> Result<(), MeshError> {
+    fn start_targets(&mut self) -> Result<(), MeshError> {
         let site = TargetSite {
-            seeds: self.seeds(addresses),
+            seeds: self.seeds(),
             plan: &self.plan,
             folder: self.folder.path(),
             platform: self.platform_address,
         };
         for (index, target) in self.plan.targets.iter().enumerate() {
-            let started = MeshTarget::start(&site, target, addresses.node(index))?;
+            let started = MeshTarget::start(&site, target, self.addresses.node(index))?;
             self.targets.push(started);
         }
         Ok(())
     }
 
-    fn seeds(&self, addresses: &AddressPlan) -> Vec<SocketAddr> {
+    fn seeds(&self) -> Vec<SocketAddr> {
         let mut seeds = Vec::new();
         for domain in self.plan.domains() {
             let targets = self.plan.targets.iter().enumerate();
             let of_domain = targets.filter(|(_, target)| target.domain == domain);
             for (index, _) in of_domain.take(SEEDS_PER_DOMAIN) {
-                let node = addresses.node(index);
+                let node = self.addresses.node(index);
                 seeds.push(match self.plan.relayed {
                     true => node.relayed_control,
                     false => node.control,
@@ -219,11 +227,11 @@
         seeds
     }
 
-    async fn start_relays(&mut self, addresses: &AddressPlan) -> Result<(), MeshError> {
-        let domains = Arc::new(self.domains_by_address(addresses));
+    async fn start_relays(&mut self) -> Result<(), MeshError> {
+        let domains = Arc::new(self.domains_by_address());
         let mut ends = FastMap::default();
         for (index, target) in self.plan.targets.clone().iter().enumerate() {
-            let node = addresses.node(index);
+            let node = self.addresses.node(index);
             let relay = |kind: &str, listen, real| TcpRelay {
                 net: self.net.clone(),
                 link: Name::from(format!("{kind}:{}", target.node)),
@@ -261,10 +269,10 @@
         }
     }
 
-    fn domains_by_address(&self, addresses: &AddressPlan) -> FastMap<std::net::IpAddr, Name> {
+    fn domains_by_address(&self) -> FastMap<std::net::IpAddr, Name> {
         let targets = self.plan.targets.iter().enumerate();
         targets
-            .map(|(index, target)| (addresses.node(index).peer.ip(), target.domain.clone()))
+            .map(|(index, target)| (self.addresses.node(index).peer.ip(), target.domain.clone()))
             .collect()
     }
 }
--- a/src/mesh/process.rs
+++ b/src/mesh/process.rs
@@ -1,5 +1,6 @@
 //! One process of a mesh.
 
+use std::fs;
 use std::fs::OpenOptions;
 use std::path::PathBuf;
 use std::process::Child;
@@ -128,6 +129,13 @@
         child.try_wait().ok().flatten()
     }
 
+    /// The last line that it printed; empty if there is none.
+    pub fn last_output(&self) -> String {
+        let output = fs::read(&self.launch.log).unwrap_or_default();
+        let output = String::from_utf8_lossy(&output);
+        output.lines().last().unwrap_or_default().to_string()
+    }
+
     /// Waits until it has ended.
     ///
     /// # Errors
--- a/src/mesh/ready.rs
+++ b/src/mesh/ready.rs
@@ -12,16 +12,17 @@
 use crate::core::Target;
 use crate::core::TargetState;
 use crate::errors::MeshError;
+use crate::mesh::ManagedProcess;
 use crate::mesh::Mesh;
 use crate::mesh::MeshTarget;
 use crate::mesh::Web;
 
 const POLL: Duration = Duration::from_millis(20);
 
-/// Waits until something is listening at an address.
+/// Waits until a process listens at an address.
 pub(super) async fn wait_serves(
     web: &Web,
-    name: &str,
+    process: &mut ManagedProcess,
     address: SocketAddr,
     wait_ms: u64,
 ) -> Result<(), MeshError> {
@@ -31,8 +32,15 @@
             Ok(_) => return Ok(()),
             Err(error) => error.to_string(),
         };
+        let name = process.name().clone();
+        if let Some(status) = process.exit_status() {
+            return Err(MeshError::Ended {
+                name,
+                status,
+                output: process.last_output(),
+            });
+        }
         if clock.now().0 > wait_ms {
-            let name = Name::from(name);
             return Err(MeshError::NotReady {
                 name,
                 wait_ms,
