Roster: separate functions for the two ends of a retry handover; one time of day

retries_are_handed_over did one of two jobs, by which process it ran in. The row's writer now decides between them. The time of day in Unix milliseconds has one function, core::unix_ms, also for ctl. No change of behaviour.

--- a/src/core/clock.rs
+++ b/src/core/clock.rs
@@ -1,9 +1,11 @@
-//! Monotonic time in milliseconds, the only time that decision modules use.
+//! Time in milliseconds. Decision modules use the monotonic time only.
 
 use std::fmt;
 use std::ops::Add;
 use std::ops::Sub;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -76,3 +78,10 @@
         Self::new()
     }
 }
+
+/// The time of day in Unix milliseconds, for times that outlive the process. It may jump, in either
+/// direction.
+pub fn unix_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_1970.map_or(0, |since| since.as_millis() as u64)
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 
 pub use clock::Clock;
 pub use clock::TimeMs;
+pub use clock::unix_ms;
 pub use collections::FastMap;
 pub use collections::FastSet;
 pub use collections::SharedMap;
--- a/src/ctl/cli.rs
+++ b/src/ctl/cli.rs
@@ -5,8 +5,6 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use argh::FromArgs;
 
@@ -14,6 +12,7 @@
 use crate::configuration::ConfigStore;
 use crate::core::Name;
 use crate::core::RequestId;
+use crate::core::unix_ms;
 use crate::ctl::CtlArguments;
 use crate::ctl::Exit;
 use crate::ctl::arguments::Command;
@@ -142,12 +141,11 @@
 }
 
 fn change(operator: Option<String>, change_id: Option<String>) -> Change {
-    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
     let operator = operator.or_else(|| env::var(USER_VARIABLE).ok());
     Change {
         change_id: change_id.map_or_else(fresh_change_id, Name::from),
         operator: Name::from(operator.unwrap_or_else(|| "unknown".to_owned())),
-        at_unix_s: since_1970.map_or(0, |since| since.as_secs()),
+        at_unix_s: unix_ms() / 1_000,
     }
 }
 
--- a/src/traffic/retry_handover.rs
+++ b/src/traffic/retry_handover.rs
@@ -1,13 +1,11 @@
 //! What a process that stops leaves to its successor about retries.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::core::FastMap;
 use crate::core::Name;
+use crate::core::unix_ms;
 
 /// The retries of a node in the window that ended with a planned stop, stored in the node's row.
 ///
@@ -38,8 +36,3 @@
         age_ms.is_some_and(|age_ms| age_ms < window_ms)
     }
 }
-
-fn unix_ms() -> u64 {
-    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_1970.map_or(0, |since| since.as_millis() as u64)
-}
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -171,7 +171,12 @@
             match writer.write(&wanted.encode()).await {
                 WriteOutcome::Written => {
                     pause.reset();
-                    self.retries_are_handed_over(&wanted, before.as_ref());
+                    match wanted.retry_handover {
+                        Some(_) => {
+                            self.traffic.is_handed_over.send_replace(true);
+                        }
+                        None => self.apply_handover(before.as_ref()),
+                    }
                     written = Some(wanted);
                 }
                 WriteOutcome::Retry(error) => {
@@ -190,14 +195,9 @@
         RosterRow::of(self.control.address, domain, &status, before, handover)
     }
 
-    /// Continues with the predecessor's retries once they are no longer in the row, where the
-    /// successor of a killed process would find them again. Or lets this process end, once its own
-    /// retries are there.
-    fn retries_are_handed_over(&self, written: &RosterRow, before: Option<&RosterRow>) {
-        if written.retry_handover.is_some() {
-            self.traffic.is_handed_over.send_replace(true);
-            return;
-        }
+    /// Continues with the predecessor's retries. Called once they are no longer in the row, where the
+    /// successor of a killed process would find them again.
+    fn apply_handover(&self, before: Option<&RosterRow>) {
         let window_ms = self.traffic.live().retry_bound.window_ms;
         let handover = before.and_then(|before| before.retry_handover.as_ref());
         if let Some(handover) = handover.filter(|handover| handover.is_recent(window_ms)) {
