Retry budgets: a reload of the ratio changes the reserve of the first window

After a restart a process uses a reserve, a tenth of the allowed ratio, for one window. Each budget kept a copy of it, so a reload of the ratio within that window left budgets that existed with the reserve of the former ratio. The reserve is now part of the share (BudgetShare), which a reload replaces in all budgets. What determines a share is in BudgetTerms; shares and the predecessor's retries are no longer worked out for every call, only for a new budget.

--- /dev/null
+++ b/src/retry/budget_terms.rs
@@ -0,0 +1,58 @@
+//! What determines the retry budgets of a process.
+
+use crate::core::FastMap;
+use crate::core::Name;
+use crate::core::TimeMs;
+use crate::retry::BudgetShare;
+use crate::retry::RetryBound;
+use crate::retry::Uncounted;
+use crate::retry::WindowBudget;
+
+/// The fraction of the allowed retry ratio that is used. Some is kept in reserve, because the
+/// probability that a call's parent is a retry is known only as a mean, and because arrivals are
+/// counted a little later than sends.
+const USED_RATIO_FRACTION: f32 = 0.9;
+/// The fraction of the fixed retry allowance that is used: a node may know of fewer nodes than
+/// exist.
+const USED_SLACK_FRACTION: f32 = 0.5;
+
+/// This node's part of the system-wide bound, and what a predecessor may have used of it.
+#[derive(Clone, Debug)]
+pub(super) struct BudgetTerms {
+    /// The bound of the whole system.
+    pub bound: RetryBound,
+    /// The number of nodes that share the fixed allowance.
+    pub nodes: usize,
+    /// Retries before this time may be missing in the budgets.
+    pub uncounted_before: Option<TimeMs>,
+    /// How many those are by service, if known. Services without any are left out.
+    pub predecessor_retries: Option<FastMap<Name, u32>>,
+}
+
+impl BudgetTerms {
+    /// This node's share of the bound.
+    pub fn share(&self) -> BudgetShare {
+        BudgetShare {
+            ratio: self.bound.ratio * USED_RATIO_FRACTION,
+            reserve_ratio: self.bound.ratio * (1.0 - USED_RATIO_FRACTION),
+            slack: self.bound.slack * USED_SLACK_FRACTION / self.nodes as f32,
+            window_ms: self.bound.window_ms,
+        }
+    }
+
+    /// The retries to a service that its budget has not counted.
+    pub fn uncounted(&self, service: &Name) -> Option<Uncounted> {
+        let until = self.uncounted_until()?;
+        let retries = self.predecessor_retries.as_ref();
+        Some(Uncounted {
+            until,
+            retries: retries.map(|known| known.get(service).copied().unwrap_or(0) as f32),
+        })
+    }
+
+    /// When the last uncounted retry leaves the window.
+    pub fn uncounted_until(&self) -> Option<TimeMs> {
+        let counted_ms = WindowBudget::counted_ms(self.bound.window_ms);
+        self.uncounted_before.map(|before| before + counted_ms)
+    }
+}
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -2,6 +2,8 @@
 
 mod allotment;
 mod budget;
+mod budget_share;
+mod budget_terms;
 mod budget_use;
 mod decision;
 mod retry_bound;
@@ -11,6 +13,7 @@
 
 pub use allotment::Allotment;
 pub use budget::RetryBudget;
+pub use budget_share::BudgetShare;
 pub use budget_use::BudgetUse;
 pub use decision::AttemptFailure;
 pub use decision::RetryContext;
--- a/src/retry/retry_bound.rs
+++ b/src/retry/retry_bound.rs
@@ -1,6 +1,6 @@
 //! The bound on retries.
 
-/// The bound on retries to one service in each window, for the whole system or for one node.
+/// The bound on retries to one service in each window, for the whole system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBound {
     /// Retries for each first attempt.
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -5,29 +5,14 @@
 use crate::core::TimeMs;
 use crate::retry::BudgetUse;
 use crate::retry::RetryBound;
-use crate::retry::Uncounted;
 use crate::retry::WindowBudget;
-
-/// The fraction of the allowed retry ratio that is used. Some is kept in reserve, because the
-/// probability that a call's parent is a retry is known only as a mean, and because arrivals are
-/// counted a little later than sends.
-const USED_RATIO_FRACTION: f32 = 0.9;
-/// The fraction of the fixed retry allowance that is used: a node may know of fewer nodes than
-/// exist.
-const USED_SLACK_FRACTION: f32 = 0.5;
+use crate::retry::budget_terms::BudgetTerms;
 
 /// The retry budgets of one process, by service.
 #[derive(Clone, Debug)]
 pub struct ServiceBudgets {
-    /// The bound of the whole system.
-    bound: RetryBound,
-    /// The number of nodes that share the fixed allowance.
-    nodes: usize,
+    terms: BudgetTerms,
     started: TimeMs,
-    /// Retries before this time may be missing in the budgets.
-    uncounted_before: Option<TimeMs>,
-    /// How many those are by service, if known. Services without any are left out.
-    predecessor_retries: Option<FastMap<Name, u32>>,
     /// No more retries are granted.
     is_closed: bool,
     budgets: FastMap<Name, WindowBudget>,
@@ -38,11 +23,13 @@
     /// time, the node may have had a predecessor.
     pub fn new(bound: RetryBound, is_first_start: bool, now: TimeMs) -> Self {
         Self {
-            bound,
-            nodes: usize::MAX,
+            terms: BudgetTerms {
+                bound,
+                nodes: usize::MAX,
+                uncounted_before: (!is_first_start).then_some(now),
+                predecessor_retries: None,
+            },
             started: now,
-            uncounted_before: (!is_first_start).then_some(now),
-            predecessor_retries: None,
             is_closed: false,
             budgets: FastMap::default(),
         }
@@ -50,19 +37,19 @@
 
     /// Changes the bound of the whole system. Counts in windows of another length are lost.
     pub fn set_bound(&mut self, now: TimeMs, bound: RetryBound) {
-        if bound.window_ms != self.bound.window_ms {
+        if bound.window_ms != self.terms.bound.window_ms {
             self.budgets.clear();
             self.lose_counts(now);
         }
-        self.bound = bound;
+        self.terms.bound = bound;
         self.update_shares();
     }
 
     /// Changes the number of nodes that share the fixed allowance.
     pub fn set_nodes(&mut self, nodes: usize) {
         let nodes = nodes.max(1);
-        if nodes != self.nodes {
-            self.nodes = nodes;
+        if nodes != self.terms.nodes {
+            self.terms.nodes = nodes;
             self.update_shares();
         }
     }
@@ -112,8 +99,8 @@
     /// the successor of this process. `None` if that is unknown.
     pub fn close(&mut self, now: TimeMs) -> Option<FastMap<Name, u32>> {
         self.is_closed = true;
-        let mut retries = match self.uncounted_until().filter(|until| now < *until) {
-            Some(_) => self.predecessor_retries.clone()?,
+        let mut retries = match self.terms.uncounted_until().filter(|until| now < *until) {
+            Some(_) => self.terms.predecessor_retries.clone()?,
             None => FastMap::default(),
         };
         for (service, used) in self.uses(now) {
@@ -127,58 +114,30 @@
 
     /// Applies what the predecessor returned from [`Self::close`].
     pub fn set_predecessor(&mut self, retries: FastMap<Name, u32>) {
-        if self.uncounted_before != Some(self.started) {
-            return;
-        }
-        self.predecessor_retries = Some(retries);
-        let services: Vec<Name> = self.budgets.keys().cloned().collect();
-        for service in services {
-            let uncounted = self.uncounted_of(&service);
-            self.budget_of(&service).set_uncounted(uncounted);
+        if self.terms.uncounted_before == Some(self.started) {
+            self.terms.predecessor_retries = Some(retries);
+            for (service, budget) in &mut self.budgets {
+                budget.set_uncounted(self.terms.uncounted(service));
+            }
         }
     }
 
     fn lose_counts(&mut self, now: TimeMs) {
-        self.uncounted_before = Some(now);
-        self.predecessor_retries = None;
-    }
-
-    fn uncounted_until(&self) -> Option<TimeMs> {
-        let counted_ms = WindowBudget::counted_ms(self.bound.window_ms);
-        self.uncounted_before.map(|before| before + counted_ms)
-    }
-
-    fn uncounted_of(&self, service: &Name) -> Option<Uncounted> {
-        let retries = self.predecessor_retries.as_ref();
-        let retries = retries.map(|known| known.get(service).copied().unwrap_or(0) as f32);
-        self.uncounted_until().map(|until| Uncounted {
-            until,
-            retries,
-            reserve_ratio: self.bound.ratio * (1.0 - USED_RATIO_FRACTION),
-        })
-    }
-
-    /// This node's share of the bound.
-    fn share(&self) -> RetryBound {
-        RetryBound {
-            ratio: self.bound.ratio * USED_RATIO_FRACTION,
-            slack: self.bound.slack * USED_SLACK_FRACTION / self.nodes as f32,
-            window_ms: self.bound.window_ms,
-        }
+        self.terms.uncounted_before = Some(now);
+        self.terms.predecessor_retries = None;
     }
 
     fn update_shares(&mut self) {
-        let share = self.share();
+        let share = self.terms.share();
         for budget in self.budgets.values_mut() {
             budget.set_share(share);
         }
     }
 
     fn budget_of(&mut self, service: &Name) -> &mut WindowBudget {
-        let share = self.share();
-        let uncounted = self.uncounted_of(service);
+        let terms = &self.terms;
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| WindowBudget::new(share, uncounted))
+            .or_insert_with(|| WindowBudget::new(terms.share(), terms.uncounted(service)))
     }
 }
--- a/src/retry/uncounted.rs
+++ b/src/retry/uncounted.rs
@@ -9,6 +9,4 @@
     pub until: TimeMs,
     /// How many there are at most; `None` if that is unknown.
     pub retries: Option<f32>,
-    /// Retries for each first attempt that the bound allows in addition, however many there are.
-    pub reserve_ratio: f32,
 }
--- a/src/retry/window_budget.rs
+++ b/src/retry/window_budget.rs
@@ -4,8 +4,8 @@
 use std::collections::VecDeque;
 
 use crate::core::TimeMs;
+use crate::retry::BudgetShare;
 use crate::retry::BudgetUse;
-use crate::retry::RetryBound;
 use crate::retry::Uncounted;
 
 /// Number of buckets in which a window is counted.
@@ -45,8 +45,7 @@
 /// their number is unknown, only a reserve is allowed.
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
-    /// This node's part of the system-wide bound.
-    share: RetryBound,
+    share: BudgetShare,
     uncounted: Option<Uncounted>,
     /// Oldest first; one more than a window has, as a window may begin within the oldest bucket.
     buckets: VecDeque<Bucket>,
@@ -55,7 +54,7 @@
 
 impl WindowBudget {
     /// Creates a budget of which nothing is spent, except by a predecessor.
-    pub fn new(share: RetryBound, uncounted: Option<Uncounted>) -> Self {
+    pub fn new(share: BudgetShare, uncounted: Option<Uncounted>) -> Self {
         Self {
             share,
             uncounted,
@@ -75,8 +74,8 @@
         window_ms * (BUCKETS + 1) / BUCKETS
     }
 
-    /// Replaces the ratio and the slack. The counts are kept, so the window must have the same length.
-    pub fn set_share(&mut self, share: RetryBound) {
+    /// Replaces the share. The counts are kept, so the window must have the same length.
+    pub fn set_share(&mut self, share: BudgetShare) {
         debug_assert_eq!(share.window_ms, self.share.window_ms);
         self.share = share;
     }
@@ -134,7 +133,7 @@
             return granted;
         };
         let left = uncounted.retries.map_or(0.0, |retries| granted - retries);
-        left.max(first * uncounted.reserve_ratio)
+        left.max(first * self.share.reserve_ratio)
     }
 
     /// The sum over `count` buckets up to and including the bucket `last`.
--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -241,3 +241,24 @@
         granted.len()
     );
 }
+
+/// Guards against a first window after a restart in which the reserve of a former ratio is used.
+#[rstest]
+fn a_reload_of_the_ratio_changes_the_reserve() {
+    let service = Name::from("service");
+    let mut budgets = ServiceBudgets::new(BOUND, false, TimeMs(0));
+    budgets.record_first_attempt(TimeMs(0), &service, 0.0);
+    let bound = RetryBound {
+        ratio: 0.002,
+        slack: 0.0,
+        ..BOUND
+    };
+    budgets.set_bound(TimeMs(0), bound);
+    let mut granted = 0;
+    for at_ms in (0..10_000).step_by(10) {
+        budgets.record_first_attempt(TimeMs(at_ms), &service, 0.0);
+        granted += u32::from(budgets.try_retry(TimeMs(at_ms), &service));
+    }
+    let allowed = 1_000.0 * bound.ratio;
+    assert!(granted as f32 <= allowed, "{granted} of {allowed}");
+}
--- a/tests/retry_window_budget.rs
+++ b/tests/retry_window_budget.rs
@@ -2,11 +2,12 @@
 
 use rstest::rstest;
 use sassafrasgap::core::TimeMs;
-use sassafrasgap::retry::RetryBound;
+use sassafrasgap::retry::BudgetShare;
 use sassafrasgap::retry::WindowBudget;
 
-const SHARE: RetryBound = RetryBound {
+const SHARE: BudgetShare = BudgetShare {
     ratio: 0.2,
+    reserve_ratio: 0.0,
     slack: 1.0,
     window_ms: 10_000,
 };
@@ -100,8 +101,9 @@
     const NODES: usize = 64;
     const STEP_MS: u64 = 100;
     const STEPS_PER_WINDOW: usize = 100;
-    let share = RetryBound {
+    let share = BudgetShare {
         ratio: 0.2 * 0.9,
+        reserve_ratio: 0.2 * 0.1,
         slack: 96.0 * 0.5 / NODES as f32,
         window_ms: 10_000,
     };
