Retry budgets: divide the fixed allowance among failure domains first

The fixed allowance of the retry bound was divided among the nodes that a process knows. A process that starts while its failure domain is cut off knows only its own side, so each side handed out half of the allowance: with three sides one and a half times it.

A process now takes the number of failure domains from the settings, or from the view if that has more, gives each domain an equal part, and divides that among the nodes of its own domain. So the sides of a cut never use the same part, whatever they know of each other.

--- a/src/retry/budget_terms.rs
+++ b/src/retry/budget_terms.rs
@@ -5,6 +5,7 @@
 use crate::core::TimeMs;
 use crate::retry::BudgetShare;
 use crate::retry::RetryBound;
+use crate::retry::Sharers;
 use crate::retry::Uncounted;
 use crate::retry::WindowBudget;
 
@@ -21,8 +22,8 @@
 pub(super) struct BudgetTerms {
     /// The bound of the whole system.
     pub bound: RetryBound,
-    /// The number of nodes that share the fixed allowance.
-    pub nodes: usize,
+    /// Unknown until the first members are known; none of the fixed allowance is used until then.
+    pub sharers: Option<Sharers>,
     /// Retries before this time may be missing in the budgets.
     pub uncounted_before: Option<TimeMs>,
     /// How many those are by service, if known. Services without any are left out.
@@ -32,10 +33,14 @@
 impl BudgetTerms {
     /// This node's share of the bound.
     pub fn share(&self) -> BudgetShare {
+        let slack = self.bound.slack * USED_SLACK_FRACTION;
+        let of_node = |sharers: Sharers| {
+            slack / sharers.domains.max(1) as f32 / sharers.domain_nodes.max(1) as f32
+        };
         BudgetShare {
             ratio: self.bound.ratio * USED_RATIO_FRACTION,
             reserve_ratio: self.bound.ratio * (1.0 - USED_RATIO_FRACTION),
-            slack: self.bound.slack * USED_SLACK_FRACTION / self.nodes as f32,
+            slack: self.sharers.map_or(0.0, of_node),
             window_ms: self.bound.window_ms,
         }
     }
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -8,6 +8,7 @@
 mod decision;
 mod retry_bound;
 mod service_budgets;
+mod sharers;
 mod uncounted;
 mod window_budget;
 
@@ -20,5 +21,6 @@
 pub use decision::retry_reason;
 pub use retry_bound::RetryBound;
 pub use service_budgets::ServiceBudgets;
+pub use sharers::Sharers;
 pub use uncounted::Uncounted;
 pub use window_budget::WindowBudget;
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -5,6 +5,7 @@
 use crate::core::TimeMs;
 use crate::retry::BudgetUse;
 use crate::retry::RetryBound;
+use crate::retry::Sharers;
 use crate::retry::WindowBudget;
 use crate::retry::budget_terms::BudgetTerms;
 
@@ -25,7 +26,7 @@
         Self {
             terms: BudgetTerms {
                 bound,
-                nodes: usize::MAX,
+                sharers: None,
                 uncounted_before: (!is_first_start).then_some(now),
                 predecessor_retries: None,
             },
@@ -45,11 +46,10 @@
         self.update_shares();
     }
 
-    /// Changes the number of nodes that share the fixed allowance.
-    pub fn set_nodes(&mut self, nodes: usize) {
-        let nodes = nodes.max(1);
-        if nodes != self.terms.nodes {
-            self.terms.nodes = nodes;
+    /// Changes the nodes that share the fixed allowance.
+    pub fn set_sharers(&mut self, sharers: Sharers) {
+        if self.terms.sharers != Some(sharers) {
+            self.terms.sharers = Some(sharers);
             self.update_shares();
         }
     }
--- a/src/traffic/reload.rs
+++ b/src/traffic/reload.rs
@@ -53,6 +53,7 @@
         backend_address,
         heartbeat_ms,
         retry_bound,
+        configured_domains,
         allowance_bound,
         keys_hold_ms,
         stop_within_ms,
--- a/src/traffic/retry_budgets.rs
+++ b/src/traffic/retry_budgets.rs
@@ -9,8 +9,10 @@
 use crate::core::TimeMs;
 use crate::core::View;
 use crate::retry::BudgetUse;
-use crate::retry::RetryBound;
 use crate::retry::ServiceBudgets;
+use crate::retry::Sharers;
+use crate::traffic::LiveSettings;
+use crate::traffic::TrafficSettings;
 
 /// Maximum number of budgets; beyond it those of services that are not in the view are dropped.
 const MAX_SERVICES: usize = 1_024;
@@ -19,19 +21,38 @@
 
 #[derive(Debug)]
 pub(super) struct RetryBudgets {
-    budgets: Mutex<ServiceBudgets>,
+    domain: Name,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    budgets: ServiceBudgets,
+    configured_domains: usize,
+    /// The changes of the view from which the sharers were counted.
+    counted_changes: Option<u64>,
 }
 
 impl RetryBudgets {
     /// See [`ServiceBudgets::new`].
-    pub(super) fn new(bound: RetryBound, is_first_start: bool, now: TimeMs) -> Self {
-        let budgets = Mutex::new(ServiceBudgets::new(bound, is_first_start, now));
-        Self { budgets }
+    pub(super) fn new(settings: &TrafficSettings, now: TimeMs) -> Self {
+        let live = &settings.live;
+        Self {
+            domain: settings.domain.clone(),
+            state: Mutex::new(State {
+                budgets: ServiceBudgets::new(live.retry_bound, settings.is_first_start, now),
+                configured_domains: live.configured_domains,
+                counted_changes: None,
+            }),
+        }
     }
 
-    /// Changes the bound of the whole system; see [`ServiceBudgets::set_bound`].
-    pub(super) fn set_bound(&self, now: TimeMs, bound: RetryBound) {
-        self.lock().set_bound(now, bound);
+    /// Applies changed settings; see [`ServiceBudgets::set_bound`].
+    pub(super) fn set_live(&self, now: TimeMs, live: &LiveSettings) {
+        let mut state = self.lock();
+        state.budgets.set_bound(now, live.retry_bound);
+        state.configured_domains = live.configured_domains;
+        state.counted_changes = None;
     }
 
     /// Records the first attempt of a call, of which the fraction `retried` counts as a retry.
@@ -42,39 +63,44 @@
         service: &Name,
         retried: f32,
     ) {
-        let mut budgets = self.lock();
-        budgets.set_nodes(view.nodes.len());
-        if budgets.len() > MAX_SERVICES {
-            budgets.retain(now, |service| view.services.contains_key(service));
+        let mut state = self.lock();
+        if state.counted_changes != Some(view.changes) {
+            let sharers = Sharers::of(view, &self.domain, state.configured_domains);
+            state.budgets.set_sharers(sharers);
+            state.counted_changes = Some(view.changes);
+        }
+        if state.budgets.len() > MAX_SERVICES {
+            let is_known = |service: &Name| view.services.contains_key(service);
+            state.budgets.retain(now, is_known);
         }
-        budgets.record_first_attempt(now, service, retried);
+        state.budgets.record_first_attempt(now, service, retried);
     }
 
     /// Takes a retry from the budget; returns false if the budget is spent.
     pub(super) fn try_retry(&self, now: TimeMs, service: &Name) -> bool {
-        self.lock().try_retry(now, service)
+        self.lock().budgets.try_retry(now, service)
     }
 
     /// Whether a retried request that makes calls to the service may start; see
     /// [`crate::retry::WindowBudget::has_remaining`].
     pub(super) fn has_remaining(&self, now: TimeMs, service: &Name) -> bool {
-        self.lock().has_remaining(now, service)
+        self.lock().budgets.has_remaining(now, service)
     }
 
     /// Ends the budgets, and returns what the successor has to know; see [`ServiceBudgets::close`].
     pub(super) fn close(&self, now: TimeMs) -> Option<FastMap<Name, u32>> {
-        self.lock().close(now)
+        self.lock().budgets.close(now)
     }
 
     /// Applies what the predecessor has spent; see [`ServiceBudgets::set_predecessor`].
     pub(super) fn set_predecessor(&self, retries: FastMap<Name, u32>) {
-        self.lock().set_predecessor(retries);
+        self.lock().budgets.set_predecessor(retries);
     }
 
     /// How much of each service's budget is used.
     pub(super) fn uses(&self, now: TimeMs) -> Vec<(Name, BudgetUse)> {
-        let budgets = self.lock();
-        let uses = budgets.uses(now);
+        let state = self.lock();
+        let uses = state.budgets.uses(now);
         uses.map(|(service, used)| (service.clone(), used))
             .collect()
     }
@@ -93,7 +119,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, ServiceBudgets> {
-        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -18,6 +18,9 @@
     pub heartbeat_ms: u64,
     /// The system-wide limit of retries, per service.
     pub retry_bound: RetryBound,
+    /// The number of failure domains, including those that cannot be reached; 0 if it is not
+    /// configured.
+    pub configured_domains: usize,
     /// How far all nodes together may exceed an account's allowance.
     pub allowance_bound: AllowanceBound,
     /// How long account keys stay valid without a confirmation that the store holds nothing newer.
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -193,11 +193,7 @@
             backend: pool(BACKEND_CONNECT_MS, BACKEND_IDLE_MS),
             gate: Gate::new(clock, shared.metrics.clone(), true, admission_conf()),
             targets: Targets::with_conf(picker_conf()),
-            budgets: RetryBudgets::new(
-                settings.live.retry_bound,
-                settings.is_first_start,
-                clock.now(),
-            ),
+            budgets: RetryBudgets::new(&settings, clock.now()),
             roots: RootAdmission::default(),
             origins: shared.origins,
             keyed_routes: KeyedRoutes::default(),
@@ -240,9 +236,7 @@
     /// Applies changed settings.
     pub(super) fn set_live(&self, live: LiveSettings) {
         self.bodies.set_max_bytes(live.held_body_bytes);
-        if live.retry_bound != self.live().retry_bound {
-            self.budgets.set_bound(self.clock.now(), live.retry_bound);
-        }
+        self.budgets.set_live(self.clock.now(), &live);
         self.allowances.set_bound(live.allowance_bound);
         self.placements.set_conf(live.placement_conf());
         self.local().set_heartbeat_ms(live.heartbeat_ms);
--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -1,17 +1,26 @@
 //! A simulation in virtual time: the retry bound of a service while its nodes are restarted.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use fastrand::Rng;
 use rstest::rstest;
 use sassafrasgap::core::Name;
+use sassafrasgap::core::Target;
+use sassafrasgap::core::TargetState;
 use sassafrasgap::core::TimeMs;
+use sassafrasgap::core::View;
 use sassafrasgap::retry::RetryBound;
 use sassafrasgap::retry::ServiceBudgets;
+use sassafrasgap::retry::Sharers;
 
 const BOUND: RetryBound = RetryBound {
     ratio: 0.2,
     slack: 50.0,
     window_ms: 10_000,
 };
+/// The nodes are in turn in one of so many failure domains.
+const DOMAINS: usize = 3;
 const STEP_MS: u64 = 100;
 const STEPS_PER_WINDOW: usize = 100;
 const STEPS: usize = 600;
@@ -91,23 +100,62 @@
     }
 }
 
-/// Plays nodes that each make `calls_per_step` calls on average. After a restart each knows of
-/// `known_nodes` nodes.
+/// Which nodes a process knows after a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Known {
+    All,
+    /// Those of its own failure domain, which is cut off from the others.
+    OwnDomain,
+}
+
+fn domain_of(node: usize) -> Name {
+    Name::from(format!("domain-{}", node % DOMAINS))
+}
+
+/// Among how many nodes a node divides the fixed allowance, of `nodes` in all.
+fn sharers(node: usize, nodes: usize, known: Known) -> Sharers {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut view = View::default();
+    for other in 0..nodes {
+        if known == Known::OwnDomain && domain_of(other) != domain_of(node) {
+            continue;
+        }
+        let target = Target {
+            node: Name::from(format!("node-{other}")),
+            service: Name::from("caller"),
+            region: Name::from("region"),
+            domain: domain_of(other),
+            peer_address: address,
+            control_address: address,
+            incarnation: 1,
+            state: TargetState::Up,
+            slots: 1,
+        };
+        view.nodes.insert(target.node.clone(), Arc::new(target));
+    }
+    Sharers::of(&view, &domain_of(node), DOMAINS)
+}
+
+/// Plays nodes that each make `calls_per_step` calls on average.
 fn play(
     nodes: usize,
     calls_per_step: f32,
-    known_nodes: usize,
+    known_after_restart: Known,
     restarts: Restarts,
     seed: u64,
 ) -> Sent {
     let service = Name::from("service");
     let mut random = Rng::with_seed(seed);
-    let start = |now, is_first_start, known_nodes| {
+    let start = |now, is_first_start, sharers| {
         let mut budgets = ServiceBudgets::new(BOUND, is_first_start, now);
-        budgets.set_nodes(known_nodes);
+        budgets.set_sharers(sharers);
         budgets
     };
-    let mut processes = vec![start(TimeMs(0), true, nodes); nodes];
+    let first_process = |node| start(TimeMs(0), true, sharers(node, nodes, Known::All));
+    let mut processes: Vec<ServiceBudgets> = (0..nodes).map(first_process).collect();
+    let sharers_after_restart: Vec<Sharers> = (0..nodes)
+        .map(|node| sharers(node, nodes, known_after_restart))
+        .collect();
     let mut down_until = vec![0; nodes];
     let mut sent = Sent::default();
     for step in 0..STEPS {
@@ -119,7 +167,8 @@
                 let handover = processes[node]
                     .close(now)
                     .filter(|_| restarts.are_planned());
-                processes[node] = start(now + DOWN_STEPS as u64 * STEP_MS, false, known_nodes);
+                let started = now + DOWN_STEPS as u64 * STEP_MS;
+                processes[node] = start(started, false, sharers_after_restart[node]);
                 if let Some(retries) = handover {
                     processes[node].set_predecessor(retries);
                 }
@@ -159,7 +208,7 @@
     restarts: Restarts,
 ) {
     for seed in 0..3 {
-        let sent = play(nodes, calls_per_step, nodes, restarts, seed);
+        let sent = play(nodes, calls_per_step, Known::All, restarts, seed);
         let excess = sent.excess();
         assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
     }
@@ -168,8 +217,8 @@
 /// Guards against a restarted process that never gets its full budget back.
 #[rstest]
 fn a_window_after_a_restart_the_whole_budget_is_back() {
-    let after_kill = play(17, 3.0, 17, Restarts::All, 0);
-    let undisturbed = play(17, 3.0, 17, Restarts::None, 0);
+    let after_kill = play(17, 3.0, Known::All, Restarts::All, 0);
+    let undisturbed = play(17, 3.0, Known::All, Restarts::None, 0);
     let from = FAILS_FROM_STEP + ALL_AFTER_STEPS + DOWN_STEPS + STEPS_PER_WINDOW;
     let retried = |sent: &Sent| Sent::sum(&sent.retried, from) as f32;
     let (after_kill, undisturbed) = (retried(&after_kill), retried(&undisturbed));
@@ -206,7 +255,7 @@
 #[rstest]
 fn restarts_on_three_sides_of_a_partition_keep_the_bound(#[values(0.12, 3.0)] calls_per_step: f32) {
     for seed in 0..3 {
-        let sent = play(18, calls_per_step, 6, Restarts::All, seed);
+        let sent = play(18, calls_per_step, Known::OwnDomain, Restarts::All, seed);
         let excess = sent.excess();
         assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
     }
@@ -221,7 +270,7 @@
 fn lost_counts_grant_no_second_budget(#[case] lose_counts: fn(&mut ServiceBudgets, TimeMs)) {
     let service = Name::from("service");
     let mut budgets = ServiceBudgets::new(BOUND, true, TimeMs(0));
-    budgets.set_nodes(17);
+    budgets.set_sharers(sharers(0, 17, Known::All));
     let mut granted: Vec<u64> = Vec::new();
     for at_ms in (0..17_000).step_by(10) {
         let now = TimeMs(at_ms);
