Stop: hand over the retries within the time limit of the stop

A planned stop waited up to 0.3 s for the store after its time limit had passed. A node whose requests last until the limit could so be killed before it left, and its successor then uses a reserve of its retry budget. The handover now begins 0.3 s before the limit, while the last requests are finished, so a stop takes no longer than it did without a handover. Found by reading; restart, leaving and retry_budget of platform/tests pass.

--- a/src/traffic/stop.rs
+++ b/src/traffic/stop.rs
@@ -22,8 +22,8 @@
 /// How long no request must have been in progress before the node exits, so the last answers have
 /// been sent.
 const IDLE_BEFORE_EXIT: Duration = Duration::from_millis(250);
-/// How long the node waits for the store before it exits. Its successor uses less of its retry budget
-/// if the store does not answer.
+/// How long the node waits for the store before it exits, within the time limit of the stop. Its
+/// successor uses less of its retry budget if the store does not answer.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often requests in progress are counted.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -42,8 +42,8 @@
         self.traffic.guard_closed.send_replace(true);
         sleep(ENTRY_CLOSED_AFTER.saturating_sub(started.elapsed())).await;
         self.traffic.entry_closed.store(true, Ordering::Relaxed);
-        self.finish(started, deadline).await;
-        self.hand_over_retries().await;
+        self.finish(started, deadline - HANDOVER_TIMEOUT).await;
+        tokio::join!(self.finish(started, deadline), self.hand_over_retries());
         log::info!(
             "node: leaves, in_progress={}",
             self.traffic.requests_in_progress()
@@ -73,6 +73,7 @@
         }
     }
 
+    /// Waits until no request is in progress, or until `deadline`.
     async fn finish(&self, started: Instant, deadline: Instant) {
         let mut last_busy = started;
         loop {
