Retry budgets: the bound of every open window limits retries, also while demand falls

Cause: retries were granted for the first attempts of the window that ends at the time of the retry. The bound holds for every window, also for one that begins with the failure and ends 10 s later. If demand falls meanwhile, here because requests that fail early make no further calls, that window holds fewer first attempts than were counted.

Each window that has begun now limits the retries in it: by the most first attempts in it so far, in the window before it, or in the one that began half a window earlier. The limit by the window that ends now stays, so no node is granted more than before.

falling_demand_keeps_the_bound: fails without the change, by up to 687 retries; all cases pass with it.

--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,6 +1,7 @@
 //! Limits on retries: per call tree, and over all calls to a service.
 
 mod allotment;
+mod bucket_sums;
 mod budget;
 mod budget_share;
 mod budget_terms;
--- a/src/retry/window_budget.rs
+++ b/src/retry/window_budget.rs
@@ -7,13 +7,15 @@
 use crate::retry::BudgetShare;
 use crate::retry::BudgetUse;
 use crate::retry::Uncounted;
+use crate::retry::bucket_sums::BucketSums;
+use crate::retry::bucket_sums::KEPT_BUCKETS;
 
 /// Number of buckets in which a window is counted.
-const BUCKETS: u64 = 20;
+pub(super) const BUCKETS: usize = 20;
 /// Pacing: at most the fraction `PACING_SHARE` of a window's allowance may be spent within
 /// `PACING_BUCKETS` buckets. A short failure may use a good part of the allowance at once, while a
 /// long one has to leave something for the rest of the window.
-const PACING_BUCKETS: u64 = 2;
+const PACING_BUCKETS: usize = 2;
 const PACING_SHARE: f32 = 0.3;
 
 /// The counts of one bucket.
@@ -26,6 +28,32 @@
     retried: f32,
 }
 
+/// The counts of a budget at one time.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    first: BucketSums,
+    retried: BucketSums,
+}
+
+impl Counts {
+    /// The retries in the window that ends now.
+    fn spent(&self) -> f32 {
+        // One more bucket, because the window begins within the oldest one.
+        self.retried.last(BUCKETS + 1)
+    }
+
+    /// The first attempts that determine the bound of the window that began `age` buckets ago: the
+    /// most in it so far, in the window before it, and in the one that began half a window earlier.
+    fn first_of_open_window(&self, age: usize) -> f32 {
+        const HALF: usize = BUCKETS / 2;
+        let first = &self.first;
+        let own = first.last(age);
+        let before = first.last(age + BUCKETS) - first.last(age);
+        let half_earlier = first.last(age + HALF) - first.last(age.saturating_sub(HALF));
+        own.max(before).max(half_earlier)
+    }
+}
+
 /// Counts first attempts and retries of a node's calls to one service, and decides whether a retry
 /// is within the budget.
 ///
@@ -40,6 +68,10 @@
 /// several windows, their sum would exceed the best window of the whole system whenever load moves
 /// between nodes.
 ///
+/// A window may also begin with a failure and end after demand has fallen. Retries within it are granted
+/// for first attempts that it does not contain, so the bound of each window that has begun limits
+/// them as well.
+///
 /// A process counts only its own retries, but a predecessor on the same node may have spent its
 /// whole allowance in the same window. Until a window has passed, its retries are subtracted. If
 /// their number is unknown, only a reserve is allowed.
@@ -47,7 +79,7 @@
 pub struct WindowBudget {
     share: BudgetShare,
     uncounted: Option<Uncounted>,
-    /// Oldest first; one more than a window has, as a window may begin within the oldest bucket.
+    /// Oldest first.
     buckets: VecDeque<Bucket>,
     denied: u64,
 }
@@ -71,7 +103,7 @@
     /// How long a retry counts in a window of this length, in milliseconds: one bucket longer,
     /// because the window that ends now begins within the oldest one.
     pub fn counted_ms(window_ms: u64) -> u64 {
-        window_ms * (BUCKETS + 1) / BUCKETS
+        window_ms * (BUCKETS as u64 + 1) / BUCKETS as u64
     }
 
     /// Replaces the share. The counts are kept, so the window must have the same length.
@@ -90,12 +122,11 @@
 
     /// Takes a retry out of the budget; false when none is left.
     pub fn try_retry(&mut self, now: TimeMs) -> bool {
-        let allowed = self.allowed(now);
-        let last = self.bucket_index(now);
-        let spent_recently = self.sum(last, PACING_BUCKETS, |bucket| bucket.retried);
-        if self.spent(now) + 1.0 > allowed
-            || spent_recently + 1.0 > (allowed * PACING_SHARE).max(1.0)
-        {
+        let counts = self.counts(now);
+        let allowed = self.allowed(now, &counts);
+        let is_spent = counts.spent() + 1.0 > allowed;
+        let paced = (allowed * PACING_SHARE).max(1.0);
+        if is_spent || counts.retried.last(PACING_BUCKETS) + 1.0 > paced {
             self.denied += 1;
             return false;
         }
@@ -109,25 +140,33 @@
     /// budget is already used up, each of them exceeds the bound, so such work has to be refused
     /// before it makes any call.
     pub fn has_remaining(&self, now: TimeMs) -> bool {
-        self.spent(now) + 1.0 <= self.allowed(now)
+        let counts = self.counts(now);
+        counts.spent() + 1.0 <= self.allowed(now, &counts)
     }
 
     /// How much of the budget is used in the window that ends now.
     pub fn used(&self, now: TimeMs) -> BudgetUse {
+        let counts = self.counts(now);
         BudgetUse {
-            allowed: self.allowed(now),
-            spent: self.spent(now),
+            allowed: self.allowed(now, &counts),
+            spent: counts.spent(),
             denied: self.denied,
         }
     }
 
-    fn spent(&self, now: TimeMs) -> f32 {
-        // One more bucket, because the window that ends now begins within the oldest one.
-        self.sum(self.bucket_index(now), BUCKETS + 1, |bucket| bucket.retried)
+    /// The retries allowed in the window that ends now.
+    fn allowed(&self, now: TimeMs, counts: &Counts) -> f32 {
+        let of_open_window = |age: usize| {
+            let spent_before = counts.spent() - counts.retried.last(age);
+            spent_before + self.granted(now, counts.first_of_open_window(age))
+        };
+        let open_windows = (1..BUCKETS).map(of_open_window);
+        let current = self.granted(now, counts.first.last(BUCKETS));
+        open_windows.fold(current, f32::min)
     }
 
-    fn allowed(&self, now: TimeMs) -> f32 {
-        let first = self.sum(self.bucket_index(now), BUCKETS, |bucket| bucket.first);
+    /// The retries granted for this number of first attempts.
+    fn granted(&self, now: TimeMs, first: f32) -> f32 {
         let granted = first * self.share.ratio + self.share.slack;
         let Some(uncounted) = self.uncounted.filter(|uncounted| now < uncounted.until) else {
             return granted;
@@ -136,20 +175,27 @@
         left.max(first * self.share.reserve_ratio)
     }
 
-    /// The sum over `count` buckets up to and including the bucket `last`.
-    fn sum(&self, last: u64, count: u64, of: impl Fn(&Bucket) -> f32) -> f32 {
-        let is_within = |bucket: &&Bucket| bucket.index <= last && bucket.index + count > last;
-        self.buckets.iter().filter(is_within).map(of).sum()
+    fn counts(&self, now: TimeMs) -> Counts {
+        let last = self.bucket_index(now);
+        let age = |bucket: &Bucket| last.checked_sub(bucket.index).map(|age| age as usize);
+        let sums = |of: fn(&Bucket) -> f32| {
+            let buckets = self.buckets.iter();
+            BucketSums::new(buckets.filter_map(|bucket| Some((age(bucket)?, of(bucket)))))
+        };
+        Counts {
+            first: sums(|bucket| bucket.first),
+            retried: sums(|bucket| bucket.retried),
+        }
     }
 
     fn bucket_index(&self, now: TimeMs) -> u64 {
-        now.0 * BUCKETS / self.share.window_ms.max(1)
+        now.0 * BUCKETS as u64 / self.share.window_ms.max(1)
     }
 
     fn bucket(&mut self, now: TimeMs) -> &mut Bucket {
         let index = self.bucket_index(now);
         while let Some(oldest) = self.buckets.front() {
-            if oldest.index + BUCKETS >= index {
+            if oldest.index + (KEPT_BUCKETS as u64) > index {
                 break;
             }
             self.buckets.pop_front();
--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -1,6 +1,7 @@
 //! A simulation in virtual time: the retry bound of a service while its nodes are restarted.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 
 use fastrand::Rng;
@@ -100,6 +101,36 @@
     }
 }
 
+/// The demand of all nodes over time.
+#[derive(Clone, Debug)]
+struct Demand {
+    calls_per_step: f32,
+    from_step: usize,
+    /// While demand is higher, and by which factor.
+    high: Range<usize>,
+    factor: f32,
+}
+
+impl Demand {
+    fn constant(calls_per_step: f32) -> Self {
+        Self {
+            calls_per_step,
+            from_step: 0,
+            high: 0..0,
+            factor: 1.0,
+        }
+    }
+
+    /// The mean number of calls of a node in a step.
+    fn at(&self, step: usize) -> f32 {
+        if step < self.from_step {
+            return 0.0;
+        }
+        let is_high = self.high.contains(&step);
+        self.calls_per_step * if is_high { self.factor } else { 1.0 }
+    }
+}
+
 /// Which nodes a process knows after a restart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Known {
@@ -136,10 +167,9 @@
     Sharers::of(&view, &domain_of(node), DOMAINS)
 }
 
-/// Plays nodes that each make `calls_per_step` calls on average.
 fn play(
     nodes: usize,
-    calls_per_step: f32,
+    demand: &Demand,
     known_after_restart: Known,
     restarts: Restarts,
     seed: u64,
@@ -173,7 +203,8 @@
                     processes[node].set_predecessor(retries);
                 }
             }
-            let calls = calls_per_step as u32 + u32::from(random.f32() < calls_per_step.fract());
+            let mean = demand.at(step);
+            let calls = mean as u32 + u32::from(random.f32() < mean.fract());
             first += calls;
             if step < down_until[node] {
                 continue;
@@ -207,8 +238,9 @@
     )]
     restarts: Restarts,
 ) {
+    let demand = Demand::constant(calls_per_step);
     for seed in 0..3 {
-        let sent = play(nodes, calls_per_step, Known::All, restarts, seed);
+        let sent = play(nodes, &demand, Known::All, restarts, seed);
         let excess = sent.excess();
         assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
     }
@@ -217,8 +249,9 @@
 /// Guards against a restarted process that never gets its full budget back.
 #[rstest]
 fn a_window_after_a_restart_the_whole_budget_is_back() {
-    let after_kill = play(17, 3.0, Known::All, Restarts::All, 0);
-    let undisturbed = play(17, 3.0, Known::All, Restarts::None, 0);
+    let demand = Demand::constant(3.0);
+    let after_kill = play(17, &demand, Known::All, Restarts::All, 0);
+    let undisturbed = play(17, &demand, Known::All, Restarts::None, 0);
     let from = FAILS_FROM_STEP + ALL_AFTER_STEPS + DOWN_STEPS + STEPS_PER_WINDOW;
     let retried = |sent: &Sent| Sent::sum(&sent.retried, from) as f32;
     let (after_kill, undisturbed) = (retried(&after_kill), retried(&undisturbed));
@@ -254,13 +287,36 @@
 /// because processes that start during the partition know no others.
 #[rstest]
 fn restarts_on_three_sides_of_a_partition_keep_the_bound(#[values(0.12, 3.0)] calls_per_step: f32) {
+    let demand = Demand::constant(calls_per_step);
     for seed in 0..3 {
-        let sent = play(18, calls_per_step, Known::OwnDomain, Restarts::All, seed);
+        let sent = play(18, &demand, Known::OwnDomain, Restarts::All, seed);
         let excess = sent.excess();
         assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
     }
 }
 
+/// Guards against retries that are granted for earlier calls than those of the window in which
+/// they are made, because demand falls.
+#[rstest]
+fn falling_demand_keeps_the_bound(
+    #[values(1.5, 2.0, 3.0)] factor: f32,
+    #[values(32, 50, 100)] high_steps: usize,
+    #[values(0, 15, 40)] fails_before_fall_steps: usize,
+    #[values(true, false)] starts_high: bool,
+    #[values(Restarts::None, Restarts::All)] restarts: Restarts,
+) {
+    let falls = FAILS_FROM_STEP + fails_before_fall_steps;
+    let demand = Demand {
+        calls_per_step: 6.0,
+        from_step: if starts_high { falls - high_steps } else { 0 },
+        high: falls - high_steps..falls,
+        factor,
+    };
+    let sent = play(20, &demand, Known::All, restarts, 0);
+    let excess = sent.excess();
+    assert!(excess <= 0.0, "{excess} retries too many");
+}
+
 /// Guards against counts that a running process loses, and retries that it then grants again.
 #[rstest]
 #[case::the_window_changes(|budgets: &mut ServiceBudgets, now| {
