--- a/src/retry/bucket_sums.rs
+++ b/src/retry/bucket_sums.rs
@@ -2,7 +2,8 @@
 
 use crate::retry::window_budget::BUCKETS;
 
-/// The buckets that are kept: two windows, as the bound of a window may follow from the one before it.
+/// The buckets that are kept. At least one and a half windows are needed: the bound of a window follows
+/// from the one that began half a window earlier.
 pub(super) const KEPT_BUCKETS: usize = 2 * BUCKETS;
 
 /// The sums over the last 0 to [`KEPT_BUCKETS`] buckets.
--- a/tests/retry_restarts.rs
+++ b/tests/retry_restarts.rs
@@ -1,4 +1,5 @@
-//! A simulation in virtual time: the retry bound of a service while its nodes are restarted.
+//! A simulation in virtual time: the retry bound of a service while its nodes are restarted or cut off, and
+//! while demand falls or moves.
 
 use std::net::SocketAddr;
 use std::ops::Range;
