Retry budgets: an entry that takes over callers grants no budget for their earlier calls

Backend servers received more retries than the bound of their service when callers moved to nodes that had made no calls to it.

Cause: each window that has begun limits the retries in it by the first attempts of the window that began half a window earlier. This adds up over nodes only if all use the same window. A node whose first call came later than the beginning of a window used the window that ends now instead, while the budgets of the nodes that its callers had used before still contained their earlier calls.

The exception is needed where the whole system starts, because nothing would be retried for half a window. It is limited to two windows after that start. A budget now knows since when it counts, and that no calls were made before.

--- a/src/retry/budget_terms.rs
+++ b/src/retry/budget_terms.rs
@@ -4,6 +4,7 @@
 use crate::core::Name;
 use crate::core::TimeMs;
 use crate::retry::BudgetShare;
+use crate::retry::CountingStart;
 use crate::retry::RetryBound;
 use crate::retry::Sharers;
 use crate::retry::Uncounted;
@@ -24,8 +25,8 @@
     pub bound: RetryBound,
     /// Unknown until the first members are known; none of the fixed allowance is used until then.
     pub sharers: Option<Sharers>,
-    /// Retries before this time may be missing in the budgets.
-    pub uncounted_before: Option<TimeMs>,
+    /// Retries before it may be missing in the budgets, except at the first start of the system.
+    pub counting: CountingStart,
     /// How many those are by service, if known. Services without any are left out.
     pub predecessor_retries: Option<FastMap<Name, u32>>,
 }
@@ -58,6 +59,6 @@
     /// When the last uncounted retry leaves the window.
     pub fn uncounted_until(&self) -> Option<TimeMs> {
         let counted_ms = WindowBudget::counted_ms(self.bound.window_ms);
-        self.uncounted_before.map(|before| before + counted_ms)
+        (!self.counting.is_first_start).then(|| self.counting.at + counted_ms)
     }
 }
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -4,6 +4,7 @@
 use crate::core::Name;
 use crate::core::TimeMs;
 use crate::retry::BudgetUse;
+use crate::retry::CountingStart;
 use crate::retry::RetryBound;
 use crate::retry::Sharers;
 use crate::retry::WindowBudget;
@@ -13,7 +14,8 @@
 #[derive(Clone, Debug)]
 pub struct ServiceBudgets {
     terms: BudgetTerms,
-    started: TimeMs,
+    /// When the process started.
+    started: CountingStart,
     /// No more retries are granted.
     is_closed: bool,
     budgets: FastMap<Name, WindowBudget>,
@@ -23,14 +25,18 @@
     /// Creates the budgets of a process that starts now. Unless the whole system starts for the first
     /// time, the node may have had a predecessor.
     pub fn new(bound: RetryBound, is_first_start: bool, now: TimeMs) -> Self {
+        let counting = CountingStart {
+            at: now,
+            is_first_start,
+        };
         Self {
             terms: BudgetTerms {
                 bound,
                 sharers: None,
-                uncounted_before: (!is_first_start).then_some(now),
+                counting,
                 predecessor_retries: None,
             },
-            started: now,
+            started: counting,
             is_closed: false,
             budgets: FastMap::default(),
         }
@@ -114,7 +120,7 @@
 
     /// Applies what the predecessor returned from [`Self::close`].
     pub fn set_predecessor(&mut self, retries: FastMap<Name, u32>) {
-        if self.terms.uncounted_before == Some(self.started) {
+        if self.terms.counting == self.started && !self.started.is_first_start {
             self.terms.predecessor_retries = Some(retries);
             for (service, budget) in &mut self.budgets {
                 budget.set_uncounted(self.terms.uncounted(service));
@@ -123,7 +129,10 @@
     }
 
     fn lose_counts(&mut self, now: TimeMs) {
-        self.terms.uncounted_before = Some(now);
+        self.terms.counting = CountingStart {
+            at: now,
+            is_first_start: false,
+        };
         self.terms.predecessor_retries = None;
     }
 
@@ -136,8 +145,8 @@
 
     fn budget_of(&mut self, service: &Name) -> &mut WindowBudget {
         let terms = &self.terms;
-        self.budgets
-            .entry(service.clone())
-            .or_insert_with(|| WindowBudget::new(terms.share(), terms.uncounted(service)))
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            WindowBudget::new(terms.share(), terms.counting, terms.uncounted(service))
+        })
     }
 }
--- a/src/retry/window_budget.rs
+++ b/src/retry/window_budget.rs
@@ -6,12 +6,16 @@
 use crate::core::TimeMs;
 use crate::retry::BudgetShare;
 use crate::retry::BudgetUse;
+use crate::retry::CountingStart;
 use crate::retry::Uncounted;
 use crate::retry::bucket_sums::BucketSums;
 use crate::retry::bucket_sums::KEPT_BUCKETS;
 
 /// Number of buckets in which a window is counted.
 pub(super) const BUCKETS: usize = 20;
+/// For so many windows after the first start of the system, a node's first calls are taken for those of
+/// the system.
+const FIRST_CALLS_WINDOWS: u64 = 2;
 /// Pacing: at most the fraction `PACING_SHARE` of a window's allowance may be spent within
 /// `PACING_BUCKETS` buckets. A short failure may use a good part of the allowance at once, while a
 /// long one has to leave something for the rest of the window.
@@ -31,8 +35,7 @@
 /// The counts of a budget at one time.
 #[derive(Clone, Copy, Debug)]
 struct Counts {
-    /// How many buckets ago counting began. Windows that began earlier contain no other first attempts
-    /// than the one that ends now.
+    /// How many buckets ago the first call was counted.
     buckets: usize,
     first: BucketSums,
     retried: BucketSums,
@@ -72,12 +75,18 @@
 /// contain. So each window that has begun limits the retries in it, by the first attempts of the
 /// window that began half a window earlier.
 ///
+/// At the first start of the whole system, no window that began before the first call is limited in this
+/// way: it contains the same first attempts as the one that ends now, and half a window earlier there
+/// were none. Later, the callers of an entry that gets its first calls have used other entries before,
+/// whose budgets still contain those calls.
+///
 /// A process counts only its own retries, but a predecessor on the same node may have spent its
 /// whole allowance in the same window. Until a window has passed, its retries are subtracted. If
 /// their number is unknown, only a reserve is allowed.
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     share: BudgetShare,
+    counting: CountingStart,
     uncounted: Option<Uncounted>,
     /// Oldest first.
     buckets: VecDeque<Bucket>,
@@ -86,9 +95,10 @@
 
 impl WindowBudget {
     /// Creates a budget of which nothing is spent, except by a predecessor.
-    pub fn new(share: BudgetShare, uncounted: Option<Uncounted>) -> Self {
+    pub fn new(share: BudgetShare, counting: CountingStart, uncounted: Option<Uncounted>) -> Self {
         Self {
             share,
+            counting,
             uncounted,
             buckets: VecDeque::new(),
             denied: 0,
@@ -160,9 +170,19 @@
             let spent_before = counts.spent() - counts.retried.last(age);
             spent_before + self.granted(now, counts.first_of_open_window(age))
         };
-        let open_windows = (1..BUCKETS.min(counts.buckets + 1)).map(of_open_window);
+        let limited_windows = 1..BUCKETS.min(self.counted_buckets(now, counts) + 1);
         let current = self.granted(now, counts.first.last(BUCKETS));
-        open_windows.fold(current, f32::min)
+        limited_windows.map(of_open_window).fold(current, f32::min)
+    }
+
+    /// For how many buckets the counts contain all first attempts of this node's callers.
+    fn counted_buckets(&self, now: TimeMs, counts: &Counts) -> usize {
+        let first_calls_until = self.counting.at + FIRST_CALLS_WINDOWS * self.share.window_ms;
+        if self.counting.is_first_start && now < first_calls_until {
+            return counts.buckets;
+        }
+        let since = self.bucket_index(self.counting.at);
+        (self.bucket_index(now) + 1).saturating_sub(since) as usize
     }
 
     /// The retries granted for this number of first attempts.
--- a/tests/retry_bound.rs
+++ b/tests/retry_bound.rs
@@ -37,6 +37,9 @@
 const ALL_AFTER_STEPS: usize = 35;
 /// The time over which processes are restarted one after the other.
 const ROLLING_STEPS: usize = 200;
+/// First seed and number of drawn runs; `SASSAFRASGAP_FROM` and `SASSAFRASGAP_SEEDS` replace them.
+const FIRST_SEED: u64 = 1_000;
+const SEEDS_IN_CI: u64 = 80;
 /// How long a killed process is down.
 const DOWN_STEPS: usize = 5;
 
@@ -91,6 +94,8 @@
     /// From this step on, a part of the calls in the first failure domain is made in the second.
     moves_from_step: usize,
     moved_share: f32,
+    /// No calls are made in the second failure domain before that.
+    is_second_idle: bool,
 }
 
 impl Demand {
@@ -102,6 +107,7 @@
             factor: 1.0,
             moves_from_step: STEPS,
             moved_share: 0.0,
+            is_second_idle: false,
         }
     }
 
@@ -111,13 +117,15 @@
             return 0.0;
         }
         let is_high = self.high.contains(&step);
-        let moved = match node % DOMAINS {
-            _ if step < self.moves_from_step => 0.0,
-            0 => -self.moved_share,
-            1 => self.moved_share,
-            _ => 0.0,
+        let has_moved = step >= self.moves_from_step;
+        let moved_share = if has_moved { self.moved_share } else { 0.0 };
+        let part = match node % DOMAINS {
+            0 => 1.0 - moved_share,
+            1 if self.is_second_idle => moved_share,
+            1 => 1.0 + moved_share,
+            _ => 1.0,
         };
-        self.calls_per_step * (1.0 + moved) * if is_high { self.factor } else { 1.0 }
+        self.calls_per_step * part * if is_high { self.factor } else { 1.0 }
     }
 }
 
@@ -150,12 +158,54 @@
     std::array::from_fn(|domain| sharers(&domain_of(domain), nodes, known))
 }
 
+/// How a process ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Killed,
+    /// Its successor receives what it has spent.
+    Stopped,
+}
+
+/// What happens in a run: calls by step and node, the fraction of them that fails by step, and the processes
+/// that end by step and node.
+struct Events<C, F, E> {
+    calls: C,
+    failing: F,
+    ends: E,
+}
+
 fn play(
     nodes: usize,
     demand: &Demand,
     known_after_restart: Known,
     restarts: Restarts,
     seed: u64,
+) -> Sent {
+    let end = if restarts.are_planned() {
+        End::Stopped
+    } else {
+        End::Killed
+    };
+    let events = Events {
+        calls: |step, node| demand.at(step, node),
+        failing: |step| if step < FAILS_FROM_STEP { 0.0 } else { FAILING },
+        ends: |step, node, random: &mut Rng| {
+            let is_hit = restarts.hits(step, node, nodes, random);
+            is_hit.then_some(end)
+        },
+    };
+    play_events(nodes, events, known_after_restart, seed)
+}
+
+fn play_events(
+    nodes: usize,
+    events: Events<
+        impl Fn(usize, usize) -> f32,
+        impl Fn(usize) -> f32,
+        impl Fn(usize, usize, &mut Rng) -> Option<End>,
+    >,
+    known_after_restart: Known,
+    seed: u64,
 ) -> Sent {
     let service = Name::from("service");
     let mut random = Rng::with_seed(seed);
@@ -173,19 +223,18 @@
     for step in 0..STEPS {
         let now = TimeMs(step as u64 * STEP_MS);
         let (mut first, mut retried) = (0, 0);
+        let failing = (events.failing)(step);
         for node in 0..nodes {
-            if restarts.hits(step, node, nodes, &mut random) {
+            if let Some(end) = (events.ends)(step, node, &mut random) {
                 down_until[node] = step + DOWN_STEPS;
-                let handover = processes[node]
-                    .close(now)
-                    .filter(|_| restarts.are_planned());
+                let handover = processes[node].close(now);
                 let started = now + DOWN_STEPS as u64 * STEP_MS;
                 processes[node] = start(started, false, sharers_after_restart[node % DOMAINS]);
-                if let Some(retries) = handover {
+                if let Some(retries) = handover.filter(|_| end == End::Stopped) {
                     processes[node].set_predecessor(retries);
                 }
             }
-            let mean = demand.at(step, node);
+            let mean = (events.calls)(step, node);
             let calls = mean as u32 + u32::from(random.f32() < mean.fract());
             first += calls;
             if step < down_until[node] {
@@ -194,7 +243,7 @@
             let budgets = &mut processes[node];
             for _ in 0..calls {
                 budgets.record_first_attempt(now, &service, 0.0);
-                let fails = step >= FAILS_FROM_STEP && random.f32() < FAILING;
+                let fails = failing > 0.0 && random.f32() < failing;
                 retried += u32::from(fails && budgets.try_retry(now, &service));
             }
         }
@@ -298,6 +347,23 @@
     assert!(excess <= 0.0, "{excess} retries too many");
 }
 
+/// Guards against a budget that nodes grant in full for calls that had other entries before.
+#[rstest]
+fn demand_that_moves_to_idle_nodes_keeps_the_bound(
+    #[values(0.3, 0.5, 1.0)] moved_share: f32,
+    #[values(20, 50, 100)] moves_after_steps: usize,
+) {
+    let demand = Demand {
+        moves_from_step: FAILS_FROM_STEP + moves_after_steps,
+        moved_share,
+        is_second_idle: true,
+        ..Demand::constant(20.0)
+    };
+    let sent = play(18, &demand, Known::All, Restarts::None, 0);
+    let excess = sent.excess(BOUND);
+    assert!(excess <= 0.0, "{excess} retries too many");
+}
+
 /// Guards against retries that nodes grant for calls which other nodes make by then.
 #[rstest]
 fn moving_demand_keeps_the_bound(
@@ -314,6 +380,116 @@
     assert!(excess <= 0.0, "{excess} retries too many");
 }
 
+/// A time span of a drawn run, and how strong its event is.
+#[derive(Clone, Debug)]
+struct Span {
+    steps: Range<usize>,
+    strength: f32,
+}
+
+impl Span {
+    /// Spans of up to 12 s, in the first half of the run.
+    fn draw(random: &mut Rng, count: Range<usize>, strength: Range<f32>) -> Vec<Self> {
+        let count = random.usize(count);
+        let spans = (0..count).map(|_| {
+            let from = random.usize(20..STEPS / 2);
+            Self {
+                steps: from..from + random.usize(20..120),
+                strength: strength.start + random.f32() * (strength.end - strength.start),
+            }
+        });
+        spans.collect()
+    }
+
+    /// The strengths of the spans that contain a step.
+    fn at(spans: &[Self], step: usize) -> impl Iterator<Item = f32> {
+        let current = spans.iter().filter(move |span| span.steps.contains(&step));
+        current.map(|span| span.strength)
+    }
+}
+
+/// Several disruptions of a run, drawn so that they overlap.
+#[derive(Clone, Debug)]
+struct Disruptions {
+    calls_per_step: f32,
+    /// The service fails a fraction of its calls.
+    failures: Vec<Span>,
+    /// Demand is higher or lower by a factor.
+    bursts: Vec<Span>,
+    /// A fraction of the calls of one failure domain is made in the next one.
+    moves: Vec<Span>,
+    moves_from: usize,
+    /// A failure domain that offers no calls of its own, if there is one with this number.
+    idle: usize,
+    /// A fraction of the processes ends when the span begins.
+    ends: Vec<Span>,
+    end: End,
+    known_after_restart: Known,
+}
+
+impl Disruptions {
+    fn draw(random: &mut Rng) -> Self {
+        Self {
+            calls_per_step: [0.3, 3.0, 12.0][random.usize(0..3)],
+            failures: Span::draw(random, 1..4, 0.3..0.95),
+            bursts: Span::draw(random, 0..3, 0.3..3.0),
+            moves: Span::draw(random, 0..3, 0.3..1.0),
+            moves_from: random.usize(0..DOMAINS),
+            idle: random.usize(0..DOMAINS + 1),
+            ends: Span::draw(random, 0..4, 0.2..1.2),
+            end: [End::Killed, End::Stopped][random.usize(0..2)],
+            known_after_restart: [Known::All, Known::OwnDomain][random.usize(0..2)],
+        }
+    }
+
+    fn calls(&self, step: usize, node: usize) -> f32 {
+        let own = |domain| if domain == self.idle { 0.0 } else { 1.0 };
+        let moved = Span::at(&self.moves, step).fold(0.0, f32::max);
+        let (domain, moves_to) = (node % DOMAINS, (self.moves_from + 1) % DOMAINS);
+        let part = match domain {
+            _ if domain == self.moves_from => own(domain) * (1.0 - moved),
+            _ if domain == moves_to => own(domain) + own(self.moves_from) * moved,
+            _ => own(domain),
+        };
+        let factor: f32 = Span::at(&self.bursts, step).product();
+        self.calls_per_step * factor * part
+    }
+
+    fn failing(&self, step: usize) -> f32 {
+        Span::at(&self.failures, step).fold(0.0, f32::max)
+    }
+
+    fn end(&self, step: usize, random: &mut Rng) -> Option<End> {
+        let mut begin = self.ends.iter().filter(|span| span.steps.start == step);
+        let is_hit = begin.any(|span| random.f32() < span.strength);
+        is_hit.then_some(self.end)
+    }
+}
+
+fn from_environment(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| text.parse().expect("a number"))
+}
+
+/// Guards against retries that are granted twice while several disruptions overlap: a service fails,
+/// demand rises, falls and moves between failure domains, and nodes are killed or stopped.
+#[rstest]
+fn overlapping_disruptions_keep_the_bound(#[values(18, 78)] nodes: usize) {
+    let from = from_environment("SASSAFRASGAP_FROM", FIRST_SEED);
+    let seeds = from_environment("SASSAFRASGAP_SEEDS", SEEDS_IN_CI);
+    for seed in from..from + seeds {
+        let day = Disruptions::draw(&mut Rng::with_seed(seed));
+        let events = Events {
+            calls: |step, node| day.calls(step, node),
+            failing: |step| day.failing(step),
+            ends: |step, _, random: &mut Rng| day.end(step, random),
+        };
+        let sent = play_events(nodes, events, day.known_after_restart, seed);
+        let excess = sent.excess(BOUND);
+        assert!(excess <= 0.0, "{excess} retries too many, seed {seed}");
+    }
+}
+
 /// Guards against counts that a running process loses, and retries that it then grants again.
 #[rstest]
 #[case::the_window_changes(|budgets: &mut ServiceBudgets, now| {
--- a/tests/retry_window_budget.rs
+++ b/tests/retry_window_budget.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use sassafrasgap::core::TimeMs;
 use sassafrasgap::retry::BudgetShare;
+use sassafrasgap::retry::CountingStart;
 use sassafrasgap::retry::RetryBound;
 use sassafrasgap::retry::WindowBudget;
 
@@ -16,6 +17,10 @@
     slack: 1.0,
     window_ms: 10_000,
 };
+const START: CountingStart = CountingStart {
+    at: TimeMs(100_000),
+    is_first_start: true,
+};
 
 /// Makes a first attempt every 5 ms, and tries one retry for each if `fails`. Returns the number of
 /// first attempts and when retries were granted.
@@ -38,7 +43,7 @@
 /// part of the retries.
 #[rstest]
 fn calls_before_a_failure_pay_for_its_retries() {
-    let mut budget = WindowBudget::new(SHARE, None);
+    let mut budget = WindowBudget::new(SHARE, START, None);
     send_calls(&mut budget, 100_000, 110_000, false);
     let (first, granted) = send_calls(&mut budget, 110_000, 118_000, true);
     assert_eq!(first, 1_600);
@@ -50,7 +55,7 @@
 /// window.
 #[rstest]
 fn no_window_exceeds_its_share() {
-    let mut budget = WindowBudget::new(SHARE, None);
+    let mut budget = WindowBudget::new(SHARE, START, None);
     let (_, mut granted) = send_calls(&mut budget, 100_000, 107_000, true);
     granted.extend(send_calls(&mut budget, 107_000, 115_000, false).1);
     granted.extend(send_calls(&mut budget, 115_000, 140_000, true).1);
@@ -66,7 +71,7 @@
 /// for it. Otherwise a retry at the top of a chain would be charged only once.
 #[rstest]
 fn calls_of_retried_work_use_the_budget() {
-    let mut budget = WindowBudget::new(SHARE, None);
+    let mut budget = WindowBudget::new(SHARE, START, None);
     for at in (100_000..110_000).step_by(5) {
         budget.record_first_attempt(TimeMs(at), 0.15);
     }
@@ -79,7 +84,7 @@
 /// A node that has just started and made no calls may use the slack only.
 #[rstest]
 fn without_calls_only_the_slack_is_available() {
-    let mut budget = WindowBudget::new(SHARE, None);
+    let mut budget = WindowBudget::new(SHARE, START, None);
     let granted = (0..50).filter(|_| budget.try_retry(TimeMs(100_000)));
     assert_eq!(granted.count(), 1);
 }
@@ -103,7 +108,7 @@
         slack: BOUND.slack * 0.5 / NODES as f32,
         window_ms: BOUND.window_ms,
     };
-    let mut budgets = vec![WindowBudget::new(share, None); NODES];
+    let mut budgets = vec![WindowBudget::new(share, START, None); NODES];
     let mut random = fastrand::Rng::with_seed(7);
     let mut sent = Sent::default();
     let mut busy: Vec<usize> = (0..NODES).collect();
@@ -136,7 +141,7 @@
 #[case::without_a_check_of_the_budget(false, false)]
 #[case::with_a_check_of_the_budget(true, true)]
 fn retries_higher_up_keep_the_budget_below(#[case] checks_budget: bool, #[case] keeps_bound: bool) {
-    let mut budget = WindowBudget::new(SHARE, None);
+    let mut budget = WindowBudget::new(SHARE, START, None);
     send_calls(&mut budget, 100_000, 110_000, false);
     let mut retried = 0_usize;
     retried += send_calls(&mut budget, 110_000, 116_000, true).1.len();
