Placement: entries whose calls leave follow the demand of their own domain

Cause: an entry placed calls by a share that followed from figures of up to 2 s ago, those of its own domain included, although it sees its own calls at once.

While the split sends calls away, an entry now computes it again at each tick, with the domain's demand changed like its own since its last report. Its own rate is a small sample of the domain's, so the fewer calls it makes, the less of the change counts. While the split keeps all calls nothing changes, so chance at one entry sends no call out of an even domain.

--- a/src/placement/load_exchange.rs
+++ b/src/placement/load_exchange.rs
@@ -85,7 +85,10 @@
         let reports = self
             .reporter
             .due(now, |service| choice.is_exchanged(service));
-        let mut step = ExchangeStep::default();
+        let mut step = ExchangeStep {
+            placements: self.updated_placements(now),
+            ..ExchangeStep::default()
+        };
         for report in reports {
             let Some(to) = self.choice.coordinator(&report.service, &self.domain) else {
                 continue;
@@ -153,7 +156,6 @@
     /// The placement in a reply. Domains that this node does not know are left out, and their
     /// shares stay.
     fn placement(&mut self, now: TimeMs, reply: &ServiceReply) -> Option<(Name, ServicePlacement)> {
-        self.reporter.record_reply(now, &reply.service);
         let mut kept_permille = WHOLE_PERMILLE;
         let mut shares = Vec::new();
         let mut loads: Vec<DomainLoad> = Vec::new();
@@ -177,8 +179,20 @@
             shares,
         };
         let placement = ServicePlacement::new(now, split, loads, self.conf);
+        let change = self.reporter.record_reply(now, &reply.service, &placement);
+        let placement = placement.at_changed_demand(&self.domain, change, self.conf);
         Some((reply.service.clone(), placement))
     }
+
+    /// The placements by which calls leave the own domain, at its present demand.
+    fn updated_placements(&self, now: TimeMs) -> Vec<(Name, ServicePlacement)> {
+        let sending = self.reporter.sending_placements(now);
+        let updated = sending.map(|(service, placement, change)| {
+            let placement = placement.at_changed_demand(&self.domain, change, self.conf);
+            (service.clone(), placement)
+        });
+        updated.collect()
+    }
 }
 
 fn context<'a>(
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 mod coordinator;
 mod coordinator_choice;
 mod coordinator_context;
+mod demand_change;
 mod domain_load;
 mod domain_split;
 mod load_exchange;
@@ -20,6 +21,7 @@
 mod split_log;
 
 pub use coordinator_choice::CoordinatorChoice;
+pub use demand_change::demand_change;
 pub use domain_load::DomainLoad;
 pub use domain_split::DomainShare;
 pub use domain_split::DomainSplit;
--- a/src/placement/placement_table.rs
+++ b/src/placement/placement_table.rs
@@ -10,6 +10,7 @@
 use crate::placement::DomainSplit;
 use crate::placement::PlacementConf;
 use crate::placement::domain_split::domains_above_stay;
+use crate::placement::split;
 
 /// A placement older than this is not used, in milliseconds: its coordinator is gone or
 /// unreachable, and has missed two reports.
@@ -44,6 +45,21 @@
         }
     }
 
+    /// The placement after the demand of the own domain has changed by a factor. While the split keeps all
+    /// calls, it is not changed: it follows from the demand of the whole domain only, and not from what
+    /// chance adds at one entry.
+    pub fn at_changed_demand(&self, own_domain: &str, factor: f32, conf: PlacementConf) -> Self {
+        if self.split.keeps_all() {
+            return self.clone();
+        }
+        let mut loads = self.loads.clone();
+        for own in loads.iter_mut().filter(|load| *load.domain == *own_domain) {
+            own.demand_per_s *= factor;
+        }
+        let split = split(own_domain, &loads, conf);
+        Self::new(self.received_at, split, loads, conf)
+    }
+
     /// Whether no call leaves the own domain and no domain's demand is above `stay` of its capacity,
     /// also among the domains that are unreachable.
     pub fn is_within_stay(&self) -> bool {
--- a/src/placement/report_timer.rs
+++ b/src/placement/report_timer.rs
@@ -64,6 +64,11 @@
             .is_none_or(|(sent_at, _)| now.since(sent_at) >= MIN_GAP_MS)
     }
 
+    /// The demand in the last report; 0 before the first one.
+    pub fn last_demand_tenths(&self) -> u32 {
+        self.last.map_or(0, |(_, sent)| sent.demand_tenths)
+    }
+
     pub fn record_sent(&mut self, now: TimeMs, figures: LoadFigures) {
         self.follows_change = self
             .last
--- a/src/placement/reporter.rs
+++ b/src/placement/reporter.rs
@@ -4,9 +4,11 @@
 use crate::core::Name;
 use crate::core::TimeMs;
 use crate::placement::LoadFigures;
+use crate::placement::ServicePlacement;
 use crate::placement::ServiceReport;
 use crate::placement::TargetFigures;
 use crate::placement::coordinator_choice::weight;
+use crate::placement::demand_change;
 use crate::placement::report_timer::PERIOD_MS;
 use crate::placement::report_timer::ReportTimer;
 use crate::placement::smoothed_value::SmoothedValue;
@@ -56,7 +58,16 @@
     pub figures: TargetFigures,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// The last reply of a coordinator.
+#[derive(Clone, Debug)]
+struct Reply {
+    at: TimeMs,
+    /// The demand in the node's last report before it.
+    reported_tenths: u32,
+    placement: ServicePlacement,
+}
+
+#[derive(Clone, Debug)]
 struct Reported {
     demand_per_s: SmoothedValue,
     pressure_permille: SmoothedValue,
@@ -64,7 +75,7 @@
     called_at: Option<TimeMs>,
     /// When the entry last called the service or the backend server last ran it.
     used_at: TimeMs,
-    replied_at: Option<TimeMs>,
+    reply: Option<Reply>,
     timer: ReportTimer,
 }
 
@@ -75,7 +86,7 @@
             pressure_permille: SmoothedValue::new(now, 0.0),
             called_at: None,
             used_at: now,
-            replied_at: None,
+            reply: None,
             timer: ReportTimer::staggered(stagger_ms),
         }
     }
@@ -86,13 +97,23 @@
     }
 
     fn has_recent_reply(&self, now: TimeMs) -> bool {
-        self.replied_at
-            .is_some_and(|replied_at| now.since(replied_at) < REPLY_RECENT_MS)
+        self.reply_age_ms(now)
+            .is_some_and(|age_ms| age_ms < REPLY_RECENT_MS)
     }
 
     fn is_reply_overdue(&self, now: TimeMs) -> bool {
-        let age_ms = self.replied_at.map(|replied_at| now.since(replied_at));
-        age_ms.is_some_and(|age_ms| (REPLY_OVERDUE_MS..REPLY_GIVEN_UP_MS).contains(&age_ms))
+        self.reply_age_ms(now)
+            .is_some_and(|age_ms| (REPLY_OVERDUE_MS..REPLY_GIVEN_UP_MS).contains(&age_ms))
+    }
+
+    fn reply_age_ms(&self, now: TimeMs) -> Option<u64> {
+        self.reply.as_ref().map(|reply| now.since(reply.at))
+    }
+
+    /// The estimated change of the own domain's demand since the last reply; see [`demand_change`].
+    fn change_since(&self, reply: &Reply) -> f32 {
+        let reported_per_s = LoadFigures::per_s(reply.reported_tenths);
+        demand_change(reported_per_s, self.demand_per_s.get())
     }
 }
 
@@ -178,11 +199,40 @@
         due
     }
 
-    /// Records a reply of a coordinator.
-    pub fn record_reply(&mut self, now: TimeMs, service: &str) {
-        if let Some(reported) = self.services.get_mut(service) {
-            reported.replied_at = Some(now);
-        }
+    /// Records the placement in a reply of a coordinator. Returns the estimated change of the own domain's
+    /// demand since the report that it is based on.
+    pub fn record_reply(
+        &mut self,
+        now: TimeMs,
+        service: &str,
+        placement: &ServicePlacement,
+    ) -> f32 {
+        let Some(reported) = self.services.get_mut(service) else {
+            return 1.0;
+        };
+        let reply = Reply {
+            at: now,
+            reported_tenths: reported.timer.last_demand_tenths(),
+            placement: placement.clone(),
+        };
+        let change = reported.change_since(&reply);
+        reported.reply = Some(reply);
+        change
+    }
+
+    /// The last received placements by which calls leave the own domain, with the estimated change of its
+    /// demand since then.
+    pub fn sending_placements(
+        &self,
+        now: TimeMs,
+    ) -> impl Iterator<Item = (&Name, &ServicePlacement, f32)> {
+        self.services.iter().filter_map(move |(service, reported)| {
+            let reply = reported.reply.as_ref()?;
+            let is_used = now.since(reply.at) < REPLY_GIVEN_UP_MS;
+            let is_sending = !reply.placement.split.keeps_all();
+            let change = reported.change_since(reply);
+            (is_used && is_sending).then_some((service, &reply.placement, change))
+        })
     }
 
     fn ensure(&mut self, now: TimeMs, service: &Name) {
--- a/tests/fluid_domains/mod.rs
+++ b/tests/fluid_domains/mod.rs
@@ -11,6 +11,7 @@
 use sassafrasgap::placement::DomainSplit;
 use sassafrasgap::placement::PlacementConf;
 use sassafrasgap::placement::ServicePlacement;
+use sassafrasgap::placement::demand_change;
 use sassafrasgap::placement::split;
 use sassafrasgap::routing::TargetPressure;
 
@@ -27,6 +28,10 @@
 /// one common age of 100 ms all entries switch at once, and the choice by wait keeps oscillating,
 /// with a split as well as without.
 const WAIT_AGES_MS: [u64; 4] = [50, 100, 150, 200];
+/// The entries of each domain. All of them offer the same.
+const ENTRIES: f64 = 20.0;
+/// The age of what an entry knows of its own calls: the delay of a mean over 1 s, and a tick.
+const OWN_CALLS_AGE_MS: u64 = 600;
 /// Coordinators leave out domains not heard from for this time.
 pub const UNHEARD_MS: u64 = 4_000;
 
@@ -148,6 +153,16 @@
     loads.collect()
 }
 
+/// The estimate, by an entry of `own`, of how much the domain's demand has changed since the figures.
+fn known_change(replay: &Replay, steps: &[Step], own: usize) -> f32 {
+    let own_calls_at = |age_ms| {
+        let step = step_before(steps, age_ms);
+        step.map_or(0.0, |step| step.demand[own] / ENTRIES) as f32
+    };
+    let age_ms = OWN_CALLS_AGE_MS.min(replay.figures_age_ms);
+    demand_change(own_calls_at(replay.figures_age_ms), own_calls_at(age_ms))
+}
+
 /// The domains that receive the calls of `own` alike by the waits of `known`: its own one, unless
 /// the wait there is long and less than half as long elsewhere.
 fn receivers(replay: &Replay, known: Option<&Step>, own: usize, now_ms: u64) -> Vec<usize> {
@@ -210,16 +225,15 @@
             step.demand.push(demand(own, at_ms as f64 / 1_000.0));
             let known = is_split.then(|| known_loads(replay, &steps, own, at_ms));
             let loads = known.unwrap_or_default();
-            let split = split(&domain_name(own), &loads, PlacementConf::default());
-            let shares = shares(replay, &steps, &split, own, at_ms);
+            let (name, conf) = (domain_name(own), PlacementConf::default());
+            let split = split(&name, &loads, conf);
+            let change = known_change(replay, &steps, own);
+            let placement = ServicePlacement::new(TimeMs(at_ms), split, loads, conf);
+            let placement = placement.at_changed_demand(&name, change, conf);
+            let shares = shares(replay, &steps, &placement.split, own, at_ms);
             let rates = shares.iter().map(|share| share * step.demand[own]);
             step.sent.push(rates.collect());
-            placements.push(ServicePlacement::new(
-                TimeMs(at_ms),
-                split,
-                loads,
-                PlacementConf::default(),
-            ));
+            placements.push(placement);
         }
         for (domain, &capacity) in replay.capacity.iter().enumerate() {
             let arriving: f64 = step.sent.iter().map(|rates| rates[domain]).sum();
--- a/tests/placement_exchange.rs
+++ b/tests/placement_exchange.rs
@@ -20,6 +20,7 @@
 use sassafrasgap::placement::LocalLoad;
 use sassafrasgap::placement::PlacementConf;
 use sassafrasgap::placement::ServiceLoad;
+use sassafrasgap::placement::ServicePlacement;
 use sassafrasgap::placement::ServiceReport;
 use sassafrasgap::placement::TargetFigures;
 
@@ -34,6 +35,8 @@
 const GOSSIP_BYTES_PER_S: u64 = 748;
 /// Load is known to entries within this time.
 const KNOWN_WITHIN_MS: u64 = 2_000;
+/// The demand of the own failure domain is known within this time to an entry that makes much of it.
+const OWN_KNOWN_WITHIN_MS: u64 = 1_000;
 /// A placement older than this is not used.
 const MAX_AGE_MS: u64 = 4_000;
 
@@ -69,6 +72,12 @@
     plans.map(|plan| plan.name.clone()).collect()
 }
 
+/// How often the entry of a node calls a service a second.
+fn calls_per_s(plan: &NodePlan, service: &str) -> f32 {
+    let calls = plan.calls.iter().filter(|(called, _)| &**called == service);
+    calls.map(|(_, per_s)| per_s).sum()
+}
+
 /// Guards against control traffic beyond a node's budget, at rest and while demand swings.
 #[rstest]
 #[case(85, false)]
@@ -165,6 +174,59 @@
     assert!(slowest <= KNOWN_WITHIN_MS, "{slowest} ms");
 }
 
+/// The mean age of what an entry knows of the demand of a failure domain, while `is_counted` holds for the
+/// placement.
+struct DemandAge {
+    ms: u64,
+    /// Relative errors against the demand now, and against that of this age.
+    now_error: f32,
+    best_error: f32,
+}
+
+impl DemandAge {
+    fn measure(
+        world: &mut World,
+        entry: &Name,
+        service: &str,
+        domain: &str,
+        is_counted: fn(&ServicePlacement) -> bool,
+    ) -> Self {
+        const LAGS: u64 = 40;
+        let offering = callers(world, service, Some(domain));
+        let offered = world.plans().filter(|plan| offering.contains(&plan.name));
+        let offered: Vec<(NodePlan, f32)> = offered
+            .map(|plan| (plan.clone(), calls_per_s(plan, service)))
+            .collect();
+        world.run(6_000);
+        let mut errors = [0.0; LAGS as usize];
+        let mut samples = 0;
+        for _ in 0..340 {
+            world.run(100);
+            let placement = world.placement(entry, service).unwrap();
+            if !is_counted(&placement) {
+                continue;
+            }
+            let known = world.known(entry, service, domain).unwrap().demand_per_s;
+            samples += 1;
+            for lag in 0..LAGS {
+                let then = world.now - lag * 100;
+                let demand = offered.iter().map(|(plan, per_s)| per_s * wave(plan, then));
+                let true_per_s: f32 = demand.sum();
+                errors[lag as usize] += ((known - true_per_s) / true_per_s).powi(2);
+            }
+        }
+        let error = |lag: usize| (errors[lag] / samples as f32).sqrt();
+        let lags = 0..LAGS as usize;
+        let best = lags.min_by(|a, b| errors[*a].total_cmp(&errors[*b]));
+        let best = best.unwrap();
+        Self {
+            ms: best as u64 * 100,
+            now_error: error(0),
+            best_error: error(best),
+        }
+    }
+}
+
 /// Guards against figures that lag behind a steady wave although each change alone is known soon.
 #[rstest]
 #[case(85, "waybill-desk")]
@@ -173,44 +235,38 @@
     #[case] nodes: usize,
     #[case] service: &str,
 ) {
-    const LAGS: u64 = 40;
     let mut world = World::new(&fleet_of(nodes), 5);
     world.demand = Box::new(|plan, _, now| wave(plan, now));
     let entry = callers(&world, service, Some("zone-1"))[0].clone();
-    let first = callers(&world, service, Some("zone-0"));
-    let offered = world.plans().filter(|plan| first.contains(&plan.name));
-    let offered: Vec<(NodePlan, f32)> = offered
-        .map(|plan| {
-            let calls = plan.calls.iter();
-            let calls = calls.filter(|(called, _)| &**called == service);
-            (plan.clone(), calls.map(|(_, per_s)| per_s).sum())
-        })
-        .collect();
-    world.run(6_000);
-    let mut errors = [0.0; LAGS as usize];
-    let mut samples = 0;
-    for _ in 0..340 {
-        world.run(100);
-        let known = world.known(&entry, service, "zone-0").unwrap().demand_per_s;
-        samples += 1;
-        for lag in 0..LAGS {
-            let then = world.now - lag * 100;
-            let true_per_s: f32 = offered
-                .iter()
-                .map(|(plan, per_s)| per_s * wave(plan, then))
-                .sum();
-            errors[lag as usize] += ((known - true_per_s) / true_per_s).powi(2);
-        }
-    }
-    let lags = (0..LAGS as usize).min_by(|a, b| errors[*a].total_cmp(&errors[*b]));
-    let lag_ms = lags.unwrap() as u64 * 100;
-    let now_error = (errors[0] / samples as f32).sqrt();
-    let best_error = (errors[lag_ms as usize / 100] / samples as f32).sqrt();
+    let age = DemandAge::measure(&mut world, &entry, service, "zone-0", |_| true);
+    println!(
+        "nodes={nodes} {service}: what an entry knows of another domain's wave is {} ms old \
+         on average; its error is {:.3} of the demand now, {:.3} of that then",
+        age.ms, age.now_error, age.best_error
+    );
+    assert!(age.ms <= KNOWN_WITHIN_MS, "{} ms", age.ms);
+}
+
+/// Guards against calls that leave a failure domain for a demand that has fallen, although its entries see
+/// that they make fewer calls.
+#[test]
+fn an_entry_whose_calls_leave_knows_the_demand_of_its_domain_within_a_second() {
+    let mut world = World::new(&fleet_of(85), 5);
+    world.demand = Box::new(|plan, _, now| wave(plan, now));
+    let service = "waybill-desk";
+    let entries = callers(&world, service, Some("zone-1"));
+    let per_s = |plan: &&NodePlan| calls_per_s(plan, service);
+    let plans = world.plans().filter(|plan| entries.contains(&plan.name));
+    let busiest = plans.max_by(|a, b| per_s(a).total_cmp(&per_s(b)));
+    let entry = busiest.unwrap().name.clone();
+    let is_sending = |placement: &ServicePlacement| !placement.split.keeps_all();
+    let age = DemandAge::measure(&mut world, &entry, service, "zone-1", is_sending);
     println!(
-        "nodes={nodes} {service}: what an entry knows of another domain's wave is {lag_ms} ms old \
-         on average; its error is {now_error:.3} of the demand now, {best_error:.3} of that then"
+        "{service}: what an entry whose calls leave knows of its own domain's wave is {} ms old on average; its \
+         error is {:.3} of the demand now, {:.3} of that then",
+        age.ms, age.now_error, age.best_error
     );
-    assert!(lag_ms <= KNOWN_WITHIN_MS, "{lag_ms} ms");
+    assert!(age.ms <= OWN_KNOWN_WITHIN_MS, "{} ms", age.ms);
 }
 
 /// Guards against entries that fall back to placement without a split because of lost messages.
--- a/tests/placement_split.rs
+++ b/tests/placement_split.rs
@@ -3,9 +3,12 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use sassafrasgap::core::Name;
+use sassafrasgap::core::TimeMs;
 use sassafrasgap::placement::DomainLoad;
 use sassafrasgap::placement::DomainSplit;
 use sassafrasgap::placement::PlacementConf;
+use sassafrasgap::placement::ServicePlacement;
+use sassafrasgap::placement::demand_change;
 use sassafrasgap::placement::split;
 
 /// A domain keeps this many times the mean load; see the rule in docs/design/uneven-load.md.
@@ -109,6 +112,40 @@
     }
 }
 
+fn placement_of(figures: &[(f32, f32)]) -> ServicePlacement {
+    let (loads, conf) = (loads(figures), PlacementConf::default());
+    ServicePlacement::new(TimeMs(0), split("d0", &loads, conf), loads, conf)
+}
+
+/// Guards against a domain that sends away a share of its calls for a demand that it no longer has.
+#[rstest]
+#[case::unchanged(1.0, 500)]
+#[case::a_smaller_share_is_kept_as_demand_rises(1.1, 461)]
+#[case::more_are_kept_as_demand_falls(0.75, 666)]
+#[case::all_are_kept_below_stay(0.4, 1_000)]
+fn a_sending_domain_follows_its_demand(#[case] factor: f32, #[case] kept_permille: u16) {
+    let placement = placement_of(&[(180.0, 100.0), (34.0, 100.0), (6.0, 100.0)]);
+    let changed = placement.at_changed_demand("d0", factor, PlacementConf::default());
+    assert!(changed.split.kept_permille.abs_diff(kept_permille) <= 1);
+}
+
+/// Guards against calls that leave an even domain because one of its entries makes more by chance.
+#[test]
+fn a_domain_that_keeps_all_calls_is_not_changed_by_one_entry() {
+    let placement = placement_of(&[(88.0, 100.0), (88.0, 100.0)]);
+    let changed = placement.at_changed_demand("d0", 1.5, PlacementConf::default());
+    assert_eq!(changed, placement);
+}
+
+/// Guards against an entry with few calls that takes chance for a change of its domain's demand.
+#[test]
+fn few_calls_show_little_of_a_change() {
+    assert!(demand_change(2.0, 4.0) < 1.05);
+    assert!(demand_change(2.0, 0.0) > 0.95);
+    assert_eq!(demand_change(0.0, 0.0), 1.0);
+    assert!(demand_change(1_000.0, 500.0) < 0.55);
+}
+
 /// Guards against a share that is sent into a domain that is cut off, and against shares that no
 /// longer sum to 1,000 without it.
 #[rstest]
