--- a/src/retry/budget_terms.rs
+++ b/src/retry/budget_terms.rs
@@ -25,7 +25,8 @@
     pub bound: RetryBound,
     /// Unknown until the first members are known; none of the fixed allowance is used until then.
     pub sharers: Option<Sharers>,
-    /// Retries before it may be missing in the budgets, except at the first start of the system.
+    /// When the budgets began to count. Except at the first start of the system, retries before that may
+    /// be missing in them.
     pub counting: CountingStart,
     /// How many those are by service, if known. Services without any are left out.
     pub predecessor_retries: Option<FastMap<Name, u32>>,
