Tests: one reader of the seeds of drawn runs, and one sum of a node's calls

tests/retry_bound.rs had a copy of the code by which tests/claims_random.rs takes its seeds from the environment; both now use tests/seeds. tests/placement_exchange.rs summed the calls of nodes to a service in three ways, with a filter by callers that the sum does not need; it has one.

Cases, bounds, seeds and assertions are unchanged.

--- a/tests/claims_random.rs
+++ b/tests/claims_random.rs
@@ -4,6 +4,7 @@
 //! names its seed, and the same seed repeats the same run.
 
 mod claims_simulation;
+mod seeds;
 
 use std::panic::AssertUnwindSafe;
 use std::panic::catch_unwind;
@@ -11,6 +12,7 @@
 use claims_simulation::Fault;
 use claims_simulation::FaultRates;
 use claims_simulation::Simulation;
+use seeds::seeds;
 
 /// Number of seeds in a default run.
 const SEEDS_IN_CI: u64 = 60;
@@ -19,24 +21,21 @@
 const DOMAINS: usize = 3;
 const KEY_INTERVAL_MS: u64 = 120;
 
-fn from_environment(name: &str, default: u64) -> u64 {
-    let text = std::env::var(name).ok();
-    text.map_or(default, |text| text.parse().expect("a number"))
-}
-
 #[test]
 fn no_key_runs_twice_under_random_faults() {
-    let from = from_environment("SASSAFRASGAP_FROM", 1);
-    let seeds = from_environment("SASSAFRASGAP_SEEDS", SEEDS_IN_CI);
+    let seeds = seeds(1, SEEDS_IN_CI);
     let mut completed = 0;
     let mut sent = 0;
-    for seed in from..from + seeds {
+    for seed in seeds.clone() {
         let result = catch_unwind(AssertUnwindSafe(|| run_seed(seed)));
         let simulation = result.unwrap_or_else(|_| panic!("failing seed: {seed}"));
         completed += simulation.truth.completed.len();
         sent += simulation.truth.sent.len();
     }
-    println!("{seeds} seeds, {sent} keys sent, {completed} completed");
+    println!(
+        "{} seeds, {sent} keys sent, {completed} completed",
+        seeds.end - seeds.start
+    );
     assert!(
         completed * 4 > sent,
         "fewer than a quarter of the keys completed"
--- a/tests/placement_exchange.rs
+++ b/tests/placement_exchange.rs
@@ -72,7 +72,7 @@
     plans.map(|plan| plan.name.clone()).collect()
 }
 
-/// How often the entry of a node calls a service a second.
+/// The calls per second that the entry of a node makes to a service.
 fn calls_per_s(plan: &NodePlan, service: &str) -> f32 {
     let calls = plan.calls.iter().filter(|(called, _)| &**called == service);
     calls.map(|(_, per_s)| per_s).sum()
@@ -134,17 +134,14 @@
         let mut world = World::new(&fleet_of(nodes), seed);
         world.is_noisy = is_noisy;
         let entries = callers(&world, service, None);
-        let first = callers(&world, service, Some("zone-0"));
         let changes_at = START + 8_000 + seed * 370;
         world.demand = Box::new(move |plan, _, now| match &*plan.domain {
             "zone-0" if now >= changes_at => 2.0,
             _ => 1.0,
         });
         world.run(changes_at.since(world.now));
-        let offered = world.plans().filter(|plan| first.contains(&plan.name));
-        let offered = offered.flat_map(|plan| &plan.calls);
-        let offered = offered.filter(|(called, _)| &**called == service);
-        let before: f32 = offered.map(|(_, per_s)| per_s).sum();
+        let offering = world.plans().filter(|plan| &*plan.domain == "zone-0");
+        let before: f32 = offering.map(|plan| calls_per_s(plan, service)).sum();
         let mut unaware = entries;
         while !unaware.is_empty() && world.now.since(changes_at) < 10_000 {
             world.run(20);
@@ -192,9 +189,8 @@
         is_counted: fn(&ServicePlacement) -> bool,
     ) -> Self {
         const LAGS: u64 = 40;
-        let offering = callers(world, service, Some(domain));
-        let offered = world.plans().filter(|plan| offering.contains(&plan.name));
-        let offered: Vec<(NodePlan, f32)> = offered
+        let offering = world.plans().filter(|plan| &*plan.domain == domain);
+        let offered: Vec<(NodePlan, f32)> = offering
             .map(|plan| (plan.clone(), calls_per_s(plan, service)))
             .collect();
         world.run(6_000);
@@ -254,9 +250,8 @@
     let mut world = World::new(&fleet_of(85), 5);
     world.demand = Box::new(|plan, _, now| wave(plan, now));
     let service = "waybill-desk";
-    let entries = callers(&world, service, Some("zone-1"));
     let per_s = |plan: &&NodePlan| calls_per_s(plan, service);
-    let plans = world.plans().filter(|plan| entries.contains(&plan.name));
+    let plans = world.plans().filter(|plan| &*plan.domain == "zone-1");
     let busiest = plans.max_by(|a, b| per_s(a).total_cmp(&per_s(b)));
     let entry = busiest.unwrap().name.clone();
     let is_sending = |placement: &ServicePlacement| !placement.split.keeps_all();
--- a/tests/retry_bound.rs
+++ b/tests/retry_bound.rs
@@ -2,6 +2,7 @@
 //! while demand falls or moves.
 
 mod fake_targets;
+mod seeds;
 mod sent_calls;
 
 use std::ops::Range;
@@ -17,6 +18,7 @@
 use sassafrasgap::retry::Sharers;
 
 use fake_targets::target;
+use seeds::seeds;
 use sent_calls::STEPS_PER_WINDOW;
 use sent_calls::Sent;
 
@@ -37,7 +39,7 @@
 const ALL_AFTER_STEPS: usize = 35;
 /// The time over which processes are restarted one after the other.
 const ROLLING_STEPS: usize = 200;
-/// First seed and number of drawn runs; `SASSAFRASGAP_FROM` and `SASSAFRASGAP_SEEDS` replace them.
+/// First seed and number of drawn runs; see [`seeds`].
 const FIRST_SEED: u64 = 1_000;
 const SEEDS_IN_CI: u64 = 80;
 /// How long a killed process is down.
@@ -491,18 +493,11 @@
     }
 }
 
-fn from_environment(name: &str, default: u64) -> u64 {
-    let text = std::env::var(name).ok();
-    text.map_or(default, |text| text.parse().expect("a number"))
-}
-
 /// Guards against retries that are granted twice while several disruptions overlap: a service fails,
 /// demand rises, falls and moves between failure domains, and nodes are killed or stopped.
 #[rstest]
 fn overlapping_disruptions_keep_the_bound(#[values(18, 78)] nodes: usize) {
-    let from = from_environment("SASSAFRASGAP_FROM", FIRST_SEED);
-    let seeds = from_environment("SASSAFRASGAP_SEEDS", SEEDS_IN_CI);
-    for seed in from..from + seeds {
+    for seed in seeds(FIRST_SEED, SEEDS_IN_CI) {
         let day = Disruptions::draw(&mut Rng::with_seed(seed));
         let events = Events {
             calls: |step, node| day.calls(step, node),
