--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/release/sassafrasgap-sidecar ] && [ -x target/review-2/harness ] || exit 2
-exec target/review-2/harness poison-after-restart "$folder"
+exec target/review-2/harness reused-caller "$folder"
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,8 +7,8 @@
 mod node;
 mod poison_after_restart;
 mod queued_at_stop;
+mod reused_caller;
 mod record;
-mod shared_route;
 mod store;
 mod target;
 mod unread_row;
@@ -51,7 +51,7 @@
     match case {
         "late-report" => late_report::play(folder, has_trouble),
         "unread-row" => unread_row::play(folder, has_trouble),
-        "shared-route" => shared_route::play(folder, has_trouble),
+        "reused-caller" => reused_caller::play(folder, has_trouble),
         "poison-after-restart" => poison_after_restart::play(folder, has_trouble),
         "queued-at-stop" => queued_at_stop::play(folder, has_trouble),
         _ => Verdict::NotRun,
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -21,6 +21,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
 
@@ -57,7 +58,7 @@
     pub outbound: SocketAddr,
     pub control: SocketAddr,
     pub ready: SocketAddr,
-    settings: String,
+    settings: Mutex<String>,
     folder: PathBuf,
     program: PathBuf,
     child: Mutex<Option<Child>>,
@@ -179,7 +180,7 @@
             outbound,
             control,
             ready,
-            settings,
+            settings: Mutex::new(settings),
             folder,
             program,
             child: Mutex::new(None),
@@ -189,9 +190,7 @@
 
     /// Starts the process. `is_first` is true only when the whole system starts for the first time.
     pub fn start(&self, is_first: bool) {
-        let path = self.folder.join(format!("{}.toml", self.name));
-        let text = self.settings.replace("BOOTSTRAP", &is_first.to_string());
-        fs::write(&path, text).expect("a settings file");
+        let path = self.write_settings(is_first);
         let log = self.folder.join(format!("{}.log", self.name));
         let log = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
         let mut command = Command::new(&self.program);
@@ -209,6 +208,28 @@
         self.record.line(&format!("{}: process started", self.name));
     }
 
+    fn write_settings(&self, is_first: bool) -> PathBuf {
+        let path = self.folder.join(format!("{}.toml", self.name));
+        let settings = self.settings.lock().expect("settings");
+        let text = settings.replace("BOOTSTRAP", &is_first.to_string());
+        fs::write(&path, text).expect("a settings file");
+        path
+    }
+
+    /// The settings name another service from now on, which SIGHUP tells.
+    pub fn change_service(&self, from: &str, to: &str) {
+        let (from, to) = (format!("\nservice = \"{from}\""), format!("\nservice = \"{to}\""));
+        let mut settings = self.settings.lock().expect("settings");
+        *settings = settings.replace(&from, &to);
+        drop(settings);
+        self.write_settings(false);
+        if let Some(child) = self.child.lock().expect("child").as_ref() {
+            // Safety: the process was started here and has not been waited for.
+            unsafe { kill(child.id() as i32, SIGHUP) };
+        }
+        self.record.line(&format!("{}: settings file changed to{to}, SIGHUP", self.name).replace('\n', " "));
+    }
+
     /// SIGKILL.
     pub fn kill(&self) {
         if let Some(mut child) = self.child.lock().expect("child").take() {
