--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -20,12 +20,16 @@
 use crate::traffic::AdminRequest;
 use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
+use crate::traffic::server_restore::apply_confirmed_report;
 use crate::traffic::traffic::Traffic;
 
 /// Maximum body length of a request to these listeners; a report has a few hundred bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024;
 /// Time-out for reading the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a report waits for its confirmation before it is acknowledged. The backend server would
+/// send it to another node if the acknowledgement took a second.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The value of the backend rate metric while the backend server advertises no rate limit.
 const NO_RATE: f64 = -1.0;
@@ -46,7 +50,7 @@
     let decoded = (protocol.decode)(&parts.method, parts.uri.path(), &body);
     match decoded {
         Ok(AdminRequest::Readiness) => readiness(&traffic),
-        Ok(AdminRequest::Report(report)) => match handle_report(&traffic, &report) {
+        Ok(AdminRequest::Report(report)) => match handle_report(&traffic, report).await {
             Ok(()) => acknowledged(&protocol),
             Err(error) => refused(&error),
         },
@@ -72,12 +76,17 @@
     reply(status, String::new())
 }
 
-fn handle_report(traffic: &Traffic, report: &ServerReport) -> Result<(), ReportError> {
-    if let Some(service) = unknown_service(traffic, report) {
+async fn handle_report(traffic: &Arc<Traffic>, report: ServerReport) -> Result<(), ReportError> {
+    if let Some(service) = unknown_service(traffic, &report) {
         return Err(ReportError::UnknownService(service.to_string()));
     }
     let now = traffic.clock.now();
-    traffic.update_local(|local| local.apply_report(now, report));
+    if traffic.local().must_confirm(now, &report) {
+        let confirming = tokio::spawn(apply_confirmed_report(traffic.clone(), report));
+        drop(timeout(CONFIRMATION_TIMEOUT, confirming).await);
+    } else {
+        traffic.update_local(|local| local.apply_report(now, &report));
+    }
     Ok(())
 }
 
--- a/src/traffic/gone_servers.rs
+++ b/src/traffic/gone_servers.rs
@@ -58,6 +58,12 @@
             .any(|gone| gone.has_left && gone.incarnation == *incarnation)
     }
 
+    /// The most recent incarnation that has left, and its start.
+    pub fn last_departure(&self) -> Option<(Name, Option<u64>)> {
+        let departed = self.gone.iter().rev().find(|gone| gone.has_left)?;
+        Some((departed.incarnation.clone(), departed.started_unix_ms))
+    }
+
     /// Whether a report comes from an incarnation that is gone, and not from a later start under
     /// the same identifier.
     pub fn is_report_of_gone(&self, report: &ServerReport) -> bool {
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -20,6 +20,9 @@
 /// The current incarnation counts as silent after this percentage of the heartbeat period: one
 /// heartbeat was missed, and the next one is late.
 const SILENT_PERCENT: u64 = 160;
+/// How late a report can arrive, in milliseconds. One that arrives later than this after the start
+/// of the process was sent after the start.
+const MAX_REPORT_DELAY_MS: u64 = 10_000;
 
 /// Advertised rate limits are exchanged in thousandths of a request per second.
 const MILLI: f64 = 1_000.0;
@@ -69,11 +72,13 @@
 /// What is known of the local backend server.
 ///
 /// Reports can arrive late. A late report of an incarnation that has ended, or from before a
-/// departure, must not cause requests to be sent to that incarnation. Three rules prevent it:
+/// departure, must not cause requests to be sent to that incarnation. Four rules prevent it:
 /// - A departure holds for the rest of an incarnation.
 /// - Incarnations that have ended are remembered.
 /// - While the current incarnation still reports, an unknown one replaces it only with one of its
 ///   first reports.
+/// - Until a restarted process has read the departure that its predecessor stored, a report of
+///   readiness must be confirmed by the backend server; see [`Self::must_confirm`].
 ///
 /// Requests name the expected incarnation, so one that has ended runs none of them. This holds only
 /// if an incarnation is paired with the service that its own reports named: an answer names an
@@ -85,6 +90,8 @@
     /// The incarnation before the current one, until a report names the current one's service.
     previous: Option<KnownServer>,
     gone: GoneServers,
+    /// Since when the stored departure has not been read; `None` once it has.
+    unread_since: Option<TimeMs>,
 }
 
 impl LocalServer {
@@ -95,9 +102,53 @@
             current: None,
             previous: None,
             gone: GoneServers::default(),
+            unread_since: None,
         }
     }
 
+    /// Marks the departure that the predecessor of this process may have stored as not read yet.
+    pub fn expect_stored_departure(&mut self, now: TimeMs) {
+        self.unread_since = Some(now);
+    }
+
+    /// Applies the departure that was read from the store, or that there is none.
+    ///
+    /// The read may have been answered late, so a late report may have made the departed incarnation
+    /// the current one.
+    pub fn restore_departure(
+        &mut self,
+        now: TimeMs,
+        departed: Option<(Name, Option<u64>)>,
+    ) -> LocalChange {
+        self.unread_since = None;
+        match departed {
+            Some((incarnation, started_unix_ms)) => {
+                let departure = ServerReport::departure(incarnation, started_unix_ms);
+                self.apply_report(now, &departure)
+            }
+            None => LocalChange::NoChange,
+        }
+    }
+
+    /// Whether a report takes effect only after a health check of the backend server.
+    ///
+    /// It may be from before a departure that only the store still holds. Holding every incarnation
+    /// back until the store answers would leave a node that was restarted during an outage without
+    /// its backend server. A health check alone would do so if its answers are wrong, so a report
+    /// that must have been sent after the start of this process needs none: a backend server that
+    /// has left sends no more reports.
+    pub fn must_confirm(&self, now: TimeMs, report: &ServerReport) -> bool {
+        let Some(since) = self.unread_since else {
+            return false;
+        };
+        let is_same = |current: &CurrentServer| {
+            current.service.is_some() && current.incarnation == report.incarnation
+        };
+        report.state == ReportedState::Ready
+            && now.since(since) <= MAX_REPORT_DELAY_MS
+            && !self.current.as_ref().is_some_and(is_same)
+    }
+
     /// Changes the period at which reports are expected.
     pub fn set_heartbeat_ms(&mut self, heartbeat_ms: u64) {
         self.heartbeat_ms = heartbeat_ms;
@@ -155,7 +206,11 @@
         }
         // The departure is acknowledged, so it must hold if an answer names the incarnation later.
         if report.state != ReportedState::Ready {
+            let before = self.departure();
             self.mark_gone(&report.incarnation, report.started_unix_ms);
+            if self.departure() != before {
+                return LocalChange::Changed;
+            }
         }
         LocalChange::NoChange
     }
@@ -413,4 +468,16 @@
         let current = self.current.as_ref()?;
         current.is_leaving.then_some(&current.incarnation)
     }
+
+    /// What to store for a restart of this process: the incarnation that is leaving or has left,
+    /// with its start. A departure can be the first that a restarted process learns of it.
+    pub fn departure(&self) -> Option<(Name, Option<u64>)> {
+        match &self.current {
+            Some(current) => {
+                let departure = (current.incarnation.clone(), current.started_unix_ms);
+                current.is_leaving.then_some(departure)
+            }
+            None => self.gone.last_departure(),
+        }
+    }
 }
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -20,6 +20,7 @@
 use crate::store::Store;
 use crate::store::WriteOutcome;
 use crate::store::part_name;
+use crate::traffic::LocalChange;
 use crate::traffic::peer_discovery::PeerDiscovery;
 use crate::traffic::roster_row::RosterRow;
 use crate::traffic::roster_row::roster_key;
@@ -75,61 +76,89 @@
             others.run().await;
         };
         let own = async {
-            let before = if is_first_start {
-                self.write_first(&mut writer).await
-            } else {
-                self.read_own_row(&mut writer).await
-            };
-            allow_discovery.send_replace(true);
+            let before = self.first_contact(&mut writer, &allow_discovery).await;
             self.keep(&mut writer, before).await;
         };
         tokio::join!(own, discovery);
     }
 
-    /// Writes this node's row for the first time. Returns the content of the row.
+    /// Reads this node's row, or writes it on a first start, as often as needed until the store
+    /// answers. Returns the content of the row, if it exists.
     ///
-    /// On the first start of the whole system the store has no rows, so nothing is read first. If a
-    /// row exists nevertheless, the write reports a conflict, and the stored content is used.
-    async fn write_first(&self, writer: &mut RowWriter) -> Option<RosterRow> {
+    /// Guards against work for a backend server that has left, after a restart while the store
+    /// rejects this node: the row may hold its departure, so a failed read must not count as an
+    /// absent row, and a row that was not read must not be overwritten. Discovery needs no row, and
+    /// may start after the first attempt.
+    async fn first_contact(
+        &self,
+        writer: &mut RowWriter,
+        allow_discovery: &watch::Sender<bool>,
+    ) -> Option<RosterRow> {
+        let mut is_assumed_absent = self.traffic.settings.is_first_start;
+        if is_assumed_absent {
+            self.wait_for_first_report().await;
+            writer.assume_absent();
+        }
+        let mut pause = Backoff::default();
+        loop {
+            let row = if is_assumed_absent {
+                self.write_first(writer).await
+            } else {
+                self.read_own_row(writer).await
+            };
+            allow_discovery.send_replace(true);
+            match row {
+                Ok(row) => return row,
+                Err(StoreError::Conflict { .. }) if is_assumed_absent => is_assumed_absent = false,
+                Err(error) => {
+                    log::warn!("roster: own row not read or written yet, error={error}");
+                    is_assumed_absent &= error.is_not_done();
+                    sleep(Duration::from_millis(pause.after_failure(fastrand::f64()))).await;
+                }
+            }
+        }
+    }
+
+    async fn wait_for_first_report(&self) {
         let mut status = self.traffic.local_status.subscribe();
         let is_known =
-            |status: &LocalServerStatus| status.known.is_some() || status.leaving.is_some();
+            |status: &LocalServerStatus| status.known.is_some() || status.departure.is_some();
         drop(timeout(FIRST_REPORT_TIMEOUT, status.wait_for(is_known)).await);
-        writer.assume_absent();
+    }
+
+    /// Writes this node's row for the first time. Returns the content of the row.
+    ///
+    /// On the first start of the whole system the store has no rows, so nothing is read first. If a
+    /// row exists nevertheless, the write fails with a conflict.
+    async fn write_first(&self, writer: &mut RowWriter) -> Result<Option<RosterRow>, StoreError> {
         let wanted = self.wanted_row(None);
         match writer.write(&wanted.encode()).await {
-            WriteOutcome::Written => Some(wanted),
-            WriteOutcome::Retry(StoreError::Conflict { .. }) => self.read_own_row(writer).await,
-            WriteOutcome::Retry(error) => {
-                log::debug!("roster: own row not written, error={error}");
-                None
-            }
+            WriteOutcome::Written => Ok(Some(wanted)),
+            WriteOutcome::Retry(error) => Err(error),
         }
     }
 
     /// Reads this node's row, and restores a departure of the backend server from it. Returns the
-    /// content of the row.
+    /// content of the row, if it exists.
     ///
     /// Without the restored departure, a late report from before it would cause new work to be sent
     /// to the backend server after a restart of the node.
-    async fn read_own_row(&self, writer: &mut RowWriter) -> Option<RosterRow> {
-        let row = match timeout(OWN_ROW_TIMEOUT, writer.read()).await {
-            Ok(Ok(row)) => row,
-            Ok(Err(error)) => {
-                log::warn!("roster: own row cannot be read, error={error}");
-                None
+    async fn read_own_row(&self, writer: &mut RowWriter) -> Result<Option<RosterRow>, StoreError> {
+        let row = timeout(OWN_ROW_TIMEOUT, writer.read())
+            .await
+            .unwrap_or_else(|_| Err(StoreError::NoAnswer("time-out".to_owned())))?;
+        let before = row.as_ref().and_then(RosterRow::decode);
+        let departed = before.as_ref().and_then(RosterRow::departure);
+        let now = self.traffic.clock.now();
+        self.traffic.update_local(|local| {
+            let change = local.restore_departure(now, departed);
+            if change == LocalChange::Changed {
+                log::info!("local: stored departure restored after a report of readiness");
             }
-            Err(_) => {
-                log::warn!("roster: read of own row timed out");
-                None
-            }
-        };
-        let before = row.as_ref().and_then(RosterRow::decode)?;
-        if let Some(leaving) = &before.leaving {
-            let started_unix_ms = before.leaving_started_unix_ms;
-            self.traffic.local().mark_gone(leaving, started_unix_ms);
-        }
-        Some(before)
+            change
+        });
+        self.traffic.is_own_row_read.send_replace(true);
+        Ok(before)
     }
 
     /// Keeps the row up to date. `before` is its stored content, if known.
--- a/src/traffic/roster_row.rs
+++ b/src/traffic/roster_row.rs
@@ -64,8 +64,8 @@
         let current = Self {
             control_address: Some(control_address),
             domain: Some(domain.clone()),
-            leaving: status.leaving.clone(),
-            leaving_started_unix_ms: status.leaving_started_unix_ms,
+            leaving: status.departure.as_ref().map(|(name, _)| name.clone()),
+            leaving_started_unix_ms: status.departure.as_ref().and_then(|(_, started)| *started),
             known: status.known.clone(),
             retry_handover,
         };
@@ -80,6 +80,12 @@
         }
     }
 
+    /// The departed incarnation and its start, if the row holds a departure.
+    pub(super) fn departure(&self) -> Option<(Name, Option<u64>)> {
+        let incarnation = self.leaving.clone()?;
+        Some((incarnation, self.leaving_started_unix_ms))
+    }
+
     pub(super) fn encode(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
--- a/src/traffic/server_restore.rs
+++ b/src/traffic/server_restore.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::core::Name;
+use crate::traffic::ServerReport;
 use crate::traffic::backend_answer::apply_advertisements;
 use crate::traffic::traffic::Traffic;
 use crate::wire::HeaderAdvertisement;
@@ -65,6 +66,37 @@
     );
 }
 
+/// Applies a report of readiness that a health check confirms, or once the stored departure is
+/// known; see [`LocalServer::must_confirm`].
+///
+/// [`LocalServer::must_confirm`]: crate::traffic::LocalServer::must_confirm
+pub(super) async fn apply_confirmed_report(traffic: Arc<Traffic>, report: ServerReport) {
+    let mut is_read = traffic.is_own_row_read.subscribe();
+    let is_confirmed = tokio::select! {
+        is_confirmed = confirm(&traffic, &report) => is_confirmed,
+        read = is_read.wait_for(|is_read| *is_read) => read.is_ok(),
+    };
+    if is_confirmed {
+        let now = traffic.clock.now();
+        traffic.update_local(|local| local.apply_report(now, &report));
+    } else {
+        log::info!(
+            "local: report not confirmed while the stored departure is unknown, incarnation={}",
+            report.incarnation
+        );
+    }
+}
+
+/// Whether the backend server answers that it is the incarnation of a report, and not leaving.
+async fn confirm(traffic: &Traffic, report: &ServerReport) -> bool {
+    let Some(service) = &report.service else {
+        return false;
+    };
+    let checking = check_health(traffic, service);
+    let checked = timeout(ANSWER_TIMEOUT, checking).await.ok().flatten();
+    checked.is_some_and(|checked| checked.is_healthy && checked.incarnation == report.incarnation)
+}
+
 /// The answer of a health check.
 struct HealthCheck {
     incarnation: Name,
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -108,10 +108,8 @@
     /// as that rate keeps busy.
     pub slots: u32,
     pub state: TargetState,
-    /// The incarnation that is leaving or has left, if any.
-    pub leaving: Option<Name>,
-    /// When that incarnation started, if it reported it.
-    pub leaving_started_unix_ms: Option<u64>,
+    /// The departure to store for a restart of the node; see [`LocalServer::departure`].
+    pub departure: Option<(Name, Option<u64>)>,
     /// The incarnation to store for a restart of the node; see [`LocalServer::known`].
     pub known: Option<KnownServer>,
 }
@@ -160,6 +158,8 @@
     /// True once the entry accepts no more requests in a planned stop.
     pub entry_closed: AtomicBool,
     pub local_status: watch::Sender<LocalServerStatus>,
+    /// True once the departure in this node's stored row is known here.
+    pub is_own_row_read: watch::Sender<bool>,
     /// The retries of this process, once it stops and grants no more.
     pub retry_handover: watch::Sender<Option<RetryHandover>>,
     /// True once the node's row has the handover.
@@ -191,10 +191,13 @@
             service: settings.service.clone(),
             slots: 0,
             state: TargetState::Starting,
-            leaving: None,
-            leaving_started_unix_ms: None,
+            departure: None,
             known: None,
         };
+        let mut local = LocalServer::new(settings.live.heartbeat_ms);
+        if !settings.is_first_start {
+            local.expect_stored_departure(clock.now());
+        }
         Self {
             peers: pool(PEER_CONNECT_MS, PEER_IDLE_MS, SILENCE_MS),
             backend: pool(BACKEND_CONNECT_MS, BACKEND_IDLE_MS, BACKEND_SLOW_READ_MS),
@@ -219,10 +222,11 @@
             is_leaving: AtomicBool::new(false),
             entry_closed: AtomicBool::new(false),
             local_status: watch::Sender::new(unknown),
+            is_own_row_read: watch::Sender::new(settings.is_first_start),
             retry_handover: watch::Sender::new(None),
             is_handed_over: watch::Sender::new(false),
             failing: Mutex::default(),
-            local: Mutex::new(LocalServer::new(settings.live.heartbeat_ms)),
+            local: Mutex::new(local),
             advertisement_cache: Mutex::default(),
             requests: AtomicUsize::new(0),
             used_connections: Arc::default(),
@@ -315,9 +319,8 @@
                     .unwrap_or_else(|| self.settings.service.clone()),
                 slots: rate.map_or(local.slots(), |_| usable),
                 state: local.state(),
-                leaving: local.leaving().cloned(),
+                departure: local.departure(),
                 known: local.known(),
-                leaving_started_unix_ms: local.leaving().and(local.started_unix_ms()),
             }
         };
         self.publish_local_status(status);
--- a/tests/traffic_local_server.rs
+++ b/tests/traffic_local_server.rs
@@ -302,3 +302,48 @@
     assert_eq!(server.started_unix_ms(), expected);
     assert_eq!(accepting(&server), Some("one"));
 }
+
+/// Until the stored departure is read, a report of readiness could be from before it, so it needs
+/// the backend server's confirmation. A departure, a later report of the confirmed incarnation, and
+/// a report that was certainly sent after the start do not.
+#[rstest]
+#[case::first_report("one", ReportedState::Ready, 100, true)]
+#[case::departure("one", ReportedState::Left, 100, false)]
+#[case::sent_after_the_start("one", ReportedState::Ready, 10_001, false)]
+fn reports_are_confirmed_until_the_stored_departure_is_read(
+    #[case] incarnation: &str,
+    #[case] state: ReportedState,
+    #[case] at_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut server = LocalServer::new(HEARTBEAT_MS);
+    let received = report(incarnation, state, 7);
+    assert!(!server.must_confirm(TimeMs(at_ms), &received));
+    server.expect_stored_departure(TimeMs(0));
+    assert_eq!(server.must_confirm(TimeMs(at_ms), &received), expected);
+    server.apply_report(TimeMs(at_ms), &received);
+    assert!(!server.must_confirm(TimeMs(at_ms), &received));
+    let other = report("two", ReportedState::Ready, 3);
+    let is_early = at_ms <= 10_000;
+    assert_eq!(server.must_confirm(TimeMs(at_ms), &other), is_early);
+    server.restore_departure(TimeMs(at_ms), None);
+    assert!(!server.must_confirm(TimeMs(at_ms), &other));
+}
+
+/// The stored departure is read after a late report has made its incarnation the current one. It
+/// must end the work of that run, and not of a later one under the same identifier.
+#[rstest]
+#[case::same_run(500, None)]
+#[case::later_run(900, Some("one"))]
+fn a_departure_that_is_read_late_holds_for_its_run(
+    #[case] started_unix_ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let mut server = LocalServer::new(HEARTBEAT_MS);
+    server.expect_stored_departure(TimeMs(0));
+    let late = report_with_start(started_unix_ms, ReportedState::Ready, 42);
+    server.apply_report(TimeMs(10), &late);
+    assert_eq!(accepting(&server), Some("one"));
+    server.restore_departure(TimeMs(20), Some((Name::from("one"), Some(500))));
+    assert_eq!(accepting(&server), expected);
+}
