--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -65,6 +65,8 @@
     pub suspect: RunningRequest,
     pub hop: HopCall,
     pub deadline: TimeMs,
+    /// Until when it may wait for admission. The entry's node may stop before the deadline.
+    pub admission_deadline: TimeMs,
 }
 
 /// Whether a call may have started to run. Read when the call is abandoned.
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -47,7 +47,7 @@
 /// round trip.
 const MAX_TARGETS_TRIED: usize = 6;
 
-/// Forwards a call until it is answered, refused, or its deadline has passed.
+/// Forwards a call until it is answered, refused, its deadline has passed, or this node exits.
 ///
 /// # Errors
 /// Returns the refusal for the caller.
@@ -57,15 +57,22 @@
     progress: &Progress,
 ) -> Result<WholeAnswer, Refusal> {
     let left_ms = call.deadline.since(traffic.clock.now());
+    let mut calls_ended = traffic.calls_ended.subscribe();
     let answering = run_attempts(traffic, &call, progress);
-    match timeout(Duration::from_millis(left_ms), answering).await {
-        Ok(result) => result.map_err(|refusal| progress.with_earlier_attempts(refusal)),
-        // The attempt's future has been dropped, so an attempt that is unsent remains so.
-        Err(_) if progress.cancel_unsent() && !progress.may_have_run() => Err(Refusal::not_run(
-            RefusalReason::DeadlineExceeded,
-            no_target_retry_after_ms(),
-        )),
-        Err(_) => Err(Refusal::unknown(RefusalReason::DeadlineExceeded, 0)),
+    let reason = tokio::select! {
+        answered = timeout(Duration::from_millis(left_ms), answering) => match answered {
+            Ok(result) => {
+                return result.map_err(|refusal| progress.with_earlier_attempts(refusal));
+            }
+            Err(_) => RefusalReason::DeadlineExceeded,
+        },
+        _ = calls_ended.wait_for(|is_ended| *is_ended) => RefusalReason::Draining,
+    };
+    // The attempt's future has been dropped, so an attempt that is unsent remains so.
+    if progress.cancel_unsent() && !progress.may_have_run() {
+        Err(Refusal::not_run(reason, no_target_retry_after_ms()))
+    } else {
+        Err(Refusal::unknown(reason, 0))
     }
 }
 
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -80,7 +80,8 @@
 ) -> AttemptEnd {
     let hop = hop_call(traffic, call, own, progress.has_reached_backend());
     let message = call.message.clone();
-    let guarded = guarded(traffic, message, hop, call.deadline);
+    let wait_until = traffic.admission_ends_at.get().copied();
+    let guarded = guarded(traffic, message, hop, call.deadline, wait_until);
     run(traffic, guarded, progress).await
 }
 
@@ -104,6 +105,9 @@
         parts.headers.remove(name);
     }
     parts.headers.remove(headers::HOP);
+    let max_wait_ms = parts.headers.remove(headers::MAX_WAIT_MS);
+    let max_wait_ms = max_wait_ms.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let wait_until = max_wait_ms.map(|max_wait_ms| traffic.clock.now() + max_wait_ms);
     let path_and_query = parts.uri.path_and_query().cloned();
     let message = Message {
         method: parts.method,
@@ -111,10 +115,16 @@
         headers: parts.headers,
         body,
     };
-    Ok(guarded(traffic, message, hop, deadline))
+    Ok(guarded(traffic, message, hop, deadline, wait_until))
 }
 
-fn guarded(traffic: &Traffic, message: Message, hop: HopCall, deadline: TimeMs) -> GuardedCall {
+fn guarded(
+    traffic: &Traffic,
+    message: Message,
+    hop: HopCall,
+    deadline: TimeMs,
+    wait_until: Option<TimeMs>,
+) -> GuardedCall {
     let id = message
         .headers
         .get(&traffic.settings.header_names.request_id);
@@ -124,6 +134,7 @@
         message,
         hop,
         deadline,
+        admission_deadline: wait_until.map_or(deadline, |until| until.min(deadline)),
     }
 }
 
@@ -229,9 +240,9 @@
         ticket: 0,
         priority: call.hop.priority,
         depth: 0,
-        wait_ms: call.deadline.since(now) as u32,
+        wait_ms: call.admission_deadline.since(now) as u32,
         due: now + u64::from(call.hop.objective_ms),
-        deadline: call.deadline,
+        deadline: call.admission_deadline,
     };
     let arrived_us = traffic.clock.now_us();
     traffic.apply_desired_limits();
@@ -248,16 +259,23 @@
     }
 }
 
-/// Waits for admission, at most until the call's deadline.
+/// Waits for admission, at most until the call's deadline or until the guard closes.
 ///
 /// The periodic poll of the gate may notice the deadline so late that the entry has given the call
 /// up as `unknown`, although it was still in the queue. The gate is therefore polled at the
 /// deadline, so its refusal gets the whole margin between the guard's and the entry's deadline.
 async fn admit(traffic: &Arc<Traffic>, call: OfferedCall) -> Result<Permit, Refusal> {
     let left = Duration::from_millis(call.deadline.since(traffic.clock.now()));
+    let mut guard_closed = traffic.guard_closed.subscribe();
     let mut admission = pin!(traffic.gate.admit(call));
-    if let Ok(admitted) = timeout(left, &mut admission).await {
-        return admitted;
+    tokio::select! {
+        admitted = timeout(left, &mut admission) => if let Ok(admitted) = admitted {
+            return admitted;
+        },
+        // A closed guard runs nothing more, and another target still can.
+        _ = guard_closed.wait_for(|is_closed| *is_closed) => {
+            return Err(not_run(RefusalReason::Draining));
+        }
     }
     traffic.gate.poll();
     admission.await
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -103,6 +103,10 @@
     map.remove(&traffic.settings.header_names.deadline_ms);
     let value = HeaderValue::from_str(&hop_call(traffic, call, target, is_retry).encode()).ok()?;
     map.insert(headers::HOP, value);
+    if let Some(ends_at) = traffic.admission_ends_at.get() {
+        let max_wait_ms = ends_at.since(traffic.clock.now());
+        map.insert(headers::MAX_WAIT_MS, HeaderValue::from(max_wait_ms));
+    }
     *request.headers_mut() = map;
     Some(request)
 }
--- a/src/traffic/stop.rs
+++ b/src/traffic/stop.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use crate::core::TargetState;
@@ -24,6 +25,12 @@
 /// How long the node waits for the store before it exits, within the time limit of the stop. Its
 /// successor uses less of its retry budget if the store does not answer.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long before the exit calls that wait for admission are refused. Guards refuse them, and know
+/// that they did not run, so the refusal has to come back and be read by the caller.
+const ADMISSION_ENDS_BEFORE_EXIT: Duration = Duration::from_millis(500);
+/// How long before the exit the remaining calls are answered, so that callers get an answer and not
+/// a broken connection.
+const CALLS_END_BEFORE_EXIT: Duration = Duration::from_millis(200);
 /// How often requests in progress are counted.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -33,6 +40,7 @@
         log::info!("node: stops");
         let started = Instant::now();
         let deadline = started + Duration::from_millis(self.traffic.live().stop_within_ms);
+        self.limit_waits();
         self.traffic.stopping.send_replace(true);
         sleep(DRAINING_ANNOUNCED_AFTER).await;
         self.traffic.is_leaving.store(true, Ordering::Relaxed);
@@ -42,7 +50,11 @@
         sleep(ENTRY_CLOSED_AFTER.saturating_sub(started.elapsed())).await;
         self.traffic.entry_closed.store(true, Ordering::Relaxed);
         self.finish(started, deadline - HANDOVER_TIMEOUT).await;
-        tokio::join!(self.finish(started, deadline), self.hand_over_retries());
+        tokio::join!(
+            self.finish(started, deadline),
+            self.end_calls(deadline - CALLS_END_BEFORE_EXIT),
+            self.hand_over_retries()
+        );
         log::info!(
             "node: leaves, in_progress={} unsent={}",
             self.traffic.requests_in_progress(),
@@ -57,6 +69,22 @@
         }
     }
 
+    /// Sets the time until which calls may wait for admission. Guards of other nodes get it with
+    /// each call from now on.
+    fn limit_waits(&self) {
+        let traffic = &self.traffic;
+        let before_exit_ms = ADMISSION_ENDS_BEFORE_EXIT.as_millis() as u64;
+        let wait_ms = traffic.live().stop_within_ms.saturating_sub(before_exit_ms);
+        // A process stops once.
+        let _ = traffic.admission_ends_at.set(traffic.clock.now() + wait_ms);
+    }
+
+    /// Answers the calls that are still in progress at `end`, if any.
+    async fn end_calls(&self, end: Instant) {
+        sleep_until(end).await;
+        self.traffic.calls_ended.send_replace(true);
+    }
+
     /// Leaves the retries of the last window to the successor, if the store answers in time.
     async fn hand_over_retries(&self) {
         let traffic = &self.traffic;
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -157,6 +158,10 @@
     pub is_leaving: AtomicBool,
     /// True once the entry accepts no more requests in a planned stop.
     pub entry_closed: AtomicBool,
+    /// Until when calls may wait for admission, in a planned stop: later they could not be finished.
+    pub admission_ends_at: OnceLock<TimeMs>,
+    /// True once calls still in progress are answered as they are, in a planned stop.
+    pub calls_ended: watch::Sender<bool>,
     pub local_status: watch::Sender<LocalServerStatus>,
     /// True once the departure in this node's stored row is known here.
     pub is_own_row_read: watch::Sender<bool>,
@@ -221,6 +226,8 @@
             guard_closed: watch::Sender::new(false),
             is_leaving: AtomicBool::new(false),
             entry_closed: AtomicBool::new(false),
+            admission_ends_at: OnceLock::new(),
+            calls_ended: watch::Sender::new(false),
             local_status: watch::Sender::new(unknown),
             is_own_row_read: watch::Sender::new(settings.is_first_start),
             retry_handover: watch::Sender::new(None),
--- a/src/wire/headers.rs
+++ b/src/wire/headers.rs
@@ -23,6 +23,9 @@
 pub const HOP: &str = "sassafrasgap-hop";
 /// Between nodes: an encoded `HopAnswer`.
 pub const HOP_ANSWER: &str = "sassafrasgap-hop-answer";
+/// Between nodes: how long a call may wait for admission, in milliseconds, if its sender stops before
+/// the call's deadline.
+pub const MAX_WAIT_MS: &str = "sassafrasgap-max-wait-ms";
 /// From backend servers: `1` on a 503 answer to a request that was shed before it was started.
 pub const SHED: &str = "sassafrasgap-shed";
 /// From backend servers, in their answers: the advertised rate, in requests per second from all
