--- a/src/traffic/admin.rs
+++ b/src/traffic/admin.rs
@@ -100,8 +100,7 @@
     let in_force = traffic.desired.load()?;
     let mut services = in_force.state.services.iter();
     let is_known = report.state != ReportedState::Ready
-        || service == traffic.settings.service
-        || traffic.local().service() == Some(&service)
+        || traffic.own_service.is_known(&service)
         || services.any(|each| each.name == service);
     (!is_known).then_some(service)
 }
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -38,6 +38,8 @@
 pub(super) struct Call {
     pub message: Message,
     pub service: Name,
+    /// The service of this node's backend server when the request began.
+    pub caller_service: Name,
     /// The name of its route.
     pub route: Name,
     pub repeatability: Repeatability,
--- a/src/traffic/control_link.rs
+++ b/src/traffic/control_link.rs
@@ -21,6 +21,7 @@
 use crate::traffic::desired_task::AnnounceVersion;
 use crate::traffic::desired_task::ConfirmVersion;
 use crate::traffic::desired_task::ShouldPollStore;
+use crate::traffic::own_service::OwnService;
 use crate::traffic::peer_discovery::discovery_time_ms;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::apply_peer_report;
@@ -50,7 +51,7 @@
 
 /// The handlers of peers' requests and announcements.
 pub(super) fn handlers(
-    settings: &TrafficSettings,
+    own_service: &Arc<OwnService>,
     desired: &Arc<DesiredInForce>,
     poison: &Arc<PoisonWatch>,
     origins: &Arc<RouteOrigins>,
@@ -59,9 +60,11 @@
     let for_requests = desired.clone();
     let for_announcements = desired.clone();
     let origins = origins.clone();
-    let (poison, service) = (poison.clone(), settings.service.clone());
+    let (poison, own_service) = (poison.clone(), own_service.clone());
     ControlHandlers {
-        report_suspects: Arc::new(move |report| apply_peer_report(&poison, &service, &report)),
+        report_suspects: Arc::new(move |report| {
+            apply_peer_report(&poison, &own_service.current(), &report);
+        }),
         config_above: Arc::new(move |above| for_requests.document_above(above)),
         newer_config: Arc::new(move |from, version, same_domain| {
             let announced = VersionAnnouncement {
--- a/src/traffic/entry.rs
+++ b/src/traffic/entry.rs
@@ -142,6 +142,7 @@
 /// Reads a whole request and classifies it.
 async fn accept(traffic: &Arc<Traffic>, request: Request<Incoming>) -> Result<Call, Rejected> {
     let now = traffic.clock.now();
+    let caller_service = traffic.own_service.current();
     let (mut parts, body) = request.into_parts();
     let in_force = traffic.desired.load();
     let requested_ms = requested_deadline_ms(traffic, &parts.headers)?;
@@ -184,6 +185,7 @@
             body,
         },
         service,
+        caller_service,
         route: route.clone(),
         repeatability: found.route.repeatability,
         max_attempts: found.route.max_attempts,
--- a/src/traffic/guard.rs
+++ b/src/traffic/guard.rs
@@ -318,7 +318,7 @@
 fn guard_status(traffic: &Traffic, route: &str, origin: Option<RouteOrigin>) -> GuardStatus {
     let now = traffic.clock.now();
     let own = Pressure {
-        service: traffic.settings.service.clone(),
+        service: traffic.own_service.current(),
         permille: traffic.gate.pressure_permille(),
     };
     GuardStatus {
--- a/src/traffic/hop.rs
+++ b/src/traffic/hop.rs
@@ -40,7 +40,7 @@
     HopCall {
         service: call.service.clone(),
         route: call.route.clone(),
-        caller_service: traffic.settings.service.clone(),
+        caller_service: call.caller_service.clone(),
         is_same_domain: target.domain == traffic.settings.domain,
         origin: call.origin,
         is_certain_origin: call.is_certain_origin,
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -36,6 +36,7 @@
 mod load_task;
 mod local_server;
 mod maintenance;
+mod own_service;
 mod passed_headers;
 mod peer_discovery;
 mod placements;
--- a/src/traffic/poison_watch.rs
+++ b/src/traffic/poison_watch.rs
@@ -13,6 +13,7 @@
 use crate::control::ControlHandle;
 use crate::control::Suspects as SuspectsReport;
 use crate::core::Clock;
+use crate::core::Name;
 use crate::core::RequestId;
 use crate::core::fingerprint_of;
 use crate::poison::BrokenCalls;
@@ -41,12 +42,12 @@
 pub(super) struct PoisonWatch {
     clock: Clock,
     state: Mutex<WatchState>,
-    reports: Sender<CrashReport>,
+    reports: Sender<SuspectsReport>,
 }
 
 impl PoisonWatch {
     /// Starts without suspects. Reports for other guards are sent to `reports`.
-    pub(super) fn new(clock: Clock, reports: Sender<CrashReport>) -> Self {
+    pub(super) fn new(clock: Clock, reports: Sender<SuspectsReport>) -> Self {
         let settings = PoisonSettings {
             crashes: CRASHES_TO_REFUSE,
             crashes_non_idempotent: CRASHES_TO_REFUSE,
@@ -84,9 +85,9 @@
         self.lock().broken.record(now, call);
     }
 
-    /// Records the end of the backend server, for any reason: calls that broke just before were
-    /// running at that time.
-    pub(super) fn record_backend_exit(&self) {
+    /// Records the end of a backend server of this service, for any reason: calls that broke just
+    /// before were running at that time.
+    pub(super) fn record_backend_exit(&self, service: &Name) {
         let now = self.clock.now();
         let mut state = self.lock();
         let running = state.broken.take(now);
@@ -100,7 +101,11 @@
         let report = state
             .suspects
             .record_crash(now, CrashId::random(), &running);
-        if self.reports.try_send(report).is_err() {
+        let suspects_report = SuspectsReport {
+            service: service.clone(),
+            report,
+        };
+        if self.reports.try_send(suspects_report).is_err() {
             log::warn!("poison: crash report dropped because the queue is full");
         }
     }
@@ -129,9 +134,9 @@
     }
 }
 
-/// Sends crash reports to the other targets of the local service.
+/// Sends crash reports to the other targets of the service that they are about.
 pub(super) async fn forward_reports(
-    mut reports: Receiver<CrashReport>,
+    mut reports: Receiver<SuspectsReport>,
     traffic: Arc<Traffic>,
     control: Arc<ControlHandle>,
 ) {
@@ -140,19 +145,18 @@
     }
 }
 
-async fn send_report(traffic: &Arc<Traffic>, control: &Arc<ControlHandle>, report: CrashReport) {
-    let service = &traffic.settings.service;
+async fn send_report(
+    traffic: &Arc<Traffic>,
+    control: &Arc<ControlHandle>,
+    suspects_report: SuspectsReport,
+) {
     let view = traffic.view.load_full();
-    let others = view.targets(service).iter();
+    let others = view.targets(&suspects_report.service).iter();
     let others = others.filter(|target| target.node != traffic.settings.node);
     let deliveries = others.map(|target| {
-        let suspects_report = SuspectsReport {
-            service: service.clone(),
-            report: report.clone(),
-        };
         let delivery = control
             .clients
-            .report_suspects(target.control_address, suspects_report);
+            .report_suspects(target.control_address, suspects_report.clone());
         async {
             if let Err(error) = delivery.await {
                 log::warn!(
--- a/src/traffic/process.rs
+++ b/src/traffic/process.rs
@@ -46,6 +46,7 @@
 use crate::traffic::maintenance::close_expired_connections;
 use crate::traffic::maintenance::log_admission;
 use crate::traffic::maintenance::poll_gate;
+use crate::traffic::own_service::OwnService;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::poison_watch::forward_reports;
 use crate::traffic::roster::Roster;
@@ -101,6 +102,7 @@
         let peer_address = local_address(&listeners.peers, settings.peer_address);
         let metrics = Arc::new(Metrics::new());
         let desired = Arc::new(DesiredInForce::default());
+        let own_service = Arc::new(OwnService::new(settings.service.clone()));
         let (version_sender, version_announcements) = channel(VERSION_QUEUE_LENGTH);
         let (crash_sender, crashes) = channel(CRASH_QUEUE_LENGTH);
         let poison = Arc::new(PoisonWatch::new(inputs.clock, crash_sender));
@@ -120,7 +122,7 @@
             allowances: allowance_handler(allowance_sender),
             loads: loads_handler(load_sender),
             store_era: era_handler(&eras),
-            ..handlers(&settings, &desired, &poison, &origins, version_sender)
+            ..handlers(&own_service, &desired, &poison, &origins, version_sender)
         };
         let control_settings = control_settings(&settings, peer_address, inputs.clock);
         let control_metrics = ControlMetrics::new(metrics.registry())?;
@@ -129,6 +131,7 @@
             metrics,
             view: control.view.clone(),
             desired: desired.clone(),
+            own_service,
             poison,
             origins,
             allowances,
--- a/src/traffic/reload.rs
+++ b/src/traffic/reload.rs
@@ -19,13 +19,16 @@
     /// Applies the settings that can change while the node runs, and reports the others. Requests
     /// in progress are not affected.
     pub fn reload(&self, settings: &TrafficSettings) -> Reloaded {
-        let reloaded = Reloaded {
+        let mut reloaded = Reloaded {
             in_force: changed_live(&self.traffic, settings),
             at_next_start: changed_identity(&self.traffic.settings, settings),
         };
         if !reloaded.in_force.is_empty() {
             self.traffic.set_live(settings.live);
         }
+        if self.traffic.own_service.set_configured(&settings.service) {
+            reloaded.in_force.push("service");
+        }
         log::info!(
             "settings: read again, in_force={:?} at_next_start={:?}",
             reloaded.in_force,
@@ -71,7 +74,6 @@
         node,
         region,
         domain,
-        service,
         caller_address,
         peer_address,
         control_address,
--- a/src/traffic/settings.rs
+++ b/src/traffic/settings.rs
@@ -50,7 +50,7 @@
     pub region: Name,
     /// The failure domain.
     pub domain: Name,
-    /// The service of the local backend server.
+    /// The service of the local backend server. It can change while the node runs.
     pub service: Name,
     /// The listener for requests of local callers and of the backend server.
     pub caller_address: SocketAddr,
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -41,6 +41,7 @@
 use crate::traffic::TrafficSettings;
 use crate::traffic::allowances::Allowances;
 use crate::traffic::keyed_routes::KeyedRoutes;
+use crate::traffic::own_service::OwnService;
 use crate::traffic::placements::Placements;
 use crate::traffic::poison_watch::PoisonWatch;
 use crate::traffic::retry_budgets::RetryBudgets;
@@ -120,6 +121,7 @@
     pub metrics: Arc<Metrics>,
     pub view: Arc<Published<View>>,
     pub desired: Arc<DesiredInForce>,
+    pub own_service: Arc<OwnService>,
     pub poison: Arc<PoisonWatch>,
     pub origins: Arc<RouteOrigins>,
     pub allowances: Arc<Allowances>,
@@ -129,6 +131,7 @@
 /// The state shared by all listeners.
 pub(super) struct Traffic {
     pub settings: TrafficSettings,
+    pub own_service: Arc<OwnService>,
     pub clock: Clock,
     pub metrics: Arc<Metrics>,
     pub view: Arc<Published<View>>,
@@ -241,6 +244,7 @@
             live: Published::from_pointee(settings.live),
             settings,
             clock,
+            own_service: shared.own_service,
             metrics: shared.metrics,
             view: shared.view,
             desired: shared.desired,
@@ -310,20 +314,23 @@
             let start_of =
                 |local: &LocalServer| (local.incarnation().cloned(), local.started_unix_ms());
             let before = start_of(&local);
+            let service_before = local.service().cloned();
             if change(&mut local) == LocalChange::NoChange {
                 return;
             }
             if local.is_down() || start_of(&local) != before {
-                self.poison.record_backend_exit();
+                self.poison.record_backend_exit(&self.own_service.current());
+            }
+            if let Some(reported) = local.service()
+                && service_before.as_ref() != Some(reported)
+            {
+                self.own_service.set_reported(reported.clone());
             }
             self.limit_slots(&local);
             let rate = local.rate_per_s();
             let usable = self.gate.set_rate(rate);
             LocalServerStatus {
-                service: local
-                    .service()
-                    .cloned()
-                    .unwrap_or_else(|| self.settings.service.clone()),
+                service: self.own_service.current(),
                 slots: rate.map_or(local.slots(), |_| usable),
                 state: local.state(),
                 departure: local.departure(),
