--- a/tests/node_endless_answers.rs
+++ b/tests/node_endless_answers.rs
@@ -2,6 +2,8 @@
 
 #[path = "../platform/tests/support/endless_target.rs"]
 mod endless_target;
+#[path = "../platform/tests/support/raw_request.rs"]
+mod raw_request;
 mod support;
 
 use std::time::Duration;
