--- a/src/traffic/stop.rs
+++ b/src/traffic/stop.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::core::TargetState;
 use crate::traffic::RetryHandover;
@@ -51,8 +51,7 @@
         self.traffic.entry_closed.store(true, Ordering::Relaxed);
         self.finish(started, deadline - HANDOVER_TIMEOUT).await;
         tokio::join!(
-            self.finish(started, deadline),
-            self.end_calls(deadline - CALLS_END_BEFORE_EXIT),
+            self.finish_or_end_calls(started, deadline),
             self.hand_over_retries()
         );
         log::info!(
@@ -79,10 +78,15 @@
         let _ = traffic.admission_ends_at.set(traffic.clock.now() + wait_ms);
     }
 
-    /// Answers the calls that are still in progress at `end`, if any.
-    async fn end_calls(&self, end: Instant) {
-        sleep_until(end).await;
-        self.traffic.calls_ended.send_replace(true);
+    /// Like [`Self::finish`], and answers the calls that are still in progress shortly before
+    /// `deadline`.
+    async fn finish_or_end_calls(&self, started: Instant, deadline: Instant) {
+        let end = deadline - CALLS_END_BEFORE_EXIT;
+        let finishing = self.finish(started, deadline);
+        if timeout_at(end, finishing).await.is_err() {
+            self.traffic.calls_ended.send_replace(true);
+            self.finish(started, deadline).await;
+        }
     }
 
     /// Leaves the retries of the last window to the successor, if the store answers in time.
