A reported service is advertised before a configured one

After a SIGHUP with another service, a node whose target still reports the service before would have advertised the new one, for which its guard refuses all calls, and a crash of the old target would have been reported under the new service. Found by reading the diff.

--- a/src/traffic/own_service.rs
+++ b/src/traffic/own_service.rs
@@ -44,7 +44,7 @@
         *state.configured == *service || *state.current == *service
     }
 
-    /// Applies a service that the backend server reported for the first time.
+    /// Applies a service that differs from what the backend server reported before.
     pub(super) fn set_reported(&self, reported: Name) {
         self.lock().current = reported;
     }
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -163,7 +163,7 @@
     pub entry_closed: AtomicBool,
     /// Until when calls may wait for admission, in a planned stop: later they could not be finished.
     pub admission_ends_at: OnceLock<TimeMs>,
-    /// True once calls still in progress are answered as they are, in a planned stop.
+    /// True once the calls still in progress are answered without a result, in a planned stop.
     pub calls_ended: watch::Sender<bool>,
     pub local_status: watch::Sender<LocalServerStatus>,
     /// True once the departure in this node's stored row is known here.
@@ -319,7 +319,9 @@
                 return;
             }
             if local.is_down() || start_of(&local) != before {
-                self.poison.record_backend_exit(&self.own_service.current());
+                let service = service_before.clone();
+                let service = service.unwrap_or_else(|| self.own_service.current());
+                self.poison.record_backend_exit(&service);
             }
             if let Some(reported) = local.service()
                 && service_before.as_ref() != Some(reported)
@@ -330,7 +332,10 @@
             let rate = local.rate_per_s();
             let usable = self.gate.set_rate(rate);
             LocalServerStatus {
-                service: self.own_service.current(),
+                service: local
+                    .service()
+                    .cloned()
+                    .unwrap_or_else(|| self.own_service.current()),
                 slots: rate.map_or(local.slots(), |_| usable),
                 state: local.state(),
                 departure: local.departure(),
