The store is asked before the backend server at a restart

Cause: a report that arrived in the milliseconds before the node's row was read led to a health check, which costs a connection of the backend server. The store now has 200 ms to answer first. The connections, leaving, restart, restored store and reused address tests pass.

--- a/src/traffic/server_restore.rs
+++ b/src/traffic/server_restore.rs
@@ -23,6 +23,9 @@
 /// Time-out for the health check. Reports arrive every one or two seconds, so a later answer would
 /// be useless.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long the store has to answer before a report is confirmed by a health check, which takes one
+/// of the backend server's connections. A store without trouble answers earlier.
+const STORE_HEAD_START: Duration = Duration::from_millis(200);
 /// How often to check for a desired state, which names the path of the health check.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -72,8 +75,12 @@
 /// [`LocalServer::must_confirm`]: crate::traffic::LocalServer::must_confirm
 pub(super) async fn apply_confirmed_report(traffic: Arc<Traffic>, report: ServerReport) {
     let mut is_read = traffic.is_own_row_read.subscribe();
+    let confirming = async {
+        sleep(STORE_HEAD_START).await;
+        confirm(&traffic, &report).await
+    };
     let is_confirmed = tokio::select! {
-        is_confirmed = confirm(&traffic, &report) => is_confirmed,
+        is_confirmed = confirming => is_confirmed,
         read = is_read.wait_for(|is_read| *is_read) => read.is_ok(),
     };
     if is_confirmed {
