A departure is a struct of its own instead of a pair

No change of behaviour. The pair of incarnation and start stood in four places without names. 26 tests of the local server and 37 of leaving, other writers, restart, restored store and reused address pass.

--- a/src/traffic/gone_servers.rs
+++ b/src/traffic/gone_servers.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::core::Name;
+use crate::traffic::Departure;
 use crate::traffic::ServerReport;
 
 /// Maximum number of incarnations remembered, so that their late reports change nothing.
@@ -58,10 +59,13 @@
             .any(|gone| gone.has_left && gone.incarnation == *incarnation)
     }
 
-    /// The most recent incarnation that has left, and its start.
-    pub fn last_departure(&self) -> Option<(Name, Option<u64>)> {
+    /// The most recently recorded departure.
+    pub fn last_departure(&self) -> Option<Departure> {
         let departed = self.gone.iter().rev().find(|gone| gone.has_left)?;
-        Some((departed.incarnation.clone(), departed.started_unix_ms))
+        Some(Departure {
+            incarnation: departed.incarnation.clone(),
+            started_unix_ms: departed.started_unix_ms,
+        })
     }
 
     /// Whether a report comes from an incarnation that is gone, and not from a later start under
--- a/src/traffic/local_server.rs
+++ b/src/traffic/local_server.rs
@@ -8,6 +8,7 @@
 use crate::core::Name;
 use crate::core::TargetState;
 use crate::core::TimeMs;
+use crate::traffic::Departure;
 use crate::traffic::KnownServer;
 use crate::traffic::ReportedState;
 use crate::traffic::ServerReport;
@@ -115,19 +116,15 @@
     ///
     /// The read may have been answered late, so a late report may have made the departed incarnation
     /// the current one.
-    pub fn restore_departure(
-        &mut self,
-        now: TimeMs,
-        departed: Option<(Name, Option<u64>)>,
-    ) -> LocalChange {
+    pub fn restore_departure(&mut self, now: TimeMs, stored: Option<Departure>) -> LocalChange {
         self.unread_since = None;
-        match departed {
-            Some((incarnation, started_unix_ms)) => {
-                let departure = ServerReport::departure(incarnation, started_unix_ms);
-                self.apply_report(now, &departure)
-            }
-            None => LocalChange::NoChange,
-        }
+        stored.map_or(LocalChange::NoChange, |departure| {
+            let Departure {
+                incarnation,
+                started_unix_ms,
+            } = departure;
+            self.apply_report(now, &ServerReport::departure(incarnation, started_unix_ms))
+        })
     }
 
     /// Whether a report takes effect only after a health check of the backend server.
@@ -469,14 +466,14 @@
         current.is_leaving.then_some(&current.incarnation)
     }
 
-    /// What to store for a restart of this process: the incarnation that is leaving or has left,
-    /// with its start. A departure can be the first that a restarted process learns of it.
-    pub fn departure(&self) -> Option<(Name, Option<u64>)> {
+    /// What to store for a restart of this process. A departure can be the first that a restarted
+    /// process learns of an incarnation, so there may be no current one.
+    pub fn departure(&self) -> Option<Departure> {
         match &self.current {
-            Some(current) => {
-                let departure = (current.incarnation.clone(), current.started_unix_ms);
-                current.is_leaving.then_some(departure)
-            }
+            Some(current) => current.is_leaving.then(|| Departure {
+                incarnation: current.incarnation.clone(),
+                started_unix_ms: current.started_unix_ms,
+            }),
             None => self.gone.last_departure(),
         }
     }
--- a/src/traffic/roster.rs
+++ b/src/traffic/roster.rs
@@ -148,10 +148,10 @@
             .await
             .unwrap_or_else(|_| Err(StoreError::NoAnswer("time-out".to_owned())))?;
         let before = row.as_ref().and_then(RosterRow::decode);
-        let departed = before.as_ref().and_then(RosterRow::departure);
+        let departure = before.as_ref().and_then(RosterRow::departure);
         let now = self.traffic.clock.now();
         self.traffic.update_local(|local| {
-            let change = local.restore_departure(now, departed);
+            let change = local.restore_departure(now, departure);
             if change == LocalChange::Changed {
                 log::info!("local: stored departure restored after a report of readiness");
             }
--- a/src/traffic/roster_row.rs
+++ b/src/traffic/roster_row.rs
@@ -8,6 +8,7 @@
 use crate::core::Name;
 use crate::core::stable_hash;
 use crate::store::StoredRow;
+use crate::traffic::Departure;
 use crate::traffic::KnownServer;
 use crate::traffic::RetryHandover;
 use crate::traffic::traffic::LocalServerStatus;
@@ -61,11 +62,12 @@
         before: Option<&Self>,
         retry_handover: Option<RetryHandover>,
     ) -> Self {
+        let departure = status.departure.as_ref();
         let current = Self {
             control_address: Some(control_address),
             domain: Some(domain.clone()),
-            leaving: status.departure.as_ref().map(|(name, _)| name.clone()),
-            leaving_started_unix_ms: status.departure.as_ref().and_then(|(_, started)| *started),
+            leaving: departure.map(|departure| departure.incarnation.clone()),
+            leaving_started_unix_ms: departure.and_then(|departure| departure.started_unix_ms),
             known: status.known.clone(),
             retry_handover,
         };
@@ -80,10 +82,12 @@
         }
     }
 
-    /// The departed incarnation and its start, if the row holds a departure.
-    pub(super) fn departure(&self) -> Option<(Name, Option<u64>)> {
-        let incarnation = self.leaving.clone()?;
-        Some((incarnation, self.leaving_started_unix_ms))
+    /// The departure that the row holds, if any.
+    pub(super) fn departure(&self) -> Option<Departure> {
+        Some(Departure {
+            incarnation: self.leaving.clone()?,
+            started_unix_ms: self.leaving_started_unix_ms,
+        })
     }
 
     pub(super) fn encode(&self) -> Vec<u8> {
--- a/src/traffic/traffic.rs
+++ b/src/traffic/traffic.rs
@@ -32,6 +32,7 @@
 use crate::routing::PickerConf;
 use crate::routing::SpillPolicy;
 use crate::traffic::AdvertisementCache;
+use crate::traffic::Departure;
 use crate::traffic::DesiredInForce;
 use crate::traffic::KnownServer;
 use crate::traffic::LiveSettings;
@@ -111,7 +112,7 @@
     pub slots: u32,
     pub state: TargetState,
     /// The departure to store for a restart of the node; see [`LocalServer::departure`].
-    pub departure: Option<(Name, Option<u64>)>,
+    pub departure: Option<Departure>,
     /// The incarnation to store for a restart of the node; see [`LocalServer::known`].
     pub known: Option<KnownServer>,
 }
@@ -319,9 +320,9 @@
                 return;
             }
             if local.is_down() || start_of(&local) != before {
-                let service = service_before.clone();
-                let service = service.unwrap_or_else(|| self.own_service.current());
-                self.poison.record_backend_exit(&service);
+                let current = || self.own_service.current();
+                let exited = service_before.clone().unwrap_or_else(current);
+                self.poison.record_backend_exit(&exited);
             }
             if let Some(reported) = local.service()
                 && service_before.as_ref() != Some(reported)
--- a/tests/traffic_local_server.rs
+++ b/tests/traffic_local_server.rs
@@ -4,6 +4,7 @@
 use sassafrasgap::core::Name;
 use sassafrasgap::core::TargetState;
 use sassafrasgap::core::TimeMs;
+use sassafrasgap::traffic::Departure;
 use sassafrasgap::traffic::LocalChange;
 use sassafrasgap::traffic::LocalServer;
 use sassafrasgap::traffic::ReportedState;
@@ -344,6 +345,10 @@
     let late = report_with_start(started_unix_ms, ReportedState::Ready, 42);
     server.apply_report(TimeMs(10), &late);
     assert_eq!(accepting(&server), Some("one"));
-    server.restore_departure(TimeMs(20), Some((Name::from("one"), Some(500))));
+    let stored = Departure {
+        incarnation: Name::from("one"),
+        started_unix_ms: Some(500),
+    };
+    server.restore_departure(TimeMs(20), Some(stored));
     assert_eq!(accepting(&server), expected);
 }
